Serve requests from callers through entry and agent to endpoints

Cause: nothing existed; every later part stands on a whole path.

Change: a workspace of four packages. An entry authenticates, classifies and routes calls over framed thrift connections to agents; an agent admits them through its gate, runs them at its endpoint and keeps the answers of keyed requests. Keys are claimed in the platform's table before dispatch. Stand-ins for platform, model engine and plain service, a site launcher, a checker and a demo.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+WIRE := packages/fescuedrum/src/fescuedrum/wire
+
+.PHONY: setup test lint format demo demo-up thrift clean
+
+$(STAMP): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --requirement requirements.txt
+	touch $(STAMP)
+
+setup: $(STAMP)
+
+test: setup
+	$(PYTHON) -m pytest
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+demo: setup
+	$(PYTHON) -m fescuedrum_bench demo
+
+demo-up: setup
+	$(PYTHON) -m fescuedrum_bench demo --keep-running
+
+# Needs the Thrift compiler; its output is committed, so that a build needs none.
+thrift:
+	rm -rf build/thrift && mkdir -p build/thrift
+	for file in $(WIRE)/idl/*.thrift; do \
+		thrift --gen py:slots -out build/thrift $$file || exit 1; \
+	done
+	rm -rf $(WIRE)/gen
+	cp -r build/thrift/fescuedrum/wire/gen $(WIRE)/gen
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/__init__.py
@@ -0,0 +1,1 @@
+"""Run beside an endpoint as the last gate before it."""
--- /dev/null
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
@@ -0,0 +1,34 @@
+"""Declare the agent's settings."""
+
+from dataclasses import dataclass
+
+from fescuedrum.conf.schema import setting
+
+
+@dataclass(slots=True)
+class AgentSettings:
+    """Hold the settings of one agent process."""
+
+    name: str = setting(help="Name of this instance, unique in the fleet.")
+    zone: str = setting(help="Availability zone of this instance.")
+    endpoint: str = setting(help="Name of the endpoint beside this agent.")
+    service: str = setting(help="Service that the endpoint offers.")
+    host: str = setting(help="IP address to listen on for entries.")
+    port: int = setting(help="Port to listen on.", minimum=1, maximum=65535)
+    endpoint_url: str = setting(help="Base URL of the endpoint.")
+    platform_url: str = setting(help="Base URL of the platform's services.")
+    cold_limit: int = setting(2, help="Requests a cold endpoint can carry.", minimum=1)
+    warm_limit: int = setting(16, help="Requests a warm endpoint can carry.", minimum=1)
+    warm_after: int = setting(
+        10, help="Answers after which a cold endpoint is warm.", minimum=1
+    )
+    heartbeat_seconds: float = setting(
+        0.5, help="Time between heartbeats.", minimum=0.05, unit="s"
+    )
+    drain_seconds: float = setting(
+        60.0, help="Longest wait for running requests at a stop.", minimum=0.0, unit="s"
+    )
+    ledger_bytes: int = setting(
+        64 * 1024 * 1024, help="Memory for kept answers.", minimum=1024, unit="B"
+    )
+    log_level: str = setting("INFO", help="Lowest level that is logged.")
--- /dev/null
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -0,0 +1,167 @@
+"""Tie the parts of the agent process together."""
+
+import asyncio
+import logging
+
+import aiohttp
+
+from fescuedrum import __version__
+from fescuedrum.outcomes import Outcome
+from fescuedrum.process import cancel, stop_event
+from fescuedrum.wire.gen.frames.ttypes import Hello
+from fescuedrum.wire.gen.members.ttypes import Heartbeat, LoadReport, Pull
+from fescuedrum_agent.connection.session import Session
+from fescuedrum_agent.process.gate import Gate
+from fescuedrum_agent.request.answer import Answer
+from fescuedrum_agent.request.execution import Execution
+from fescuedrum_agent.request.ledger import Ledger
+from fescuedrum_agent.version.configuration import Configuration
+
+logger = logging.getLogger(__name__)
+
+PROTOCOL = 1
+DRAIN_POLL_SECONDS = 0.05
+
+
+class Agent:
+    """Own the gate, the ledger and all sessions of one agent process."""
+
+    __slots__ = (
+        "configuration",
+        "executions",
+        "gate",
+        "incarnation",
+        "ledger",
+        "sequence",
+        "session",
+        "sessions",
+        "settings",
+    )
+
+    def __init__(self, settings, incarnation):
+        self.settings = settings
+        self.incarnation = incarnation
+        self.gate = Gate(settings.cold_limit, settings.warm_limit, settings.warm_after)
+        self.ledger = Ledger(settings.ledger_bytes)
+        self.configuration = Configuration(self.configuration_changed)
+        self.sessions = set()
+        self.executions = {}
+        self.session = None
+        self.sequence = 0
+
+    async def run(self):
+        """Serve until a signal, then drain and stop."""
+        stop = stop_event()
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+        )
+        server = await asyncio.start_server(
+            self.serve_connection, self.settings.host, self.settings.port
+        )
+        logger.info("agent started", extra={"release": __version__})
+        beat = asyncio.create_task(self.beat())
+        await stop.wait()
+        await self.drain()
+        await cancel([beat])
+        server.close()
+        for session in list(self.sessions):
+            session.connection.close()
+        await self.session.close()
+        logger.info("agent stopped")
+
+    async def serve_connection(self, reader, writer):
+        session = Session(self, reader, writer)
+        self.sessions.add(session)
+        try:
+            await session.run()
+        finally:
+            self.sessions.discard(session)
+
+    async def drain(self):
+        """Refuse new work, tell every entry, and let running requests end."""
+        self.gate.leaving = True
+        self.send_heartbeats()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + self.settings.drain_seconds
+        while self.busy() and loop.time() < deadline:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    def busy(self):
+        return self.gate.running or any(session.relays for session in self.sessions)
+
+    async def beat(self):
+        while True:
+            self.send_heartbeats()
+            await asyncio.sleep(self.settings.heartbeat_seconds)
+
+    def send_heartbeats(self):
+        self.sequence += 1
+        for session in self.sessions:
+            session.connection.send(heartbeat=self.heartbeat())
+
+    def hello(self):
+        return Hello(
+            protocol=PROTOCOL,
+            instance=self.settings.name,
+            incarnation=self.incarnation,
+            role="agent",
+            zone=self.settings.zone,
+            endpoint=self.settings.endpoint,
+            service_name=self.settings.service,
+        )
+
+    def heartbeat(self):
+        load = LoadReport(
+            running=self.gate.running, limit=self.gate.limit, warm=self.gate.warm
+        )
+        return Heartbeat(
+            instance=self.settings.name,
+            incarnation=self.incarnation,
+            zone=self.settings.zone,
+            version=self.configuration.version,
+            document_hash=self.configuration.document_hash,
+            leaving=self.gate.leaving,
+            load=load,
+            sequence=self.sequence,
+        )
+
+    def heard(self, session, heartbeat):
+        """Pull the document from an entry that runs a newer version."""
+        if heartbeat.version > self.configuration.version:
+            session.connection.send(pull=Pull(heartbeat.document_hash))
+
+    def configuration_changed(self, document):
+        self.gate.zone_out = self.configuration.zone_is_out(self.settings.zone)
+        logger.info("version in force", extra={"version": self.configuration.version})
+        self.send_heartbeats()
+
+    def submit(self, session, request):
+        """Start a request or find its answer: (answer, None) or (None, reason)."""
+        if request.key and (answer := self.ledger.find(request.key)):
+            return answer, None
+        if request.attach_only:
+            return None, "key-unknown"
+        if reason := self.gate.refusal():
+            return None, reason
+        answer = Answer()
+        if request.key:
+            self.ledger.add(request.key, answer)
+        self.gate.enter()
+        execution = Execution(self.session, self.settings.endpoint_url, request, answer)
+        task = asyncio.create_task(execution.run())
+        self.executions[(session, request.number)] = (task, request)
+        task.add_done_callback(lambda _: self.finished(session, request, answer))
+        return answer, None
+
+    def finished(self, session, request, answer):
+        self.executions.pop((session, request.number), None)
+        self.gate.exit(answered=answer.outcome is Outcome.ANSWERED)
+        if answer.outcome is not Outcome.ANSWERED:
+            self.gate.collapse()
+
+    def cancel(self, session, number):
+        """Free the endpoint's work for a caller who left, if it may be cut."""
+        task, request = self.executions.get((session, number), (None, None))
+        # A non-idempotent request runs on: its effect can't be taken back.
+        if task is not None and request.idempotent:
+            task.cancel()
--- /dev/null
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
@@ -0,0 +1,81 @@
+"""Run one request at the endpoint and fill its answer."""
+
+import asyncio
+import logging
+
+import aiohttp
+from multidict import CIMultiDict
+
+from fescuedrum.outcomes import Outcome
+from fescuedrum.wire.gen.frames.ttypes import Header
+
+logger = logging.getLogger(__name__)
+
+# They describe one connection, not the message (RFC 9110, section 7.6.1).
+HOP_HEADERS = frozenset(
+    ("connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade")
+)
+SERVER_ERROR = 500
+
+
+class Execution:
+    """Own one call to the endpoint."""
+
+    __slots__ = ("answer", "base_url", "request", "session")
+
+    def __init__(self, session, base_url, request, answer):
+        self.session = session
+        self.base_url = base_url
+        self.request = request
+        self.answer = answer
+
+    async def run(self):
+        """Call the endpoint; the answer always ends with an outcome."""
+        started = False
+        try:
+            async with self.call() as response:
+                started = True
+                self.answer.start(response.status, plain_headers(response.headers))
+                async for data in response.content.iter_any():
+                    self.answer.append(data)
+            self.answer.finish(*judge_status(response.status))
+        except aiohttp.ClientConnectorError as error:
+            # No connection was made, so no byte of the request can have left.
+            self.answer.finish(Outcome.NOT_RUN, f"connect: {error}")
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            phase = "answer" if started else "request"
+            self.answer.finish(Outcome.UNKNOWN, f"{phase} cut: {error!r}")
+        except asyncio.CancelledError:
+            self.answer.finish(Outcome.UNKNOWN, "cancelled")
+            raise
+
+    def call(self):
+        headers = CIMultiDict(
+            (header.name, header.value)
+            for header in self.request.headers or ()
+            if header.name.lower() not in HOP_HEADERS
+        )
+        timeout = aiohttp.ClientTimeout(total=self.request.budget_ms / 1000)
+        return self.session.request(
+            self.request.method,
+            self.base_url + self.request.path,
+            headers=headers,
+            data=self.request.body or None,
+            timeout=timeout,
+            allow_redirects=False,
+            skip_auto_headers=("User-Agent",),
+        )
+
+
+def judge_status(status):
+    if status >= SERVER_ERROR:
+        return Outcome.FAILED, f"the endpoint answered {status}"
+    return Outcome.ANSWERED, ""
+
+
+def plain_headers(headers):
+    return [
+        Header(name, value)
+        for name, value in headers.items()
+        if name.lower() not in HOP_HEADERS
+    ]
--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, site launcher, demo and load for fescuedrum."""
--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/__main__.py
@@ -0,0 +1,15 @@
+"""Find and run the commands of the bench."""
+
+import sys
+
+from fescuedrum.management import execute
+from fescuedrum_bench import commands
+
+if __name__ == "__main__":
+    sys.exit(
+        execute(
+            commands,
+            prog="python -m fescuedrum_bench",
+            description="Try, load and measure fescuedrum with stand-ins.",
+        )
+    )
--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/callers.py
@@ -0,0 +1,90 @@
+"""Send requests as callers do and record what they were told."""
+
+import asyncio
+import json
+
+import aiohttp
+
+from fescuedrum.outcomes import OUTCOME_HEADER, Outcome
+from fescuedrum_bench.checker import Record
+from fescuedrum_bench.standins.engine import completion_text
+
+STREAMING = "streaming"
+MODEL = "advice-1"
+
+
+class Caller:
+    """Act for one organisation through one entry."""
+
+    __slots__ = ("headers", "organisation", "session", "url")
+
+    def __init__(self, session, url, organisation, key):
+        self.session = session
+        self.url = url
+        self.organisation = organisation
+        self.headers = {"Authorization": f"Bearer {key}"}
+
+    async def complete(self, prompt, tokens=8):
+        """Ask for a completion and check every token of it."""
+        body = {"model": MODEL, "prompt": prompt, "max_tokens": tokens}
+        status, outcome, text, seconds = await self.send("/v1/completions", body)
+        whole = status == 200 and text_of(text) == completion_text(prompt, tokens)
+        return self.record("completion", outcome, status, seconds, whole=whole)
+
+    async def stream(self, prompt, tokens=8):
+        """Ask for a streamed completion and check every token of it."""
+        body = {"model": MODEL, "prompt": prompt, "max_tokens": tokens, "stream": True}
+        status, outcome, text, seconds = await self.send("/v1/completions", body)
+        whole = status == 200 and streamed_text(text) == completion_text(prompt, tokens)
+        return self.record("stream", outcome, status, seconds, whole=whole)
+
+    async def look_up(self, item):
+        """Ask the plain service for something that may be repeated."""
+        path = f"/services/bookings/stock/{item}"
+        status, outcome, text, seconds = await self.send(path, None, method="GET")
+        whole = status == 200 and json.loads(text)["item"] == item
+        return self.record("lookup", outcome, status, seconds, whole=whole)
+
+    async def book(self, reference, *, keyed=True):
+        """Make a booking that must never be recorded twice."""
+        headers = {"Idempotency-Key": reference} if keyed else {}
+        path = "/services/bookings/bookings"
+        status, outcome, text, seconds = await self.send(
+            path, {"reference": reference}, headers=headers
+        )
+        whole = status == 201 and json.loads(text)["booked"] == reference
+        return self.record("booking", outcome, status, seconds, reference, whole)
+
+    def record(self, kind, outcome, status, seconds, reference="", whole=True):
+        return Record(
+            kind, self.organisation, outcome, status, seconds, reference, whole
+        )
+
+    async def send(self, path, body, *, method="POST", headers=None):
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        try:
+            async with self.session.request(
+                method,
+                self.url + path,
+                json=body,
+                headers=self.headers | (headers or {}),
+            ) as response:
+                text = await response.text()
+                outcome = response.headers.get(OUTCOME_HEADER, Outcome.UNKNOWN)
+                # A stream that ended whole, its last chunk included, was answered.
+                outcome = Outcome.ANSWERED if outcome == STREAMING else outcome
+                return response.status, outcome, text, loop.time() - begin
+        except (aiohttp.ClientError, OSError):
+            return 0, Outcome.UNKNOWN, "", loop.time() - begin
+
+
+def text_of(body):
+    return json.loads(body)["choices"][0]["text"]
+
+
+def streamed_text(body):
+    events = [line[6:] for line in body.splitlines() if line.startswith("data: ")]
+    if not events or events[-1] != "[DONE]":
+        return ""
+    return "".join(json.loads(event)["choices"][0]["text"] for event in events[:-1])
--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -0,0 +1,290 @@
+"""Start and stop a small site of real processes on loopback addresses."""
+
+import asyncio
+import json
+import pathlib
+import random
+import socket
+import sys
+import tempfile
+from dataclasses import dataclass
+
+import aiohttp
+
+from fescuedrum.conf import document as documents, schema
+from fescuedrum.platform.client import PlatformClient
+from fescuedrum.platform.interfaces import Instance, Write
+from fescuedrum_entry.version.configuration import HEAD_KEY, object_name
+
+PORT = 7000
+GUARD_PORT = 6999
+READY_SECONDS = 20.0
+STOP_SECONDS = 70.0
+
+
+@dataclass(slots=True)
+class SiteShape:
+    """Say how large a site is."""
+
+    zones: int = 3
+    entries: int = 2
+    engines: int = 3
+    services: int = 1
+    step_seconds: float = 0.01
+    cold_limit: int = 2
+    warm_limit: int = 16
+
+
+def reserve_network():
+    """Take a /24 of loopback addresses that no other site on this machine uses.
+
+    The socket that is returned holds the reservation until it is closed.
+    """
+    chooser = random.SystemRandom()
+    while True:
+        prefix = f"127.{chooser.randrange(1, 250)}.{chooser.randrange(1, 250)}"
+        guard = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            guard.bind((f"{prefix}.1", GUARD_PORT))
+        except OSError:
+            guard.close()
+            continue
+        return prefix, guard
+
+
+class Member:
+    """Own one process of the site."""
+
+    __slots__ = ("command", "host", "log_path", "name", "process")
+
+    def __init__(self, name, host, command, log_path):
+        self.name = name
+        self.host = host
+        self.command = command
+        self.log_path = log_path
+        self.process = None
+
+    async def start(self):
+        with self.log_path.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.command, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log
+            )
+
+    async def stop(self):
+        """Ask the process to stop and wait; kill it when it doesn't."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        self.process.terminate()
+        try:
+            async with asyncio.timeout(STOP_SECONDS):
+                await self.process.wait()
+        except TimeoutError:
+            await self.kill()
+
+    async def kill(self):
+        self.process.kill()
+        await self.process.wait()
+
+    @property
+    def url(self):
+        return f"http://{self.host}:{PORT}"
+
+
+class Site:
+    """Own all processes of a small site."""
+
+    __slots__ = (
+        "agents",
+        "directory",
+        "document",
+        "endpoints",
+        "entries",
+        "guard",
+        "keys",
+        "members",
+        "next_host",
+        "platform",
+        "prefix",
+        "session",
+        "shape",
+        "temporary",
+        "version",
+    )
+
+    def __init__(self, shape, organisations):
+        self.shape = shape
+        self.prefix, self.guard = reserve_network()
+        self.temporary = tempfile.TemporaryDirectory(prefix="fescuedrum-site-")
+        self.directory = pathlib.Path(self.temporary.name)
+        self.next_host = 1
+        self.members = {}
+        self.entries = []
+        self.agents = []
+        self.endpoints = []
+        self.platform = None
+        self.session = None
+        self.version = 0
+        self.keys = {name: f"{name}.secret" for name in organisations}
+        self.document = self.build_document(organisations)
+
+    def build_document(self, organisations):
+        services = [
+            documents.Service("advice", documents.ServiceKind.ENGINE, ["advice-1"]),
+            documents.Service("bookings", documents.ServiceKind.PLAIN, []),
+        ]
+        hashed = [
+            documents.Organisation(
+                name,
+                [
+                    documents.KeyHash(
+                        "salt", documents.hash_key("salt", self.keys[name])
+                    )
+                ],
+            )
+            for name in organisations
+        ]
+        zones = [documents.Zone(self.zone(index)) for index in range(self.shape.zones)]
+        return documents.Document(services, hashed, zones)
+
+    def zone(self, index):
+        return f"zone-{index % self.shape.zones + 1}"
+
+    async def __aenter__(self):
+        self.session = aiohttp.ClientSession()
+        try:
+            await self.start()
+        except BaseException:
+            await self.stop()
+            raise
+        return self
+
+    async def __aexit__(self, *_):
+        await self.stop()
+
+    async def start(self):
+        self.platform = await self.start_standin("platform", "platform")
+        await self.wait_ready(f"{self.platform.url}/instances")
+        await self.apply(self.document)
+        await self.start_endpoints()
+        for index in range(self.shape.entries):
+            await self.start_entry(index)
+        for entry in self.entries:
+            await self.wait_ready(f"{entry.url}/readyz")
+
+    async def start_endpoints(self):
+        shape = self.shape
+        for index in range(shape.engines):
+            options = ("--step-seconds", shape.step_seconds)
+            options += ("--cold-limit", shape.cold_limit)
+            engine = await self.start_standin(f"engine-{index}", "engine", *options)
+            await self.start_agent(engine, "advice", self.zone(index))
+        for index in range(shape.services):
+            service = await self.start_standin(f"service-{index}", "service")
+            await self.start_agent(service, "bookings", self.zone(index))
+
+    async def start_standin(self, name, kind, *options):
+        module = ["-m", "fescuedrum_bench", "standin", kind]
+        member = self.add(name, module)
+        member.command += ["--host", member.host, "--port", str(PORT)]
+        member.command += [str(option) for option in options]
+        await member.start()
+        if kind != "platform":
+            self.endpoints.append(member)
+        return member
+
+    async def start_agent(self, endpoint, service, zone):
+        name = f"agent-{endpoint.name}"
+        settings = {
+            "endpoint": endpoint.name,
+            "service": service,
+            "endpoint_url": endpoint.url,
+            "cold_limit": self.shape.cold_limit,
+            "warm_limit": self.shape.warm_limit,
+        }
+        member = self.add(name, ["-m", "fescuedrum_agent.management"])
+        await self.launch(member, zone, settings)
+        self.agents.append(member)
+        await self.list_instance(
+            Instance(
+                name,
+                "agent",
+                zone,
+                member.host,
+                PORT,
+                endpoint=endpoint.name,
+                service=service,
+            )
+        )
+
+    async def start_entry(self, index):
+        zone = self.zone(index)
+        member = self.add(
+            f"entry-{index}", ["-m", "fescuedrum_entry.management", "serve"]
+        )
+        await self.launch(member, zone, {})
+        self.entries.append(member)
+        await self.list_instance(
+            Instance(member.name, "entry", zone, member.host, PORT)
+        )
+
+    async def launch(self, member, zone, settings):
+        path = self.directory / f"{member.name}.json"
+        common = {
+            "name": member.name,
+            "zone": zone,
+            "host": member.host,
+            "port": PORT,
+            "platform_url": self.platform.url,
+        }
+        path.write_text(json.dumps(common | settings))
+        member.command += ["--settings", str(path)]
+        await member.start()
+
+    def add(self, name, arguments):
+        host = f"{self.prefix}.{self.next_host}"
+        self.next_host += 1
+        log_path = self.directory / f"{name}.log"
+        member = Member(name, host, [sys.executable, *arguments], log_path)
+        self.members[name] = member
+        return member
+
+    async def list_instance(self, instance):
+        url = f"{self.platform.url}/instances/{instance.name}"
+        async with self.session.put(url, json=schema.dump(instance)) as response:
+            response.raise_for_status()
+
+    async def apply(self, document):
+        """Put a document in force as the platform's operators would."""
+        client = PlatformClient(self.platform.url, self.session)
+        body = documents.canonical(document)
+        digest = documents.document_hash(body)
+        await client.put_object(object_name(digest), body)
+        head = {"version": self.version + 1, "hash": digest}
+        applied = await client.transact([Write(HEAD_KEY, head, self.version)])
+        assert applied, "another operator changed the head row"
+        self.version += 1
+
+    async def wait_ready(self, url):
+        async with asyncio.timeout(READY_SECONDS):
+            while not await self.answers(url):
+                await asyncio.sleep(0.05)
+
+    async def answers(self, url):
+        try:
+            async with self.session.get(url) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, OSError):
+            return False
+
+    async def stop(self):
+        """Stop every process: entries first, then agents, endpoints and platform."""
+        others = [*self.agents, *self.endpoints]
+        for group in (self.entries, others, list(self.members.values())):
+            await asyncio.gather(*(member.stop() for member in group))
+        await self.session.close()
+        self.guard.close()
+        self.temporary.cleanup()
+
+    async def fetch_json(self, url):
+        async with self.session.get(url) as response:
+            return await response.json()
--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Take the place of outside systems, each behind its published protocol."""
--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/standins/platform.py
@@ -0,0 +1,123 @@
+"""Stand in for the platform: table, object store and instance list, in memory."""
+
+import asyncio
+
+from aiohttp import web
+
+from fescuedrum.platform.client import CONFLICT, NOT_FOUND
+from fescuedrum_bench.standins.runner import serve
+
+
+class Platform:
+    """Hold rows, objects and instances; a fault plan spoils its answers.
+
+    Faults (PUT /faults): down refuses all calls; lost_answers drops that many
+    answers of transactions after their writes took effect; delay_seconds slows all.
+    """
+
+    __slots__ = (
+        "delay_seconds",
+        "down",
+        "instances",
+        "lost_answers",
+        "objects",
+        "rows",
+    )
+
+    def __init__(self):
+        self.rows = {}
+        self.objects = {}
+        self.instances = {}
+        self.down = False
+        self.lost_answers = 0
+        self.delay_seconds = 0.0
+
+    def build_application(self):
+        application = web.Application(middlewares=[self.spoil])
+        router = application.router
+        router.add_get("/table/row", self.get_row)
+        router.add_get("/table/scan", self.scan)
+        router.add_post("/table/transact", self.transact)
+        router.add_get("/objects/{name}", self.get_object)
+        router.add_put("/objects/{name}", self.put_object)
+        router.add_get("/instances", self.list_instances)
+        router.add_put("/instances/{name}", self.put_instance)
+        router.add_delete("/instances/{name}", self.delete_instance)
+        router.add_put("/faults", self.put_faults)
+        return application
+
+    @web.middleware
+    async def spoil(self, request, handler):
+        if request.path == "/faults":
+            return await handler(request)
+        if self.delay_seconds:
+            await asyncio.sleep(self.delay_seconds)
+        if self.down:
+            return web.Response(status=503, text="outage")
+        response = await handler(request)
+        if request.path == "/table/transact" and self.lost_answers > 0:
+            self.lost_answers -= 1
+            request.transport.abort()
+        return response
+
+    async def put_faults(self, request):
+        plan = await request.json()
+        self.down = plan.get("down", self.down)
+        self.lost_answers = plan.get("lost_answers", self.lost_answers)
+        self.delay_seconds = plan.get("delay_seconds", self.delay_seconds)
+        return web.json_response({})
+
+    def row(self, key):
+        value, version = self.rows.get(key, (None, 0))
+        return {"key": key, "value": value, "version": version}
+
+    async def get_row(self, request):
+        return web.json_response(self.row(request.query["key"]))
+
+    async def scan(self, request):
+        prefix = request.query["prefix"]
+        found = [self.row(key) for key in sorted(self.rows) if key.startswith(prefix)]
+        return web.json_response(found)
+
+    async def transact(self, request):
+        writes = await request.json()
+        for write in writes:
+            expected = write["expected_version"]
+            if expected is not None and self.row(write["key"])["version"] != expected:
+                return web.json_response(self.row(write["key"]), status=CONFLICT)
+        for write in writes:
+            self.apply(write)
+        return web.json_response({})
+
+    def apply(self, write):
+        version = self.row(write["key"])["version"] + 1
+        if write["value"] is None:
+            self.rows.pop(write["key"], None)
+        else:
+            self.rows[write["key"]] = (write["value"], version)
+
+    async def get_object(self, request):
+        body = self.objects.get(request.match_info["name"])
+        if body is None:
+            return web.Response(status=NOT_FOUND)
+        return web.Response(body=body)
+
+    async def put_object(self, request):
+        self.objects[request.match_info["name"]] = await request.read()
+        return web.Response()
+
+    async def list_instances(self, _):
+        return web.json_response(list(self.instances.values()))
+
+    async def put_instance(self, request):
+        self.instances[request.match_info["name"]] = await request.json()
+        return web.Response()
+
+    async def delete_instance(self, request):
+        self.instances.pop(request.match_info["name"], None)
+        return web.Response()
+
+
+async def run(arguments):
+    """Serve the platform until SIGTERM."""
+    await serve(Platform().build_application(), arguments)
--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/standins/runner.py
@@ -0,0 +1,15 @@
+"""Serve one stand-in's application until a signal."""
+
+from aiohttp import web
+
+from fescuedrum.process import stop_event
+
+
+async def serve(application, arguments):
+    """Listen on the address in the arguments until SIGTERM."""
+    stop = stop_event()
+    runner = web.AppRunner(application, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, arguments.host, arguments.port).start()
+    await stop.wait()
+    await runner.cleanup()
--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/standins/service.py
@@ -0,0 +1,42 @@
+"""Stand in for a plain service that counts every execution by key."""
+
+import asyncio
+from collections import Counter
+
+from aiohttp import web
+
+from fescuedrum_bench.standins.runner import serve
+
+
+class Bookings:
+    """Record bookings; its counts are the judge of at most once."""
+
+    __slots__ = ("executions", "work_seconds")
+
+    def __init__(self, work_seconds):
+        self.executions = Counter()
+        self.work_seconds = work_seconds
+
+    def build_application(self):
+        application = web.Application()
+        application.router.add_get("/stock/{item}", self.stock)
+        application.router.add_post("/bookings", self.book)
+        application.router.add_get("/executions", self.list_executions)
+        return application
+
+    async def stock(self, request):
+        return web.json_response({"item": request.match_info["item"], "stock": 7})
+
+    async def book(self, request):
+        data = await request.json()
+        self.executions[data["reference"]] += 1
+        await asyncio.sleep(self.work_seconds)
+        return web.json_response({"booked": data["reference"]}, status=201)
+
+    async def list_executions(self, _):
+        return web.json_response(self.executions)
+
+
+async def run(arguments):
+    """Serve the plain service until SIGTERM."""
+    await serve(Bookings(arguments.work_seconds).build_application(), arguments)
--- /dev/null
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers and operators, and route requests to endpoints."""
--- /dev/null
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one module for each command."""
--- /dev/null
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -0,0 +1,35 @@
+"""Declare the entry's settings."""
+
+from dataclasses import dataclass
+
+from fescuedrum.conf.schema import setting
+
+
+@dataclass(slots=True)
+class EntrySettings:
+    """Hold the settings of one entry process."""
+
+    name: str = setting(help="Name of this instance, unique in the fleet.")
+    zone: str = setting(help="Availability zone of this instance.")
+    host: str = setting(help="IP address to listen on.")
+    port: int = setting(help="Port for callers.", minimum=1, maximum=65535)
+    platform_url: str = setting(help="Base URL of the platform's services.")
+    maximum_body_bytes: int = setting(
+        4 * 1024 * 1024, help="Largest body taken from a caller.", minimum=1, unit="B"
+    )
+    default_deadline_seconds: float = setting(
+        30.0, help="Deadline of a request that names none.", minimum=0.001, unit="s"
+    )
+    heartbeat_seconds: float = setting(
+        0.5, help="Time between heartbeats to agents.", minimum=0.05, unit="s"
+    )
+    silence_seconds: float = setting(
+        2.0, help="Silence after which a connection is replaced.", minimum=0.1, unit="s"
+    )
+    poll_seconds: float = setting(
+        0.5, help="Time between reads of the head row.", minimum=0.05, unit="s"
+    )
+    drain_seconds: float = setting(
+        60.0, help="Longest wait for running requests at a stop.", minimum=0.0, unit="s"
+    )
+    log_level: str = setting("INFO", help="Lowest level that is logged.")
--- /dev/null
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
@@ -0,0 +1,180 @@
+"""Keep one connection to one agent and multiplex requests over it."""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from fescuedrum.decisions.routing import Candidate
+from fescuedrum.exceptions import ProtocolError
+from fescuedrum.wire import codec
+from fescuedrum.wire.connection import FrameConnection
+from fescuedrum.wire.gen.frames import ttypes as frames
+from fescuedrum.wire.gen.members import ttypes as members
+
+logger = logging.getLogger(__name__)
+
+RECONNECT_SECONDS = 0.2
+CONNECT_TIMEOUT_SECONDS = 2.0
+WINDOW_BYTES = 256 * 1024
+
+
+@dataclass(slots=True, frozen=True)
+class Lost:
+    """Tell an exchange that its connection ended; the request may have run."""
+
+
+class Exchange:
+    """Hold one request on one connection and the frames that come for it."""
+
+    __slots__ = ("attempt", "events", "link", "number")
+
+    def __init__(self, link, number, attempt):
+        self.link = link
+        self.number = number
+        self.attempt = attempt
+        self.events = asyncio.Queue()
+
+    async def receive(self):
+        """Wait for the next frame of this request, or Lost."""
+        return await self.events.get()
+
+    def taken(self, size):
+        """Give the agent credit for bytes that the caller has taken."""
+        self.link.send(credit=frames.Credit(self.number, self.attempt, size))
+
+    def close(self, *, finished):
+        self.link.exchanges.pop(self.number, None)
+        if not finished:
+            self.link.send(cancel=frames.Cancel(self.number, self.attempt))
+
+
+class Link:
+    """Own the connection to one agent and open a new one when it ends."""
+
+    __slots__ = (
+        "connection",
+        "entry",
+        "exchanges",
+        "heard_at",
+        "instance",
+        "last_heartbeat",
+        "loop",
+        "next_number",
+        "unexpected_frames",
+    )
+
+    def __init__(self, entry, instance):
+        self.entry = entry
+        self.instance = instance
+        self.connection = None
+        self.exchanges = {}
+        self.last_heartbeat = None
+        self.heard_at = 0.0
+        self.next_number = 1
+        self.unexpected_frames = 0
+        self.loop = asyncio.get_running_loop()
+
+    @property
+    def usable(self):
+        """Tell whether new work may go to this agent."""
+        beat = self.last_heartbeat
+        return self.connection is not None and beat is not None and not beat.leaving
+
+    def candidate(self):
+        load = self.last_heartbeat.load
+        return Candidate(
+            name=self.instance.name,
+            zone=self.instance.zone,
+            running=load.running or 0,
+            limit=load.limit or 1,
+            unanswered=len(self.exchanges),
+            warm=bool(load.warm),
+        )
+
+    def open(self, request):
+        """Send a request and return its exchange."""
+        request.number = self.next_number
+        self.next_number += 1
+        request.window = WINDOW_BYTES
+        exchange = Exchange(self, request.number, request.attempt)
+        self.exchanges[request.number] = exchange
+        self.send(request=request)
+        return exchange
+
+    def send(self, **body):
+        if self.connection is not None:
+            self.connection.send(**body)
+
+    async def run(self):
+        """Connect, serve the connection to its end, and start again."""
+        while True:
+            try:
+                await self.serve()
+            except (OSError, TimeoutError, ProtocolError) as error:
+                logger.info(
+                    "connection ended",
+                    extra={"agent": self.instance.name, "error": str(error)},
+                )
+            finally:
+                self.lose()
+            await asyncio.sleep(RECONNECT_SECONDS)
+
+    async def serve(self):
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            reader, writer = await asyncio.open_connection(
+                self.instance.host, self.instance.port
+            )
+        connection = FrameConnection(reader, writer)
+        watch = asyncio.create_task(self.watch(connection))
+        try:
+            connection.send(hello=self.entry.hello())
+            self.heard_at = self.loop.time()
+            while (frame := await connection.receive()) is not None:
+                self.heard_at = self.loop.time()
+                self.connection = connection
+                self.handle(codec.body_of(frame))
+        finally:
+            watch.cancel()
+            connection.close()
+
+    async def watch(self, connection):
+        """Send heartbeats; close a connection that has gone silent.
+
+        A middlebox that forgets a connection drops its packets without a reset, so
+        neither side sees an error; only missing heartbeats show it.
+        """
+        settings = self.entry.settings
+        while self.loop.time() - self.heard_at < settings.silence_seconds:
+            connection.send(heartbeat=self.entry.heartbeat())
+            await asyncio.sleep(settings.heartbeat_seconds)
+        logger.warning("connection silent", extra={"agent": self.instance.name})
+        # A plain close would wait for the peer to take what is still buffered.
+        connection.writer.transport.abort()
+
+    def handle(self, body):
+        match body:
+            case members.Heartbeat():
+                self.last_heartbeat = body
+            case members.Pull():
+                self.entry.configuration.answer_pull(self, body)
+            case frames.Hello():
+                pass
+            case None:
+                self.unexpected_frames += 1
+            case _:
+                self.deliver(body)
+
+    def deliver(self, body):
+        exchange = self.exchanges.get(body.number)
+        # A late frame of an earlier attempt must not reach another request's caller.
+        if exchange is None or exchange.attempt != body.attempt:
+            self.unexpected_frames += 1
+            return
+        exchange.events.put_nowait(body)
+
+    def lose(self):
+        self.connection = None
+        self.last_heartbeat = None
+        exchanges, self.exchanges = self.exchanges, {}
+        for exchange in exchanges.values():
+            exchange.events.put_nowait(Lost())
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Read, check and describe settings and the configuration document."""
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decide under load; nothing in this package imports I/O."""
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -0,0 +1,107 @@
+"""Define the error kinds; each message names the remedy."""
+
+from fescuedrum.outcomes import Outcome
+
+
+class FescuedrumError(Exception):
+    """Carry a stable code, the outcome and the HTTP status a caller is told."""
+
+    code = "internal"
+    status = 500
+    outcome = Outcome.UNKNOWN
+    remedy = "Report the request's id to the operators."
+
+    def __init__(self, detail="", *, retry_after=None):
+        super().__init__(f"{detail} {self.remedy}".strip())
+        self.detail = detail
+        self.retry_after = retry_after
+
+
+class BadRequest(FescuedrumError):  # noqa: N818 - the HTTP term
+    """Refuse input that no endpoint should see."""
+
+    code = "bad-request"
+    status = 400
+    outcome = Outcome.NOT_RUN
+    remedy = "Correct the request and send it again."
+
+
+class UnknownKey(BadRequest):
+    """Refuse a caller whose organisation is not known."""
+
+    code = "unknown-key"
+    status = 401
+    remedy = "Send 'Authorization: Bearer <key>' with a key of your organisation."
+
+
+class UnknownService(BadRequest):
+    """Refuse a service or model that the configuration does not name."""
+
+    code = "unknown-service"
+    status = 404
+    remedy = "Use a service or model that the configuration names."
+
+
+class BodyTooLarge(BadRequest):
+    """Refuse a body above the entry's limit."""
+
+    code = "body-too-large"
+    status = 413
+    remedy = "Send a smaller body."
+
+
+class Overloaded(FescuedrumError):  # noqa: N818 - the field's term
+    """Refuse work that can't be served by its deadline; it was not run."""
+
+    code = "overloaded"
+    status = 503
+    outcome = Outcome.NOT_RUN
+    remedy = "Send the request again after the time in Retry-After."
+
+
+class Unavailable(Overloaded):
+    """Refuse work for which no endpoint can be reached; it was not run."""
+
+    code = "unavailable"
+
+
+class DeadlinePassed(FescuedrumError):  # noqa: N818 - the field's term
+    """End a request whose deadline passed before any endpoint started it."""
+
+    code = "deadline-passed"
+    status = 504
+    outcome = Outcome.NOT_RUN
+    remedy = "Send the request again with a later deadline."
+
+
+class OutcomeUnknown(FescuedrumError):  # noqa: N818 - the outcome's name
+    """Tell the caller that the request may have run."""
+
+    code = "unknown"
+    status = 502
+    outcome = Outcome.UNKNOWN
+    remedy = "Repeat it with the same Idempotency-Key to learn what became of it."
+
+
+class EndpointFailed(FescuedrumError):  # noqa: N818 - the field's term
+    """Tell the caller that the endpoint ran the request and failed."""
+
+    code = "endpoint-failed"
+    status = 502
+    outcome = Outcome.FAILED
+    remedy = "Look at the endpoint's own message before you repeat it."
+
+
+class StoreUnavailable(FescuedrumError):  # noqa: N818 - the field's term
+    """Report that the platform's service gave no usable answer."""
+
+    code = "store-unavailable"
+    status = 503
+    remedy = "Wait for the platform's service to return; a write may have happened."
+
+
+class ProtocolError(FescuedrumError):
+    """Report a peer that breaks the framing rules."""
+
+    code = "protocol"
+    remedy = "Check that both processes run a supported release."
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Reach the platform: table service, object store and instance list."""
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/platform/interfaces.py
@@ -0,0 +1,72 @@
+"""Define what the system needs of the platform, one protocol class for each part."""
+
+import enum
+from dataclasses import dataclass
+from typing import Protocol
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    """Hold a row of the table; version 0 means that it does not exist."""
+
+    key: str
+    value: dict | None
+    version: int
+
+
+@dataclass(slots=True, frozen=True)
+class Write:
+    """Set a row's value (None deletes it) if its version is still the expected one."""
+
+    key: str
+    value: dict | None
+    # None writes whatever the row's version is.
+    expected_version: int | None
+
+
+class InstanceState(enum.StrEnum):
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(slots=True)
+class Instance:
+    """Hold one line of the platform's instance list."""
+
+    name: str
+    role: str
+    zone: str
+    host: str
+    port: int
+    state: InstanceState = InstanceState.LIVE
+    endpoint: str = ""
+    service: str = ""
+
+
+class Table(Protocol):
+    """Reach the transactional table service; raise StoreUnavailable on no answer."""
+
+    async def get(self, key: str) -> Row: ...
+
+    async def scan(self, prefix: str) -> list[Row]: ...
+
+    async def transact(self, writes: list[Write]) -> bool:
+        """Apply all writes or none; return False when an expected version differs.
+
+        StoreUnavailable leaves open whether the writes took effect.
+        """
+        ...
+
+
+class ObjectStore(Protocol):
+    """Reach the object store; raise StoreUnavailable on no answer."""
+
+    async def get_object(self, name: str) -> bytes | None: ...
+
+    async def put_object(self, name: str, body: bytes) -> None: ...
+
+
+class InstanceList(Protocol):
+    """Reach the lagging list of instances; raise StoreUnavailable on no answer."""
+
+    async def list_instances(self) -> list[Instance]: ...
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Carry thrift frames between processes of fescuedrum."""
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/wire/idl/frames.thrift
@@ -0,0 +1,105 @@
+// Every frame of a connection between two processes of fescuedrum.
+// A length prefix of four bytes goes before each encoded Frame.
+// Field numbers are never used again; a field that an old process does not know
+// is skipped by it, so new fields are optional and have a safe absent meaning.
+
+include "members.thrift"
+
+namespace py fescuedrum.wire.gen.frames
+
+struct Header {
+  1: optional string name,
+  2: optional string value,
+}
+
+struct Hello {
+  1: optional i32 protocol,
+  2: optional string instance,
+  3: optional i64 incarnation,
+  4: optional string role,
+  5: optional string zone,
+  6: optional binary nonce,
+  7: optional string endpoint,
+  8: optional string service_name,
+}
+
+// budget_ms is the time left, never a clock reading: hosts' clocks differ.
+struct Request {
+  1: optional i64 number,
+  2: optional i32 attempt,
+  3: optional string request_id,
+  4: optional string organisation,
+  5: optional string service_name,
+  6: optional string method,
+  7: optional string path,
+  8: optional list<Header> headers,
+  9: optional binary body,
+  10: optional i32 budget_ms,
+  11: optional bool idempotent,
+  12: optional string key,
+  13: optional string token,
+  14: optional i32 priority,
+  15: optional double cost,
+  16: optional i64 resume_offset,
+  17: optional i64 version,
+  18: optional i32 window,
+  // Answer from what the ledger holds under the key; start nothing.
+  19: optional bool attach_only,
+}
+
+// Says that the request was not run and, at this agent, will not be.
+struct Refusal {
+  1: optional i64 number,
+  2: optional i32 attempt,
+  3: optional string reason,
+  4: optional i32 retry_after_ms,
+}
+
+struct ResponseHead {
+  1: optional i64 number,
+  2: optional i32 attempt,
+  3: optional i32 status,
+  4: optional list<Header> headers,
+}
+
+struct Chunk {
+  1: optional i64 number,
+  2: optional i32 attempt,
+  3: optional i64 offset,
+  4: optional binary data,
+}
+
+// Only an End whose length equals the bytes received makes an answer whole.
+struct End {
+  1: optional i64 number,
+  2: optional i32 attempt,
+  3: optional string outcome,
+  4: optional i64 length,
+  5: optional string reason,
+}
+
+struct Cancel {
+  1: optional i64 number,
+  2: optional i32 attempt,
+}
+
+struct Credit {
+  1: optional i64 number,
+  2: optional i32 attempt,
+  3: optional i32 window,
+}
+
+// Field numbers: 1-19 requests, 20-39 members, 40-59 rank groups.
+union Frame {
+  1: Hello hello,
+  2: Request request,
+  3: Refusal refusal,
+  4: ResponseHead head,
+  5: Chunk chunk,
+  6: End end,
+  7: Cancel cancel,
+  8: Credit credit,
+  20: members.Heartbeat heartbeat,
+  21: members.Pull pull,
+  22: members.DocumentBody document,
+}
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Share builders, the paused clock and checks among tests."""
--- /dev/null
+++ b/tests/support/builders.py
@@ -0,0 +1,37 @@
+"""Build test data with sensible defaults."""
+
+from fescuedrum.conf import document as documents
+from fescuedrum.decisions.routing import Candidate
+from fescuedrum.wire.gen.frames import ttypes as frames
+
+
+def build_candidate(name="a", zone="zone-1", **changes):
+    return Candidate(**{"name": name, "zone": zone, "limit": 4} | changes)
+
+
+def build_organisation(name="club", key="club.secret"):
+    salted = documents.KeyHash("salt", documents.hash_key("salt", key))
+    return documents.Organisation(name, [salted])
+
+
+def build_document(**changes):
+    values = {
+        "services": [documents.Service("advice", documents.ServiceKind.ENGINE, ["m"])],
+        "organisations": [build_organisation()],
+        "zones": [documents.Zone("zone-1"), documents.Zone("zone-2")],
+    }
+    return documents.Document(**values | changes)
+
+
+def build_request(number=1, **changes):
+    values = {
+        "number": number,
+        "attempt": 1,
+        "method": "POST",
+        "path": "/bookings",
+        "headers": [frames.Header("Accept", "*/*")],
+        "body": b"{}",
+        "budget_ms": 1000,
+        "window": 1024,
+    }
+    return frames.Request(**values | changes)
--- /dev/null
+++ b/tests/unit/test_schema.py
@@ -0,0 +1,35 @@
+"""Check that settings and documents report every fault with path and remedy."""
+
+import json
+
+from support.builders import build_document
+
+from fescuedrum.conf import document as documents, schema
+from fescuedrum_agent.conf import AgentSettings
+
+
+def test_every_fault_is_listed_at_once():
+    data = {"name": 3, "port": 0, "colour": "red"}
+    findings = schema.load(AgentSettings, data).unwrap_err()
+    paths = {finding.path for finding in findings}
+    assert {"$.name", "$.port", "$.colour", "$.zone", "$.host"} <= paths
+    assert all(finding.hint for finding in findings)
+
+
+def test_a_document_survives_its_canonical_form():
+    body = documents.canonical(build_document())
+    assert documents.canonical(documents.parse(body).unwrap()) == body
+
+
+def test_equal_documents_have_equal_hashes():
+    body = documents.canonical(build_document())
+    shuffled = dict(reversed(json.loads(body).items()))
+    again = documents.canonical(documents.parse(json.dumps(shuffled)).unwrap())
+    assert documents.document_hash(again) == documents.document_hash(body)
+
+
+def test_a_name_that_stands_twice_is_found():
+    zones = [documents.Zone("zone-1"), documents.Zone("zone-1")]
+    body = documents.canonical(build_document(zones=zones))
+    (finding,) = documents.parse(body).unwrap_err()
+    assert finding.path == "$.zones[1].name"
