Make entries and agents prove a shared key and bound unsent output

Cause: any process that reached an agent's port could give it orders, a peer that read nothing made the sender keep every byte, and a path had no TLS.

Change: a handshake in wire/handshake.py (pure) in which entry and agent prove a peer key by HMAC over nonces, identities and roles, the entry first, so that a stranger gets a challenge without a name and a close; two keys are valid at once. Hello carries the oldest protocol spoken. Frames are cut from large reads, large senders wait above 1 MiB unsent, and a link above it takes no new request. TLS for callers and between processes from files that are reloaded by time of change or SIGHUP, tried on an unused context first.

Conclusion: the connection between processes may now cross a network that others use, with peer_tls set; without TLS the proof guards its opening only.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 
 from fescuedrum.conf.schema import setting
+from fescuedrum.tls import TlsFiles
+from fescuedrum.wire.handshake import PeerKey
 
 
 @dataclass(slots=True)
@@ -31,4 +33,10 @@
     ledger_bytes: int = setting(
         64 * 1024 * 1024, help="Memory for kept answers.", minimum=1024, unit="B"
     )
+    peer_keys: list[PeerKey] = setting(
+        list, help="Keys that entries and agents prove; the first is used to prove."
+    )
+    peer_tls: TlsFiles | None = setting(
+        None, help="Certificate, key and authority for entry-agent connections."
+    )
     log_level: str = setting("INFO", help="Lowest level that is logged.")
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
@@ -47,6 +47,8 @@
             while self.credit <= 0:
                 self.credited.clear()
                 await self.credited.wait()
+            # Credit bounds one request; this bounds the sum of all on the connection.
+            await self.session.connection.wait_for_room()
             size = min(self.credit, CHUNK_BYTES)
             data = bytes(self.answer.body[offset : offset + size])
             self.send("chunk", offset=offset, data=data)
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
@@ -33,6 +33,9 @@
 
     async def run(self):
         try:
+            side = self.agent.peers.agent_side()
+            self.peer = (await self.connection.handshake(side)).instance
+            self.agent.greet(self)
             while (frame := await self.connection.receive()) is not None:
                 self.handle(codec.body_of(frame))
         finally:
@@ -46,10 +49,6 @@
 
     def handle(self, body):
         match body:
-            case frames.Hello():
-                self.peer = body.instance
-                self.connection.send(hello=self.agent.hello())
-                self.connection.send(heartbeat=self.agent.heartbeat())
             case frames.Request():
                 self.handle_request(body)
             case frames.Credit():
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -6,10 +6,12 @@
 import aiohttp
 
 from fescuedrum import __version__
+from fescuedrum.exceptions import ProtocolError
 from fescuedrum.outcomes import Outcome
-from fescuedrum.process import cancel, stop_event
+from fescuedrum.process import cancel, on_reload, stop_event
 from fescuedrum.wire.gen.frames.ttypes import Hello
 from fescuedrum.wire.gen.members.ttypes import Heartbeat, LoadReport, Pull
+from fescuedrum.wire.peers import Peers
 from fescuedrum_agent.connection.session import Session
 from fescuedrum_agent.process.gate import Gate
 from fescuedrum_agent.request.answer import Answer
@@ -19,7 +21,6 @@
 
 logger = logging.getLogger(__name__)
 
-PROTOCOL = 1
 DRAIN_POLL_SECONDS = 0.05
 
 
@@ -32,6 +33,7 @@
         "gate",
         "incarnation",
         "ledger",
+        "peers",
         "sequence",
         "session",
         "sessions",
@@ -46,23 +48,26 @@
         self.configuration = Configuration(self.configuration_changed)
         self.sessions = set()
         self.executions = {}
+        self.peers = Peers(settings.peer_keys, settings.peer_tls, self.hello)
         self.session = None
         self.sequence = 0
 
     async def run(self):
         """Serve until a signal, then drain and stop."""
         stop = stop_event()
+        on_reload(self.peers.certificates.reload)
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
         )
-        server = await asyncio.start_server(
+        server = await self.peers.listen(
             self.serve_connection, self.settings.host, self.settings.port
         )
+        reload = asyncio.create_task(self.peers.certificates.follow())
         logger.info("agent started", extra={"release": __version__})
         beat = asyncio.create_task(self.beat())
         await stop.wait()
         await self.drain()
-        await cancel([beat])
+        await cancel([beat, reload])
         server.close()
         for session in list(self.sessions):
             session.connection.close()
@@ -71,12 +76,18 @@
 
     async def serve_connection(self, reader, writer):
         session = Session(self, reader, writer)
-        self.sessions.add(session)
         try:
             await session.run()
+        except ProtocolError as error:
+            logger.warning("entry refused", extra={"error": str(error)})
         finally:
             self.sessions.discard(session)
 
+    def greet(self, session):
+        """Take up a session whose peer has proved itself."""
+        self.sessions.add(session)
+        session.connection.send(heartbeat=self.heartbeat())
+
     async def drain(self):
         """Refuse new work, tell every entry, and let running requests end."""
         self.gate.leaving = True
@@ -101,7 +112,6 @@
 
     def hello(self):
         return Hello(
-            protocol=PROTOCOL,
             instance=self.settings.name,
             incarnation=self.incarnation,
             role="agent",
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import random
+import secrets
 import socket
 import sys
 import tempfile
@@ -103,6 +104,7 @@
         "keys",
         "members",
         "next_host",
+        "peer_secret",
         "platform",
         "prefix",
         "session",
@@ -124,6 +126,7 @@
         self.platform = None
         self.session = None
         self.version = 0
+        self.peer_secret = secrets.token_hex(32)
         self.keys = {name: f"{name}.secret" for name in organisations}
         self.document = self.build_document(organisations)
 
@@ -235,6 +238,7 @@
             "host": member.host,
             "port": PORT,
             "platform_url": self.platform.url,
+            "peer_keys": [{"id": "site", "secret": self.peer_secret}],
         }
         path.write_text(json.dumps(common | settings))
         member.command += ["--settings", str(path)]
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 
 from fescuedrum.conf.schema import setting
+from fescuedrum.tls import TlsFiles
+from fescuedrum.wire.handshake import PeerKey
 
 
 @dataclass(slots=True)
@@ -32,4 +34,13 @@
     drain_seconds: float = setting(
         60.0, help="Longest wait for running requests at a stop.", minimum=0.0, unit="s"
     )
+    callers_tls: TlsFiles | None = setting(
+        None, help="Certificate and key shown to callers; without it, plain HTTP."
+    )
+    peer_keys: list[PeerKey] = setting(
+        list, help="Keys that entries and agents prove; the first is used to prove."
+    )
+    peer_tls: TlsFiles | None = setting(
+        None, help="Certificate, key and authority for entry-agent connections."
+    )
     log_level: str = setting("INFO", help="Lowest level that is logged.")
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
@@ -78,7 +78,10 @@
     def usable(self):
         """Tell whether new work may go to this agent."""
         beat = self.last_heartbeat
-        return self.connection is not None and beat is not None and not beat.leaving
+        if self.connection is None or beat is None or beat.leaving:
+            return False
+        # An agent that takes what is sent too slowly gets no more until it caught up.
+        return not self.connection.congested
 
     def candidate(self):
         load = self.last_heartbeat.load
@@ -121,13 +124,17 @@
 
     async def serve(self):
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-            reader, writer = await asyncio.open_connection(
+            reader, writer = await self.entry.peers.connect(
                 self.instance.host, self.instance.port
             )
         connection = FrameConnection(reader, writer)
+        try:
+            await connection.handshake(self.entry.peers.entry_side(self.instance.name))
+        except BaseException:
+            writer.transport.abort()
+            raise
         watch = asyncio.create_task(self.watch(connection))
         try:
-            connection.send(hello=self.entry.hello())
             self.heard_at = self.loop.time()
             while (frame := await connection.receive()) is not None:
                 self.heard_at = self.loop.time()
@@ -157,8 +164,6 @@
                 self.last_heartbeat = body
             case members.Pull():
                 self.entry.configuration.answer_pull(self, body)
-            case frames.Hello():
-                pass
             case None:
                 self.unexpected_frames += 1
             case _:
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -10,16 +10,17 @@
 from fescuedrum import __version__
 from fescuedrum.exceptions import StoreUnavailable
 from fescuedrum.platform.client import PlatformClient
-from fescuedrum.process import cancel, stop_event
+from fescuedrum.process import cancel, on_reload, stop_event
+from fescuedrum.tls import Certificates
 from fescuedrum.wire.gen.frames.ttypes import Hello
 from fescuedrum.wire.gen.members.ttypes import Heartbeat
+from fescuedrum.wire.peers import Peers
 from fescuedrum_entry.connection.link import Link
 from fescuedrum_entry.request.handler import CallerHandler
 from fescuedrum_entry.version.configuration import Configuration
 
 logger = logging.getLogger(__name__)
 
-PROTOCOL = 1
 DRAIN_POLL_SECONDS = 0.05
 
 
@@ -27,11 +28,13 @@
     """Own the links, the configuration and the HTTP server of one entry process."""
 
     __slots__ = (
+        "callers_tls",
         "configuration",
         "incarnation",
         "leaving",
         "link_tasks",
         "links",
+        "peers",
         "platform",
         "random",
         "running",
@@ -44,6 +47,8 @@
         self.configuration = Configuration()
         self.links = {}
         self.link_tasks = {}
+        self.peers = Peers(settings.peer_keys, settings.peer_tls, self.hello)
+        self.callers_tls = Certificates()
         self.platform = None
         self.random = random.Random(incarnation)
         self.running = 0
@@ -52,17 +57,19 @@
     async def run(self):
         """Serve until a signal, then drain and stop."""
         stop = stop_event()
+        on_reload(self.callers_tls.reload, self.peers.certificates.reload)
         async with aiohttp.ClientSession() as session:
             self.platform = PlatformClient(self.settings.platform_url, session)
             interval = self.settings.poll_seconds
             tasks = [
                 asyncio.create_task(self.configuration.follow(self.platform, interval)),
                 asyncio.create_task(self.follow_instances()),
+                asyncio.create_task(self.callers_tls.follow()),
+                asyncio.create_task(self.peers.certificates.follow()),
             ]
             runner = web.AppRunner(self.build_application(), access_log=None)
             await runner.setup()
-            site = web.TCPSite(runner, self.settings.host, self.settings.port)
-            await site.start()
+            await self.listen(runner)
             logger.info("entry started", extra={"release": __version__})
             await stop.wait()
             await self.drain()
@@ -70,6 +77,14 @@
             await cancel([*tasks, *self.link_tasks.values()])
         logger.info("entry stopped")
 
+    async def listen(self, runner):
+        settings = self.settings
+        context = None
+        if settings.callers_tls is not None:
+            context = self.callers_tls.server_context(settings.callers_tls)
+        site = web.TCPSite(runner, settings.host, settings.port, ssl_context=context)
+        await site.start()
+
     def build_application(self):
         application = web.Application()
         handle = CallerHandler(self).handle
@@ -130,7 +145,6 @@
 
     def hello(self):
         return Hello(
-            protocol=PROTOCOL,
             instance=self.settings.name,
             incarnation=self.incarnation,
             role="entry",
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -105,3 +105,17 @@
 
     code = "protocol"
     remedy = "Check that both processes run a supported release."
+
+
+class PeerRefusedError(ProtocolError):
+    """Refuse a peer that does not prove a key, or is not the one that was meant."""
+
+    code = "peer-refused"
+    remedy = "Give both processes a common key in peer_keys and check their addresses."
+
+
+class IncompatiblePeerError(ProtocolError):
+    """Refuse a peer whose protocols and ours have none in common."""
+
+    code = "incompatible-peer"
+    remedy = "Upgrade the older process to a release that speaks a common protocol."
--- a/packages/fescuedrum/src/fescuedrum/process.py
+++ b/packages/fescuedrum/src/fescuedrum/process.py
@@ -35,6 +35,16 @@
     return event
 
 
+def on_reload(*callbacks):
+    """Call each callback on SIGHUP."""
+
+    def reload():
+        for callback in callbacks:
+            callback()
+
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+
+
 async def cancel(tasks):
     """Cancel tasks and wait for their end."""
     for task in tasks:
--- a/packages/fescuedrum/src/fescuedrum/wire/connection.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/connection.py
@@ -1,44 +1,134 @@
 """Send and receive frames over one TCP connection."""
 
 import asyncio
+import collections
 
-from fescuedrum.exceptions import ProtocolError
+from fescuedrum.exceptions import PeerRefusedError, ProtocolError
 from fescuedrum.wire import codec
 
+READ_BYTES = 256 * 1024
+# A stranger must not make this process keep more than a hello's worth of bytes.
+HANDSHAKE_FRAME_BYTES = 4 * 1024
+HANDSHAKE_SECONDS = 5.0
+# Above the high mark senders wait; the peer's kernel and ours hold some more.
+HIGH_WATER_BYTES = 1024 * 1024
+# Frames that can't wait (heartbeats, credit) still add up when a peer takes nothing.
+MAXIMUM_UNSENT_BYTES = 32 * 1024 * 1024
+
 
 class FrameConnection:
-    """Own the two streams of a connection and batch what is sent in one loop turn."""
+    """Own the two streams of a connection and batch what is sent in one loop turn.
+
+    What is queued leaves at the end of the same loop turn, so no frame is held for
+    longer than the turn lasts; under load one turn, and so one write, carries many.
+    """
 
-    __slots__ = ("loop", "outgoing", "reader", "writer")
+    __slots__ = (
+        "incoming",
+        "loop",
+        "maximum_frame_bytes",
+        "outgoing",
+        "partial",
+        "queued_bytes",
+        "reader",
+        "writer",
+    )
 
     def __init__(self, reader, writer):
         self.reader = reader
         self.writer = writer
+        self.writer.transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
         self.loop = asyncio.get_running_loop()
         self.outgoing = []
+        self.queued_bytes = 0
+        self.incoming = collections.deque()
+        self.partial = bytearray()
+        self.maximum_frame_bytes = codec.MAXIMUM_FRAME_BYTES
 
     def send(self, **body):
         """Queue a frame; frames of one loop turn leave in one write."""
         if not self.outgoing:
             self.loop.call_soon(self.flush)
-        self.outgoing.append(codec.encode(**body))
+        encoded = codec.encode(**body)
+        self.outgoing.append(encoded)
+        self.queued_bytes += len(encoded)
 
     def flush(self):
         frames, self.outgoing = self.outgoing, []
-        if frames and not self.writer.is_closing():
-            self.writer.write(b"".join(frames))
+        self.queued_bytes = 0
+        if not frames or self.writer.is_closing():
+            return
+        self.writer.write(b"".join(frames))
+        # A peer that takes nothing would otherwise fill this process's memory.
+        if self.unsent_bytes > MAXIMUM_UNSENT_BYTES:
+            self.writer.transport.abort()
+
+    @property
+    def unsent_bytes(self):
+        """Count the bytes that are queued here and not yet in the kernel's hands."""
+        return self.queued_bytes + self.writer.transport.get_write_buffer_size()
+
+    @property
+    def congested(self):
+        """Tell whether large frames should wait or go another way."""
+        return self.unsent_bytes > HIGH_WATER_BYTES
+
+    async def wait_for_room(self):
+        """Return once the peer has taken enough of what was sent, or is gone."""
+        while self.congested and not self.writer.is_closing():
+            self.flush()
+            try:
+                await self.writer.drain()
+            except OSError:
+                return
+
+    async def handshake(self, side):
+        """Move the frames of a handshake; raise ProtocolError when it fails."""
+        self.maximum_frame_bytes = HANDSHAKE_FRAME_BYTES
+        try:
+            async with asyncio.timeout(HANDSHAKE_SECONDS):
+                self.send_all(side.open())
+                while not side.done:
+                    frame = await self.receive()
+                    if frame is None:
+                        raise PeerRefusedError("The peer closed during the handshake.")
+                    self.send_all(side.receive(codec.body_of(frame)))
+        except TimeoutError as error:
+            raise PeerRefusedError("The peer did not finish the handshake.") from error
+        self.maximum_frame_bytes = codec.MAXIMUM_FRAME_BYTES
+        return side.peer
+
+    def send_all(self, bodies):
+        for body in bodies:
+            self.send(**body)
 
     async def receive(self):
         """Wait for the next frame; return None at the end of the connection."""
-        try:
-            prefix = await self.reader.readexactly(codec.LENGTH_BYTES)
-            length = int.from_bytes(prefix, "big")
-            if length > codec.MAXIMUM_FRAME_BYTES:
+        while not self.incoming:
+            try:
+                data = await self.reader.read(READ_BYTES)
+            except OSError:
+                return None
+            if not data:
+                return None
+            self.split(data)
+        return codec.decode(self.incoming.popleft())
+
+    def split(self, data):
+        """Cut what came into whole frames and keep the rest."""
+        buffer = self.partial
+        buffer += data
+        position, size = 0, len(buffer)
+        while size - position >= codec.LENGTH_BYTES:
+            begin = position + codec.LENGTH_BYTES
+            length = int.from_bytes(buffer[position:begin], "big")
+            if length > self.maximum_frame_bytes:
                 raise ProtocolError(f"A frame of {length} bytes is over the limit.")
-            payload = await self.reader.readexactly(length)
-        except (asyncio.IncompleteReadError, OSError):
-            return None
-        return codec.decode(payload)
+            if size - begin < length:
+                break
+            self.incoming.append(bytes(buffer[begin : begin + length]))
+            position = begin + length
+        del buffer[:position]
 
     def close(self):
         self.flush()
--- a/packages/fescuedrum/src/fescuedrum/wire/gen/frames/ttypes.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/gen/frames/ttypes.py
@@ -108,6 +108,8 @@
      - nonce
      - endpoint
      - service_name
+     - minimum_protocol
+     - addressee
 
     """
 
@@ -120,10 +122,12 @@
         'nonce',
         'endpoint',
         'service_name',
+        'minimum_protocol',
+        'addressee',
     )
 
 
-    def __init__(self, protocol=None, instance=None, incarnation=None, role=None, zone=None, nonce=None, endpoint=None, service_name=None,):
+    def __init__(self, protocol=None, instance=None, incarnation=None, role=None, zone=None, nonce=None, endpoint=None, service_name=None, minimum_protocol=None, addressee=None,):
         self.protocol = protocol
         self.instance = instance
         self.incarnation = incarnation
@@ -132,6 +136,8 @@
         self.nonce = nonce
         self.endpoint = endpoint
         self.service_name = service_name
+        self.minimum_protocol = minimum_protocol
+        self.addressee = addressee
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -182,6 +188,16 @@
                     self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.minimum_protocol = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.addressee = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -224,6 +240,186 @@
             oprot.writeFieldBegin('service_name', TType.STRING, 8)
             oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
+        if self.minimum_protocol is not None:
+            oprot.writeFieldBegin('minimum_protocol', TType.I32, 9)
+            oprot.writeI32(self.minimum_protocol)
+            oprot.writeFieldEnd()
+        if self.addressee is not None:
+            oprot.writeFieldBegin('addressee', TType.STRING, 10)
+            oprot.writeString(self.addressee.encode('utf-8') if sys.version_info[0] == 2 else self.addressee)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Challenge(object):
+    """
+    Attributes:
+     - protocol
+     - minimum_protocol
+     - nonce
+
+    """
+
+    __slots__ = (
+        'protocol',
+        'minimum_protocol',
+        'nonce',
+    )
+
+
+    def __init__(self, protocol=None, minimum_protocol=None, nonce=None,):
+        self.protocol = protocol
+        self.minimum_protocol = minimum_protocol
+        self.nonce = nonce
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.protocol = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.minimum_protocol = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.nonce = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Challenge')
+        if self.protocol is not None:
+            oprot.writeFieldBegin('protocol', TType.I32, 1)
+            oprot.writeI32(self.protocol)
+            oprot.writeFieldEnd()
+        if self.minimum_protocol is not None:
+            oprot.writeFieldBegin('minimum_protocol', TType.I32, 2)
+            oprot.writeI32(self.minimum_protocol)
+            oprot.writeFieldEnd()
+        if self.nonce is not None:
+            oprot.writeFieldBegin('nonce', TType.STRING, 3)
+            oprot.writeBinary(self.nonce)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Proof(object):
+    """
+    Attributes:
+     - key_id
+     - mac
+
+    """
+
+    __slots__ = (
+        'key_id',
+        'mac',
+    )
+
+
+    def __init__(self, key_id=None, mac=None,):
+        self.key_id = key_id
+        self.mac = mac
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.mac = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Proof')
+        if self.key_id is not None:
+            oprot.writeFieldBegin('key_id', TType.STRING, 1)
+            oprot.writeString(self.key_id.encode('utf-8') if sys.version_info[0] == 2 else self.key_id)
+            oprot.writeFieldEnd()
+        if self.mac is not None:
+            oprot.writeFieldBegin('mac', TType.STRING, 2)
+            oprot.writeBinary(self.mac)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1162,6 +1358,8 @@
      - end
      - cancel
      - credit
+     - challenge
+     - proof
      - heartbeat
      - pull
      - document
@@ -1177,13 +1375,15 @@
         'end',
         'cancel',
         'credit',
+        'challenge',
+        'proof',
         'heartbeat',
         'pull',
         'document',
     )
 
 
-    def __init__(self, hello=None, request=None, refusal=None, head=None, chunk=None, end=None, cancel=None, credit=None, heartbeat=None, pull=None, document=None,):
+    def __init__(self, hello=None, request=None, refusal=None, head=None, chunk=None, end=None, cancel=None, credit=None, challenge=None, proof=None, heartbeat=None, pull=None, document=None,):
         self.hello = hello
         self.request = request
         self.refusal = refusal
@@ -1192,6 +1392,8 @@
         self.end = end
         self.cancel = cancel
         self.credit = credit
+        self.challenge = challenge
+        self.proof = proof
         self.heartbeat = heartbeat
         self.pull = pull
         self.document = document
@@ -1253,6 +1455,18 @@
                     self.credit.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.challenge = Challenge()
+                    self.challenge.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.proof = Proof()
+                    self.proof.read(iprot)
+                else:
+                    iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.STRUCT:
                     self.heartbeat = fescuedrum.wire.gen.members.ttypes.Heartbeat()
@@ -1313,6 +1527,14 @@
             oprot.writeFieldBegin('credit', TType.STRUCT, 8)
             self.credit.write(oprot)
             oprot.writeFieldEnd()
+        if self.challenge is not None:
+            oprot.writeFieldBegin('challenge', TType.STRUCT, 15)
+            self.challenge.write(oprot)
+            oprot.writeFieldEnd()
+        if self.proof is not None:
+            oprot.writeFieldBegin('proof', TType.STRUCT, 16)
+            self.proof.write(oprot)
+            oprot.writeFieldEnd()
         if self.heartbeat is not None:
             oprot.writeFieldBegin('heartbeat', TType.STRUCT, 20)
             self.heartbeat.write(oprot)
@@ -1365,6 +1587,21 @@
     (6, TType.STRING, 'nonce', 'BINARY', None, ),  # 6
     (7, TType.STRING, 'endpoint', 'UTF8', None, ),  # 7
     (8, TType.STRING, 'service_name', 'UTF8', None, ),  # 8
+    (9, TType.I32, 'minimum_protocol', None, None, ),  # 9
+    (10, TType.STRING, 'addressee', 'UTF8', None, ),  # 10
+)
+all_structs.append(Challenge)
+Challenge.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'protocol', None, None, ),  # 1
+    (2, TType.I32, 'minimum_protocol', None, None, ),  # 2
+    (3, TType.STRING, 'nonce', 'BINARY', None, ),  # 3
+)
+all_structs.append(Proof)
+Proof.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'mac', 'BINARY', None, ),  # 2
 )
 all_structs.append(Request)
 Request.thrift_spec = (
@@ -1452,8 +1689,8 @@
     None,  # 12
     None,  # 13
     None,  # 14
-    None,  # 15
-    None,  # 16
+    (15, TType.STRUCT, 'challenge', [Challenge, None], None, ),  # 15
+    (16, TType.STRUCT, 'proof', [Proof, None], None, ),  # 16
     None,  # 17
     None,  # 18
     None,  # 19
--- a/packages/fescuedrum/src/fescuedrum/wire/idl/frames.thrift
+++ b/packages/fescuedrum/src/fescuedrum/wire/idl/frames.thrift
@@ -21,6 +21,23 @@
   6: optional binary nonce,
   7: optional string endpoint,
   8: optional string service_name,
+  // Oldest protocol that the sender still speaks; absent means 1.
+  9: optional i32 minimum_protocol,
+  // Instance that the sender means to reach; the proofs bind it.
+  10: optional string addressee,
+}
+
+// The agent's answer to a Hello. It names no instance: whoever asks gets it unproved.
+struct Challenge {
+  1: optional i32 protocol,
+  2: optional i32 minimum_protocol,
+  3: optional binary nonce,
+}
+
+// Shows that the sender holds a peer key, without telling it.
+struct Proof {
+  1: optional string key_id,
+  2: optional binary mac,
 }
 
 // budget_ms is the time left, never a clock reading: hosts' clocks differ.
@@ -99,6 +116,8 @@
   6: End end,
   7: Cancel cancel,
   8: Credit credit,
+  15: Challenge challenge,
+  16: Proof proof,
   20: members.Heartbeat heartbeat,
   21: members.Pull pull,
   22: members.DocumentBody document,
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/wire/peers.py
@@ -0,0 +1,47 @@
+"""Open and accept connections between processes as the settings say."""
+
+import asyncio
+import secrets
+
+from fescuedrum.tls import Certificates
+from fescuedrum.wire.handshake import NONCE_BYTES, AgentSide, EntrySide, Keyring
+
+
+class Peers:
+    """Hold a process's peer keys and TLS contexts."""
+
+    __slots__ = ("certificates", "client_context", "files", "keyring", "make_hello")
+
+    def __init__(self, keys, files, make_hello):
+        self.keyring = Keyring(keys)
+        self.files = files
+        self.make_hello = make_hello
+        self.certificates = Certificates()
+        self.client_context = None
+
+    def entry_side(self, addressee):
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        hello = self.make_hello()
+        return EntrySide(self.keyring, hello, addressee=addressee, nonce=nonce)
+
+    def agent_side(self):
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        return AgentSide(self.keyring, self.make_hello(), nonce=nonce)
+
+    async def connect(self, host, port):
+        """Return (reader, writer); raise OSError when there is no connection."""
+        if self.files is None:
+            return await asyncio.open_connection(host, port)
+        if self.client_context is None:
+            self.client_context = self.certificates.client_context(self.files)
+        name = self.files.server_name or host
+        return await asyncio.open_connection(
+            host, port, ssl=self.client_context, server_hostname=name
+        )
+
+    async def listen(self, serve, host, port):
+        """Return a listening server that hands each connection to `serve`."""
+        context = None
+        if self.files is not None:
+            context = self.certificates.server_context(self.files, verify_peer=True)
+        return await asyncio.start_server(serve, host, port, ssl=context)
--- /dev/null
+++ b/tests/unit/test_connection.py
@@ -0,0 +1,153 @@
+"""Check merging, back-pressure and tolerance of frames on real sockets."""
+
+import asyncio
+
+from support.peers import connected
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.Thrift import TType
+from thrift.transport.TTransport import TMemoryBuffer
+
+from fescuedrum.outcomes import Outcome
+from fescuedrum.wire import codec
+from fescuedrum.wire.connection import HIGH_WATER_BYTES
+from fescuedrum.wire.gen.frames import ttypes as frames
+from fescuedrum_agent.connection.relay import Relay
+from fescuedrum_agent.request.answer import Answer
+
+WINDOW = 4 * 1024
+
+
+async def test_frames_of_one_turn_leave_in_one_write_and_none_later():
+    async with connected() as (near, far):
+        writes = []
+        write = near.writer.write
+        near.writer.write = lambda data: (writes.append(data), write(data))
+        for number in range(100):
+            near.send(cancel=frames.Cancel(number, 1))
+        await asyncio.sleep(0)
+        assert len(writes) == 1
+        got = [codec.body_of(await far.receive()).number for _ in range(100)]
+    assert got == list(range(100))
+
+
+async def test_a_frame_that_comes_in_pieces_is_put_together():
+    async with connected() as (near, far):
+        encoded = codec.encode(chunk=frames.Chunk(1, 1, 0, b"x" * 300_000))
+        for position in range(0, len(encoded), 70_001):
+            near.writer.write(encoded[position : position + 70_001])
+            await asyncio.sleep(0)
+        frame = await far.receive()
+    assert len(frame.chunk.data) == 300_000
+
+
+async def test_senders_wait_while_the_peer_takes_nothing():
+    """A zone's network stalls while endpoints go on producing.
+
+    Without a bound the agent would keep every byte and run out of memory.
+    """
+    async with connected() as (near, far):
+        sent = 0
+
+        async def produce():
+            nonlocal sent
+            while True:
+                await near.wait_for_room()
+                near.send(chunk=frames.Chunk(1, 1, 0, b"x" * 65_536))
+                sent += 65_536
+
+        task = asyncio.create_task(produce())
+        before = -1
+        while sent != before:
+            before = sent
+            await asyncio.sleep(0.2)
+        assert near.unsent_bytes <= 2 * HIGH_WATER_BYTES
+        for _ in range(100):
+            await far.receive()
+        await asyncio.sleep(0.2)
+        assert sent > before
+        task.cancel()
+
+
+class Peer:
+    """Stand for a session that has only its connection."""
+
+    def __init__(self, connection):
+        self.connection = connection
+
+    def send(self, kind, number, attempt, **fields):
+        body = {"head": frames.ResponseHead, "chunk": frames.Chunk, "end": frames.End}
+        self.connection.send(**{kind: body[kind](number, attempt, **fields)})
+
+
+async def test_a_slow_caller_holds_up_only_its_own_answer():
+    """Two callers share a connection; one reads nothing of a long answer.
+
+    With credit for the connection as a whole its bytes would fill it, and the other
+    caller's short answer would wait behind them.
+    """
+    async with connected() as (near, far):
+        relays = {}
+        for number, size in ((1, 10_000_000), (2, 200_000)):
+            answer = Answer()
+            answer.start(200, [])
+            answer.append(b"x" * size)
+            answer.finish(Outcome.ANSWERED)
+            request = frames.Request(number=number, attempt=1, window=WINDOW)
+            relays[number] = Relay(Peer(near), request, answer)
+        tasks = [asyncio.create_task(relay.run()) for relay in relays.values()]
+        received = {1: 0, 2: 0}
+        while True:
+            match codec.body_of(await far.receive()):
+                case frames.Chunk(number=2, data=data):
+                    received[2] += len(data)
+                    relays[2].grant(len(data))
+                case frames.Chunk(data=data):
+                    received[1] += len(data)
+                case frames.End(number=2):
+                    break
+        for task in tasks:
+            task.cancel()
+    assert received == {1: WINDOW, 2: 200_000}
+
+
+def write_strange_member(protocol):
+    """Write a union member and fields that no release knows yet."""
+    protocol.writeFieldBegin("strange", TType.STRUCT, 59)
+    protocol.writeStructBegin("Strange")
+    protocol.writeFieldBegin("names", TType.LIST, 1)
+    protocol.writeListBegin(TType.STRING, 2)
+    protocol.writeString("one")
+    protocol.writeString("two")
+    protocol.writeListEnd()
+    protocol.writeFieldEnd()
+    protocol.writeFieldStop()
+    protocol.writeStructEnd()
+    protocol.writeFieldEnd()
+
+
+def test_a_newer_peers_unknown_member_is_skipped():
+    buffer = TMemoryBuffer()
+    protocol = TCompactProtocolAccelerated(buffer, fallback=False)
+    protocol.writeStructBegin("Frame")
+    write_strange_member(protocol)
+    protocol.writeFieldStop()
+    protocol.writeStructEnd()
+    assert codec.body_of(codec.decode(buffer.getvalue())) is None
+
+
+def test_a_newer_peers_unknown_fields_are_skipped():
+    buffer = TMemoryBuffer()
+    protocol = TCompactProtocolAccelerated(buffer, fallback=False)
+    protocol.writeStructBegin("Frame")
+    protocol.writeFieldBegin("cancel", TType.STRUCT, 7)
+    protocol.writeStructBegin("Cancel")
+    protocol.writeFieldBegin("number", TType.I64, 1)
+    protocol.writeI64(12)
+    protocol.writeFieldEnd()
+    write_strange_member(protocol)
+    protocol.writeFieldStop()
+    protocol.writeStructEnd()
+    protocol.writeFieldEnd()
+    protocol.writeFieldStop()
+    protocol.writeStructEnd()
+    assert codec.body_of(codec.decode(buffer.getvalue())) == frames.Cancel(number=12)
--- /dev/null
+++ b/tests/unit/test_tls.py
@@ -0,0 +1,79 @@
+"""Check TLS between processes, and the reload of renewed certificates."""
+
+import asyncio
+import os
+import ssl
+
+import pytest
+from support.peers import Authority
+
+from fescuedrum.tls import TlsFiles
+from fescuedrum.wire.peers import Peers
+
+
+async def listen(files):
+    peers = Peers([], files, None)
+
+    async def serve(reader, writer):
+        writer.write(await reader.readline())
+        writer.close()
+
+    server = await peers.listen(serve, "127.0.0.1", 0)
+    return peers, server, server.sockets[0].getsockname()[1]
+
+
+async def exchange(peers, port):
+    """Send a line there and back; return the serial number of the certificate."""
+    reader, writer = await peers.connect("127.0.0.1", port)
+    writer.write(b"line\n")
+    assert await reader.readline() == b"line\n"
+    serial = writer.get_extra_info("peercert")["serialNumber"]
+    writer.close()
+    return serial
+
+
+async def test_a_renewed_certificate_is_shown_without_a_restart(tmp_path):
+    """Certificates end after weeks and instances live for months.
+
+    The renewal writes two files; in between, certificate and key don't fit each
+    other, and the old pair must stay in force.
+    """
+    authority = Authority(tmp_path)
+    files = authority.issue("agent")
+    peers, server, port = await listen(files)
+    client = Peers([], authority.issue("entry"), None)
+    first = await exchange(client, port)
+    old_key = (tmp_path / "agent.key").read_bytes()
+    authority.issue("agent")
+    new_key = (tmp_path / "agent.key").read_bytes()
+    (tmp_path / "agent.key").write_bytes(old_key)
+    peers.certificates.refresh()
+    assert await exchange(client, port) == first
+    (tmp_path / "agent.key").write_bytes(new_key)
+    os.utime(files.key, ns=(1, 1))
+    peers.certificates.refresh()
+    assert await exchange(client, port) != first
+    server.close()
+
+
+async def test_neither_side_talks_to_a_peer_of_another_authority(tmp_path):
+    (tmp_path / "ours").mkdir()
+    (tmp_path / "theirs").mkdir()
+    ours, theirs = Authority(tmp_path / "ours"), Authority(tmp_path / "theirs")
+    _, server, port = await listen(ours.issue("agent"))
+    # It trusts our agent but shows a certificate that our agent does not trust.
+    shown = theirs.issue("entry")
+    stranger = TlsFiles(shown.certificate, shown.key, str(ours.path))
+    with pytest.raises((OSError, asyncio.IncompleteReadError, AssertionError)):
+        await exchange(Peers([], stranger, None), port)
+    with pytest.raises(ssl.SSLCertVerificationError):
+        await exchange(Peers([], theirs.issue("other"), None), port)
+    server.close()
+
+
+async def test_a_certificate_for_another_address_is_refused(tmp_path):
+    authority = Authority(tmp_path)
+    _, server, port = await listen(authority.issue("agent", host="127.0.0.9"))
+    with pytest.raises(ssl.SSLCertVerificationError):
+        await exchange(Peers([], authority.issue("entry"), None), port)
+    server.close()
