Pass plain requests on as they came and bound what callers may send

Cause: a percent-encoded path was decoded on its way, a compressed body was unpacked under its own header, unhashable models, huge numbers, bytes that are not UTF-8 and deep nesting ended in status 500, a slow body could be held for good, and a broken stream could be told from a whole one only by counting.

Change: raw path and query, end-to-end headers by the Connection header's own list, X-Forwarded-*, HEAD/204/304 without bodies; limits for heads, bodies, slow bodies and idle callers; completion bodies checked field by field; one JSON error shape, also for what the HTTP parser refuses; GET /v1/models; an SSE error event and a cut connection end a broken stream. A caller who leaves ends idempotent work only. The test that sent a model of the wrong type expected 404; that is now 400, as the field is at fault, and the 404 is asked for with an unknown model beside it.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
@@ -5,16 +5,16 @@
 
 import aiohttp
 from multidict import CIMultiDict
+from yarl import URL
 
+from fescuedrum.headers import as_text, end_to_end
 from fescuedrum.outcomes import Outcome
 from fescuedrum.wire.gen.frames.ttypes import Header
 
 logger = logging.getLogger(__name__)
 
-# They describe one connection, not the message (RFC 9110, section 7.6.1).
-HOP_HEADERS = frozenset(
-    ("connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade")
-)
+# The request goes on as it came: what the caller did not send is not added.
+SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 SERVER_ERROR = 500
 
 
@@ -51,19 +51,18 @@
 
     def call(self):
         headers = CIMultiDict(
-            (header.name, header.value)
-            for header in self.request.headers or ()
-            if header.name.lower() not in HOP_HEADERS
+            (header.name, header.value) for header in self.request.headers or ()
         )
         timeout = aiohttp.ClientTimeout(total=self.request.budget_ms / 1000)
         return self.session.request(
             self.request.method,
-            self.base_url + self.request.path,
+            # Encoded already: `%2F` and `/` may differ to the endpoint.
+            URL(self.base_url + self.request.path, encoded=True),
             headers=headers,
             data=self.request.body or None,
             timeout=timeout,
             allow_redirects=False,
-            skip_auto_headers=("User-Agent",),
+            skip_auto_headers=SKIPPED_HEADERS,
         )
 
 
@@ -74,8 +73,4 @@
 
 
 def plain_headers(headers):
-    return [
-        Header(name, value)
-        for name, value in headers.items()
-        if name.lower() not in HOP_HEADERS
-    ]
+    return [Header(name, as_text(value)) for name, value in end_to_end(headers)]
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -19,6 +19,18 @@
     maximum_body_bytes: int = setting(
         4 * 1024 * 1024, help="Largest body taken from a caller.", minimum=1, unit="B"
     )
+    body_seconds: float = setting(
+        30.0, help="Longest time for a caller's body.", minimum=0.05, unit="s"
+    )
+    idle_seconds: float = setting(
+        75.0, help="Longest time a caller may send no request.", minimum=0.1, unit="s"
+    )
+    maximum_header_bytes: int = setting(
+        8190, help="Longest line of a caller's head.", minimum=256, unit="B"
+    )
+    maximum_header_count: int = setting(
+        100, help="Most headers taken from a caller.", minimum=8
+    )
     default_deadline_seconds: float = setting(
         30.0, help="Deadline of a request that names none.", minimum=0.001, unit="s"
     )
--- /dev/null
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/callers.py
@@ -0,0 +1,79 @@
+"""Serve callers' connections with bounds on their heads and their idle time."""
+
+import logging
+
+from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+from aiohttp.web_protocol import RequestHandler
+
+from fescuedrum.exceptions import BadRequest
+from fescuedrum.headers import is_text
+from fescuedrum_entry.request import errors
+
+logger = logging.getLogger(__name__)
+
+BAD_REQUEST_STATUS = 400
+HEADERS_TOO_LARGE_STATUS = 431
+# Closing at once would reset the connection and lose the refusal on its way; this
+# long the rest of a refused body is read and dropped.
+LINGERING_SECONDS = 1.0
+
+
+class CallerConnection(RequestHandler):
+    """Answer malformed HTTP in the common shape."""
+
+    __slots__ = ()
+
+    def handle_error(self, request, status=500, exc=None, message=None):
+        """Answer what the HTTP parser refused; its traceback would help nobody."""
+        if status != BAD_REQUEST_STATUS:
+            return super().handle_error(request, status, exc, message)
+        too_large = isinstance(exc, LineTooLong) or "Too many" in (message or "")
+        error = errors.from_status(HEADERS_TOO_LARGE_STATUS if too_large else status)
+        error.closes = True
+        logger.info("malformed HTTP refused", extra={"caller": request.remote})
+        return errors.error_response(error, errors.new_request_id())
+
+
+class CallerServer(web.Server):
+    """Make a CallerConnection for each connection."""
+
+    def __call__(self):
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
+
+
+class CallersRunner(web.AppRunner):
+    """Run the entry's application with the settings' limits on callers."""
+
+    __slots__ = ()
+
+    def __init__(self, application, settings):
+        super().__init__(
+            application,
+            access_log=None,
+            auto_decompress=False,
+            handler_cancellation=True,
+            lingering_time=LINGERING_SECONDS,
+            keepalive_timeout=settings.idle_seconds,
+            max_field_size=settings.maximum_header_bytes,
+            max_headers=settings.maximum_header_count,
+            max_line_size=settings.maximum_header_bytes,
+        )
+
+    async def _make_server(self):
+        made = await super()._make_server()
+        serve = made.request_handler
+
+        async def handle(request):
+            # The library's own answer to such a value ends in UnicodeEncodeError,
+            # which a caller would see as status 500.
+            if not is_text(request.headers.get("Expect", "")):
+                return errors.error_response(BadRequest(), errors.new_request_id())
+            return await serve(request)
+
+        return CallerServer(
+            handle,
+            request_factory=made.request_factory,
+            handler_cancellation=made.handler_cancellation,
+            **made._kwargs,
+        )
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -15,8 +15,9 @@
 from fescuedrum.wire.gen.frames.ttypes import Hello
 from fescuedrum.wire.gen.members.ttypes import Heartbeat
 from fescuedrum.wire.peers import Peers
+from fescuedrum_entry.connection.callers import CallersRunner
 from fescuedrum_entry.connection.link import Link
-from fescuedrum_entry.request.handler import CallerHandler
+from fescuedrum_entry.request import handler
 from fescuedrum_entry.version.configuration import Configuration
 
 logger = logging.getLogger(__name__)
@@ -67,7 +68,7 @@
                 asyncio.create_task(self.callers_tls.follow()),
                 asyncio.create_task(self.peers.certificates.follow()),
             ]
-            runner = web.AppRunner(self.build_application(), access_log=None)
+            runner = CallersRunner(self.build_application(), self.settings)
             await runner.setup()
             await self.listen(runner)
             logger.info("entry started", extra={"release": __version__})
@@ -87,10 +88,7 @@
 
     def build_application(self):
         application = web.Application()
-        handle = CallerHandler(self).handle
-        application.router.add_post("/v1/chat/completions", handle)
-        application.router.add_post("/v1/completions", handle)
-        application.router.add_route("*", "/services/{service}/{rest:.*}", handle)
+        handler.add_routes(application, self)
         application.router.add_get("/healthz", self.healthz)
         application.router.add_get("/readyz", self.readyz)
         return application
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
@@ -7,14 +7,31 @@
 
 from fescuedrum.exceptions import FescuedrumError, Unavailable
 from fescuedrum.logs import request_context
-from fescuedrum.outcomes import OUTCOME_HEADER, REQUEST_ID_HEADER
+from fescuedrum_entry.request.call import Repetition
 from fescuedrum_entry.request.dispatch import Dispatcher
-from fescuedrum_entry.request.parse import parse_call
+from fescuedrum_entry.request.errors import (
+    error_response,
+    new_request_id,
+    shape_errors,
+)
+from fescuedrum_entry.request.parse import authenticate, check_head, parse_call
 from fescuedrum_entry.request.reply import Reply
 
 logger = logging.getLogger(__name__)
 
 
+def add_routes(application, entry):
+    """Add the callers' interface to the entry's application."""
+    handler = CallerHandler(entry)
+    router = application.router
+    application.middlewares.append(shape_errors)
+    router.add_post("/v1/chat/completions", handler.handle)
+    router.add_post("/v1/completions", handler.handle)
+    router.add_get("/v1/models", handler.list_models)
+    router.add_route("*", "/services/{service}", handler.handle)
+    router.add_route("*", "/services/{service}/{rest:.*}", handler.handle)
+
+
 class CallerHandler:
     """Serve the callers' routes of one entry."""
 
@@ -26,22 +43,56 @@
     async def handle(self, http_request):
         """Serve one request to its outcome."""
         now = asyncio.get_running_loop().time()
-        call = None
+        request_id = new_request_id()
+        request_context.set({"request": request_id})
         try:
-            if self.entry.configuration.document is None:
-                raise Unavailable("No configuration is in force yet.", retry_after=1)
             call = await parse_call(
-                http_request, self.entry.configuration, self.entry.settings, now
+                http_request,
+                self.configuration(),
+                self.entry.settings,
+                now,
+                request_id,
             )
             return await self.serve(http_request, call)
         except FescuedrumError as error:
-            return error_response(error, call)
+            return error_response(error, request_id)
+
+    def configuration(self):
+        if self.entry.configuration.document is None:
+            raise Unavailable("No configuration is in force yet.", retry_after=1)
+        return self.entry.configuration
+
+    async def list_models(self, http_request):
+        """List the models that the configuration names."""
+        try:
+            configuration = self.configuration()
+            check_head(http_request)
+            authenticate(http_request, configuration)
+        except FescuedrumError as error:
+            return error_response(error, new_request_id())
+        models = [
+            {"id": model, "object": "model", "created": 0, "owned_by": service.name}
+            for model, service in sorted(configuration.services_by_model.items())
+        ]
+        return web.json_response({"object": "list", "data": models})
 
     async def serve(self, http_request, call):
+        """Run a call; only an idempotent one ends when its caller leaves."""
         request_context.set(
-            {"request": call.request_id, "organisation": call.organisation}
+            {
+                "request": call.request_id,
+                "organisation": call.organisation,
+                "version": self.entry.configuration.version,
+            }
         )
         reply = Reply(http_request, call)
+        if call.repetition is Repetition.IDEMPOTENT:
+            return await self.run(call, reply)
+        # A caller who leaves has this task cancelled. A booking that is under way
+        # must come to its end all the same, or its repeat would find half of it.
+        return await asyncio.shield(asyncio.create_task(self.run(call, reply)))
+
+    async def run(self, call, reply):
         self.entry.running += 1
         try:
             await Dispatcher(self.entry, call, reply).run()
@@ -49,22 +100,9 @@
             logger.info("request not answered", extra={"code": error.code})
             if not reply.started:
                 raise
-            reply.abort()
+            await reply.break_off(error)
+        except ConnectionError:
+            logger.info("caller left")
         finally:
             self.entry.running -= 1
         return reply.response
-
-
-def error_response(error, call):
-    headers = {OUTCOME_HEADER: error.outcome.value}
-    if call is not None:
-        headers[REQUEST_ID_HEADER] = call.request_id
-    if error.retry_after is not None:
-        headers["Retry-After"] = str(error.retry_after)
-    body = {
-        "code": error.code,
-        "outcome": error.outcome.value,
-        "message": str(error),
-        "request": call.request_id if call else None,
-    }
-    return web.json_response({"error": body}, status=error.status, headers=headers)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/parse.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/parse.py
@@ -1,113 +1,220 @@
 """Turn a caller's HTTP request into a call, or refuse it before it costs anything."""
 
-import json
-import uuid
+import asyncio
+import re
+
+import aiohttp
+from aiohttp.http_exceptions import HttpProcessingError
 
 from fescuedrum.conf.document import ServiceKind
-from fescuedrum.exceptions import BadRequest, BodyTooLarge, UnknownKey, UnknownService
+from fescuedrum.exceptions import (
+    BadRequest,
+    BodyTooLarge,
+    BodyTooSlow,
+    MethodNotAllowed,
+    UnknownKey,
+    UnknownService,
+)
+from fescuedrum.headers import end_to_end, is_text
 from fescuedrum_entry.request.call import Call, Repetition
+from fescuedrum_entry.request.completion import parse_completion
 
 KEY_HEADER = "Idempotency-Key"
 DEADLINE_HEADER = "Fescuedrum-Deadline-Ms"
 PRIORITY_HEADER = "Fescuedrum-Priority"
-MAXIMUM_KEY_LENGTH = 200
-BYTES_PER_TOKEN = 4
-DEFAULT_GENERATED_TOKENS = 64
+SINGLE_HEADERS = ("Authorization", KEY_HEADER, DEADLINE_HEADER, PRIORITY_HEADER)
+KEY_FORM = re.compile(r"[\x21-\x7e]{1,200}")
+MAXIMUM_DEADLINE_MS = 3_600_000
+MAXIMUM_PRIORITY = 9
+DEFAULT_PRIORITY = 5
+PLAIN_COST = 1.0
+CHAT_PATH = "/v1/chat/completions"
 IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
-OWN_HEADERS = frozenset(("host", "authorization", "content-length", "connection"))
+# CONNECT asks for a tunnel, and TRACE would show a caller what was added on the way.
+REFUSED_METHODS = frozenset(("CONNECT", "TRACE"))
+OWN_HEADERS = frozenset(
+    (
+        "authorization",
+        "content-length",
+        "expect",
+        "host",
+        "x-forwarded-for",
+        "x-forwarded-host",
+        "x-forwarded-proto",
+    )
+)
 
 
-async def parse_call(http_request, configuration, settings, now):
+async def parse_call(http_request, configuration, settings, now, request_id):
     """Build the call; raise BadRequest or a kind of it."""
+    check_head(http_request)
+    # The organisation comes first: a stranger's body is not even read.
     organisation = authenticate(http_request, configuration)
-    body = await read_body(http_request, settings.maximum_body_bytes)
-    service, path, cost = find_service(http_request, configuration, body)
+    deadline = now + read_deadline(http_request, settings)
+    priority = read_priority(http_request)
+    service = find_plain(http_request, configuration)
+    body = await read_body(http_request, settings)
+    cost = PLAIN_COST
+    path = raw_path(http_request)
+    if service is None:
+        service, cost = find_engine(http_request, configuration, body)
+    else:
+        path = path_below(path)
     repetition, key = classify(http_request, service)
     return Call(
-        request_id=uuid.uuid4().hex,
+        request_id=request_id,
         organisation=organisation.name,
         service=service.name,
         method=http_request.method,
         path=path,
-        headers=[
-            (name, value)
-            for name, value in http_request.headers.items()
-            if name.lower() not in OWN_HEADERS
-        ],
+        headers=forwarded_headers(http_request),
         body=body,
         repetition=repetition,
         key=key,
-        deadline=now + read_deadline(http_request, settings),
-        priority=read_number(http_request, PRIORITY_HEADER, 0, 9, 5),
+        deadline=deadline,
+        priority=priority,
         cost=cost,
     )
 
 
+def check_head(http_request):
+    """Refuse what can't go on as it came."""
+    if http_request.method in REFUSED_METHODS:
+        raise MethodNotAllowed(f"{http_request.method} is not offered.")
+    if not http_request.raw_path.isascii():
+        raise BadRequest("The path is not percent-encoded.", field="path")
+    for name, value in http_request.headers.items():
+        if not is_text(value):
+            raise BadRequest(f"The header {name} is not UTF-8.", field=name)
+    for name in SINGLE_HEADERS:
+        if len(http_request.headers.getall(name, ())) > 1:
+            raise BadRequest(f"The header {name} stands twice.", field=name)
+
+
+def raw_path(http_request):
+    """Return path and query with their percent-encoding as they came."""
+    path = http_request.raw_path
+    # A client may send the absolute form, as to a proxy.
+    return path if path.startswith("/") else http_request.rel_url.raw_path_qs
+
+
+def path_below(path):
+    """Return what follows /services/NAME, as the service's own path."""
+    rest = path.split("/", 3)[3:]
+    return "/" + "".join(rest)
+
+
+def forwarded_headers(http_request):
+    """Return the headers that the endpoint gets."""
+    headers = end_to_end(http_request.headers, without=OWN_HEADERS)
+    seen = http_request.headers
+    through = [*seen.getall("X-Forwarded-For", ()), http_request.remote or "unknown"]
+    headers.append(("X-Forwarded-For", ", ".join(through)))
+    # The platform's balancer stands in front and knows better than this process.
+    headers.append(
+        ("X-Forwarded-Proto", seen.get("X-Forwarded-Proto", http_request.scheme))
+    )
+    host = seen.get("X-Forwarded-Host") or seen.get("Host")
+    if host:
+        headers.append(("X-Forwarded-Host", host))
+    return headers
+
+
 def authenticate(http_request, configuration):
+    """Return the organisation whose key the request carries."""
     scheme, _, key = http_request.headers.get("Authorization", "").partition(" ")
     organisation = configuration.organisations.get(key.partition(".")[0])
-    if scheme.lower() != "bearer" or organisation is None:
+    if scheme.lower() != "bearer" or organisation is None or not key.isascii():
         raise UnknownKey("The request names no known organisation.")
     if not any(key_hash.matches(key) for key_hash in organisation.keys):
         raise UnknownKey("The key is not valid.")
     return organisation
 
 
-async def read_body(http_request, maximum):
+async def read_body(http_request, settings):
+    """Return the whole body within the limits of size and time."""
+    maximum = settings.maximum_body_bytes
     if (http_request.content_length or 0) > maximum:
         raise BodyTooLarge(f"The body is over {maximum} bytes.")
-    body = await http_request.content.read(maximum + 1)
-    while not http_request.content.at_eof():
-        body += await http_request.content.read(maximum + 1)
+    if not http_request.body_exists:
+        return b""
+    try:
+        async with asyncio.timeout(settings.body_seconds):
+            return await read_within(http_request.content, maximum)
+    except TimeoutError as error:
+        raise BodyTooSlow(
+            f"The body took over {settings.body_seconds} seconds."
+        ) from error
+    except (HttpProcessingError, aiohttp.ClientPayloadError) as error:
+        raise BadRequest("The body is cut or wrongly framed.", field="body") from error
+
+
+async def read_within(content, maximum):
+    body = bytearray()
+    while not content.at_eof():
+        body += await content.readany()
         if len(body) > maximum:
             raise BodyTooLarge(f"The body is over {maximum} bytes.")
-    return body
+    return bytes(body)
 
 
-def find_service(http_request, configuration, body):
+def find_plain(http_request, configuration):
+    """Return the plain service of the path, or None for an engine's path."""
     name = http_request.match_info.get("service")
     if name is None:
-        return find_engine(http_request, configuration, body)
+        return None
     service = configuration.services.get(name)
     if service is None or service.kind is not ServiceKind.PLAIN:
         raise UnknownService(f"There is no plain service {name!r}.")
-    path = "/" + http_request.match_info["rest"]
-    if http_request.query_string:
-        path += "?" + http_request.query_string
-    return service, path, 1.0
+    return service
 
 
 def find_engine(http_request, configuration, body):
-    try:
-        data = json.loads(body)
-        model = data["model"]
-        generated = int(data.get("max_tokens", DEFAULT_GENERATED_TOKENS))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise BadRequest(f"The body is no completion request: {error!r}.") from error
-    service = configuration.services_by_model.get(model)
+    """Return (service, cost) of a completion request."""
+    if http_request.headers.get("Content-Encoding", "identity") != "identity":
+        raise BadRequest("The body is compressed.", field="Content-Encoding")
+    chat = http_request.path == CHAT_PATH
+    completion = parse_completion(body, chat=chat)
+    service = configuration.services_by_model.get(completion.model)
     if service is None:
-        raise UnknownService(f"There is no model {model!r}.")
-    return service, http_request.path, len(body) / BYTES_PER_TOKEN + generated
+        raise UnknownService(f"There is no model {completion.model!r}.", field="model")
+    return service, completion.cost
 
 
 def classify(http_request, service):
-    key = http_request.headers.get(KEY_HEADER, "")
-    if len(key) > MAXIMUM_KEY_LENGTH:
-        raise BadRequest(f"{KEY_HEADER} is over {MAXIMUM_KEY_LENGTH} characters.")
+    """Return how often the request may run, and its key if it has one."""
+    key = http_request.headers.get(KEY_HEADER)
+    if key is not None and not KEY_FORM.fullmatch(key):
+        raise BadRequest(
+            f"{KEY_HEADER} must be 1 to 200 visible ASCII characters.", field=KEY_HEADER
+        )
     if service.kind is ServiceKind.ENGINE or http_request.method in IDEMPOTENT_METHODS:
         return Repetition.IDEMPOTENT, ""
     return (Repetition.KEYED, key) if key else (Repetition.ONCE, "")
 
 
 def read_deadline(http_request, settings):
+    """Return the time that the caller gives, in seconds."""
     default = int(settings.default_deadline_seconds * 1000)
-    return read_number(http_request, DEADLINE_HEADER, 1, 3_600_000, default) / 1000
+    given = read_number(http_request, DEADLINE_HEADER, 1, MAXIMUM_DEADLINE_MS, default)
+    return given / 1000
+
+
+def read_priority(http_request):
+    return read_number(
+        http_request, PRIORITY_HEADER, 0, MAXIMUM_PRIORITY, DEFAULT_PRIORITY
+    )
 
 
 def read_number(http_request, name, minimum, maximum, default):
     text = http_request.headers.get(name)
     if text is None:
         return default
-    if not text.isdecimal() or not minimum <= int(text) <= maximum:
-        raise BadRequest(f"{name} is not a number from {minimum} to {maximum}.")
+    # Only ASCII digits: other scripts' digits and very long numbers pass int() or
+    # break it, and a caller who sends them has made a mistake.
+    digits = text.isascii() and text.isdecimal() and len(text) <= len(str(maximum))
+    if not digits or not minimum <= int(text) <= maximum:
+        raise BadRequest(
+            f"{name} is not a number from {minimum} to {maximum}.", field=name
+        )
     return int(text)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/reply.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/reply.py
@@ -1,13 +1,28 @@
 """Give the caller the whole answer or an honest error."""
 
+import asyncio
+import json
+
 from aiohttp import web
 
 from fescuedrum.outcomes import OUTCOME_HEADER, REQUEST_ID_HEADER
+from fescuedrum_entry.request.errors import error_body
 
 EVENT_STREAM = "text/event-stream"
 HELD_BYTES = 1024 * 1024
-DROPPED_HEADERS = frozenset(("content-length", "date", "server"))
 STREAMING = "streaming"
+CLOSING_SECONDS = 5.0
+# The server sets them itself; the outcome is never the endpoint's to tell.
+DROPPED_HEADERS = frozenset(
+    (
+        "content-length",
+        "date",
+        "server",
+        OUTCOME_HEADER.lower(),
+        REQUEST_ID_HEADER.lower(),
+    )
+)
+BODILESS_STATUSES = frozenset((204, 304))
 
 
 class Reply:
@@ -32,13 +47,24 @@
         """Tell whether the caller has been sent anything."""
         return self.response is not None
 
+    @property
+    def bodiless(self):
+        """Tell whether HTTP gives this answer no body, whatever its headers say."""
+        return self.call.method == "HEAD" or self.status in BODILESS_STATUSES
+
     async def start(self, status, headers):
         self.status = status
         self.headers = [(header.name, header.value) for header in headers]
         self.held.clear()
-        if any(EVENT_STREAM in value for _, value in self.headers):
+        if not self.bodiless and self.is_event_stream():
             await self.open_stream()
 
+    def is_event_stream(self):
+        return any(
+            name.lower() == "content-type" and value.lower().startswith(EVENT_STREAM)
+            for name, value in self.headers
+        )
+
     async def write(self, data):
         if self.started:
             await self.response.write(data)
@@ -50,11 +76,12 @@
             self.held.clear()
 
     async def finish(self, outcome):
-        if not self.started:
-            self.response = web.Response(status=self.status, body=bytes(self.held))
-            self.add_headers(outcome.value)
+        if self.started:
+            await self.response.write_eof()
             return
-        await self.response.write_eof()
+        body = None if self.bodiless else bytes(self.held)
+        self.response = web.Response(status=self.status, body=body)
+        self.add_headers(outcome.value)
 
     async def open_stream(self):
         self.response = web.StreamResponse(status=self.status)
@@ -62,13 +89,41 @@
         await self.response.prepare(self.http_request)
 
     def add_headers(self, outcome):
+        headers = self.response.headers
+        typed = any(name.lower() == "content-type" for name, _ in self.headers)
+        if typed:
+            # The library gives a body a type of its own; the endpoint's goes first.
+            headers.popall("Content-Type", None)
         for name, value in self.headers:
             if name.lower() not in DROPPED_HEADERS:
-                self.response.headers.add(name, value)
-        self.response.headers[OUTCOME_HEADER] = outcome
-        self.response.headers[REQUEST_ID_HEADER] = self.call.request_id
-
-    def abort(self):
-        """Cut the caller's connection: the only honest end of a broken stream."""
-        if self.http_request.transport is not None:
-            self.http_request.transport.abort()
+                headers.add(name, value)
+            elif self.bodiless and name.lower() == "content-length":
+                # It tells the length that a GET would give.
+                headers[name] = value
+        headers[OUTCOME_HEADER] = outcome
+        headers[REQUEST_ID_HEADER] = self.call.request_id
+
+    async def break_off(self, error):
+        """End a stream so that nobody takes it for whole.
+
+        The caller has the status already, so only a connection that ends without
+        the last chunk tells every HTTP client that the answer is cut. A reader of
+        events is told the reason first.
+        """
+        transport = self.http_request.transport
+        if transport is None:
+            return
+        if self.is_event_stream():
+            event = json.dumps(error_body(error, self.call.request_id))
+            try:
+                async with asyncio.timeout(CLOSING_SECONDS):
+                    await self.response.write(
+                        f"event: error\ndata: {event}\n\n".encode()
+                    )
+            except (TimeoutError, ConnectionError):
+                transport.abort()
+                return
+        transport.close()
+        # A caller that takes nothing would hold the closing connection for good.
+        loop = asyncio.get_running_loop()
+        loop.call_later(CLOSING_SECONDS, transport.abort)
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -11,10 +11,15 @@
     outcome = Outcome.UNKNOWN
     remedy = "Report the request's id to the operators."
 
-    def __init__(self, detail="", *, retry_after=None):
+    # Whether the caller's connection can't be read any further.
+    closes = False
+
+    def __init__(self, detail="", *, retry_after=None, field=None):
         super().__init__(f"{detail} {self.remedy}".strip())
         self.detail = detail
         self.retry_after = retry_after
+        # Field of the body, or header, that is at fault.
+        self.field = field
 
 
 class BadRequest(FescuedrumError):  # noqa: N818 - the HTTP term
@@ -48,6 +53,41 @@
     code = "body-too-large"
     status = 413
     remedy = "Send a smaller body."
+    closes = True
+
+
+class BodyTooSlow(BadRequest):
+    """Refuse a body that does not come within the entry's limit of time."""
+
+    code = "body-too-slow"
+    status = 408
+    remedy = "Send the whole body without a pause."
+    closes = True
+
+
+class HeadersTooLarge(BadRequest):
+    """Refuse a head with too many headers, or one too long."""
+
+    code = "headers-too-large"
+    status = 431
+    remedy = "Send fewer or shorter headers."
+    closes = True
+
+
+class UnknownRoute(BadRequest):
+    """Refuse a path that is none of the callers' interface."""
+
+    code = "unknown-route"
+    status = 404
+    remedy = "Use /v1/completions, /v1/chat/completions, /v1/models or /services/NAME/."
+
+
+class MethodNotAllowed(BadRequest):
+    """Refuse a method that a path does not offer."""
+
+    code = "method-not-allowed"
+    status = 405
+    remedy = "Use the method that the interface's page gives for this path."
 
 
 class Overloaded(FescuedrumError):  # noqa: N818 - the field's term
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -37,8 +37,10 @@
         status, outcome, _, _ = await caller.send("/v1/completions", {})
         assert (status, outcome) == (401, "not-run")
         caller = Caller(site.session, entry.url, "club", site.keys["club"])
-        status, outcome, _, _ = await caller.send("/v1/completions", {"model": 1})
+        status, outcome, _, _ = await caller.send("/v1/completions", {"model": "x"})
         assert (status, outcome) == (404, "not-run")
+        status, outcome, _, _ = await caller.send("/v1/completions", {"model": 1})
+        assert (status, outcome) == (400, "not-run")
         engine = site.members["engine-0"]
         load = await site.fetch_json(f"{engine.url}/load")
         assert load["answered"] == 0
