Measure capacity slopes and write the page from them

Cause: the size to design for is far from any site that runs today; without slopes nobody can say which mechanism gives way first. Two integration tests also failed on a busy machine: a site counted as up before its endpoints listened.

Change: `make capacity` measures processor time and memory against requests, tokens, connections, links and organisations with real processes, fits lines and writes docs/CAPACITY.md. A site now waits until every endpoint and agent listens.

--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/links.py
@@ -0,0 +1,90 @@
+"""Measure what heartbeats cost an entry against the number of agents it links to."""
+
+import asyncio
+
+from fescuedrum.platform.interfaces import Instance
+from fescuedrum.process import cancel
+from fescuedrum_agent.conf import AgentSettings
+from fescuedrum_agent.process.agent import Agent
+from fescuedrum_bench.capacity.measures import cpu_seconds, memory_bytes
+from fescuedrum_bench.capacity.slopes import fit
+from fescuedrum_bench.site import PORT, Site, SiteShape
+
+AGENT_COUNTS = (10, 30, 100, 300)
+FIRST_HOST = 100
+HOSTS = 100
+OBSERVED_SECONDS = 5.0
+CONNECT_SECONDS = 30.0
+
+
+class AgentHost:
+    """Serve many agents from this process; only the entry's side is measured."""
+
+    __slots__ = ("agents", "servers", "site", "tasks")
+
+    def __init__(self, site):
+        self.site = site
+        self.agents = []
+        self.servers = []
+        self.tasks = []
+
+    async def grow(self, count):
+        """Start agents until there are count of them, and list each."""
+        while len(self.agents) < count:
+            await self.add(len(self.agents))
+
+    async def add(self, index):
+        host = f"{self.site.prefix}.{FIRST_HOST + index % HOSTS}"
+        port = PORT + index // HOSTS
+        settings = AgentSettings(
+            name=f"agent-{index}",
+            zone=self.site.zone(0),
+            endpoint=f"engine-{index}",
+            service="advice",
+            host=host,
+            port=port,
+            endpoint_url="http://127.0.0.1:9",
+            platform_url=self.site.platform.url,
+        )
+        agent = Agent(settings, incarnation=index + 1)
+        server = await asyncio.start_server(agent.serve_connection, host, port)
+        self.agents.append(agent)
+        self.servers.append(server)
+        self.tasks.append(asyncio.create_task(agent.beat()))
+        instance = Instance(settings.name, "agent", settings.zone, host, port)
+        await self.site.list_instance(instance)
+
+    async def wait_linked(self):
+        async with asyncio.timeout(CONNECT_SECONDS):
+            while not all(agent.sessions for agent in self.agents):
+                await asyncio.sleep(0.1)
+
+    async def stop(self):
+        await cancel(self.tasks)
+        for agent in self.agents:
+            for session in list(agent.sessions):
+                session.connection.close()
+        for server in self.servers:
+            server.close()
+
+
+async def measure_links():
+    """Fit the entry's processor time a second and its memory to its links."""
+    shape = SiteShape(zones=1, entries=1, engines=0, services=0)
+    processor, memory = [], []
+    async with Site(shape, ["club"]) as site:
+        host = AgentHost(site)
+        entry = site.entries[0]
+        for count in AGENT_COUNTS:
+            await host.grow(count)
+            await host.wait_linked()
+            before = cpu_seconds(entry)
+            await asyncio.sleep(OBSERVED_SECONDS)
+            spent = cpu_seconds(entry) - before
+            processor.append((count, spent / OBSERVED_SECONDS))
+            memory.append((count, memory_bytes(entry)))
+        await host.stop()
+    return [
+        fit("link.heartbeats", processor, per="link", unit="core"),
+        fit("link.memory", memory, per="link", unit="B"),
+    ]
--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/roles.py
@@ -0,0 +1,115 @@
+"""Work out what each role costs at a size from measured slopes."""
+
+from dataclasses import dataclass
+
+# Both ends of a link send a heartbeat at this interval; it is the settings' default.
+HEARTBEAT_SECONDS = 0.5
+# Bytes that TCP and IP add to a small segment, and the acknowledgement it draws.
+SEGMENT_OVERHEAD_BYTES = 52 + 52
+
+
+@dataclass(slots=True, frozen=True)
+class Cost:
+    """Hold one line of the page: what a role spends on one thing."""
+
+    role: str
+    what: str
+    amount: float
+    unit: str
+    working: str
+    # Share of control's budget, or None for work that callers cause.
+    budget_share: float | None = None
+
+
+def entry_costs(slopes, size):
+    """Return what callers' work costs one entry."""
+    requests, tokens = size.requests_per_node, size.tokens_per_node
+    per_request, per_token = slopes["entry.request"].slope, slopes["entry.token"].slope
+    running = requests * size.request_seconds
+    return [
+        core_share("entry", "requests", requests, per_request),
+        core_share("entry", "token chunks forwarded", tokens, per_token),
+        Cost(
+            "entry",
+            "memory for connections of callers under way",
+            running * slopes["entry.idle-connection"].slope,
+            "B",
+            f"{running:,.0f} connections x "
+            f"{slopes['entry.idle-connection'].slope:,.0f} B",
+        ),
+    ]
+
+
+def agent_costs(slopes, size):
+    """Return what callers' work costs one agent."""
+    requests, tokens = size.requests_per_engine, size.tokens_per_engine
+    per_request, per_token = slopes["agent.request"].slope, slopes["agent.token"].slope
+    return [
+        core_share("agent", "requests", requests, per_request),
+        core_share("agent", "token chunks forwarded", tokens, per_token),
+    ]
+
+
+def core_share(role, what, rate, seconds_each):
+    working = f"{rate:,.0f}/s x {seconds_each * 1e6:,.0f} us"
+    return Cost(role, what, rate * seconds_each, "core", working)
+
+
+def link_costs(slopes, size, budget, heartbeat_bytes):
+    """Return what heartbeats cost a node that links to its own zone only."""
+    return [
+        *heartbeat_costs(
+            "entry", size.engines_per_zone, slopes, budget, heartbeat_bytes
+        ),
+        *heartbeat_costs("agent", size.nodes_per_zone, slopes, budget, heartbeat_bytes),
+    ]
+
+
+def heartbeat_costs(role, links, slopes, budget, heartbeat_bytes):
+    beats = links / HEARTBEAT_SECONDS
+    sent = beats * (heartbeat_bytes + SEGMENT_OVERHEAD_BYTES)
+    seconds = slopes["link.heartbeats"].slope
+    return [
+        Cost(
+            role,
+            "heartbeats, bytes sent",
+            sent,
+            "B/s",
+            f"{links:.0f} links x {1 / HEARTBEAT_SECONDS:.0f}/s x "
+            f"{heartbeat_bytes + SEGMENT_OVERHEAD_BYTES} B",
+            sent / budget.bytes_per_second,
+        ),
+        Cost(
+            role,
+            "heartbeats, processor",
+            links * seconds,
+            "core",
+            f"{links:.0f} links x {seconds * 1e6:,.0f} us a second",
+            links * seconds / budget.core_share,
+        ),
+    ]
+
+
+def document_costs(slopes, size, budget):
+    """Return what the configuration costs each process."""
+    take = slopes["document.take"].at(size.organisations)
+    body = slopes["document.size"].at(size.organisations)
+    rate = size.changes_per_day / 86_400
+    return [
+        Cost(
+            "every process",
+            "taking a new version, processor",
+            take * rate,
+            "core",
+            f"{rate:.3f} changes/s x {take * 1e3:.1f} ms",
+            take * rate / budget.core_share,
+        ),
+        Cost(
+            "every process",
+            "pulling a new version, bytes",
+            body * rate,
+            "B/s",
+            f"{rate:.3f} changes/s x {body:,.0f} B",
+            body * rate / budget.bytes_per_second,
+        ),
+    ]
--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/slopes.py
@@ -0,0 +1,32 @@
+"""Fit a line through measured points."""
+
+import statistics
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Slope:
+    """Hold a fitted line and the points it was fitted to."""
+
+    name: str
+    # What one step along x is, for instance "request".
+    per: str
+    # Unit of y, for instance "s" of processor time.
+    unit: str
+    points: list[tuple[float, float]]
+    slope: float
+    intercept: float
+    # Share of the points' variance that the line explains, 0 to 1.
+    fit: float
+
+    def at(self, x):
+        return self.intercept + self.slope * x
+
+
+def fit(name, points, *, per, unit):
+    """Fit a line by least squares; at least two points with different x."""
+    xs = [x for x, _ in points]
+    ys = [y for _, y in points]
+    line = statistics.linear_regression(xs, ys)
+    explained = statistics.correlation(xs, ys) ** 2 if len(set(ys)) > 1 else 1.0
+    return Slope(name, per, unit, points, line.slope, line.intercept, explained)
--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/commands/capacity.py
@@ -0,0 +1,35 @@
+"""Measure slopes and write the capacity page."""
+
+import asyncio
+import json
+import pathlib
+
+from fescuedrum.process import EXIT_OK
+from fescuedrum_bench.capacity import links, measures, page
+
+
+class Command:
+    help = "measure slopes on this machine and write the capacity page"
+
+    def add_arguments(self, parser):
+        parser.add_argument("--run", default="build/capacity.json")
+        parser.add_argument("--page", default="docs/CAPACITY.md")
+        parser.add_argument(
+            "--page-only", action="store_true", help="write the page from an old run"
+        )
+
+    def handle(self, arguments):
+        run_path = pathlib.Path(arguments.run)
+        if not arguments.page_only:
+            run_path.parent.mkdir(parents=True, exist_ok=True)
+            run_path.write_text(asyncio.run(measure()))
+        run = json.loads(run_path.read_text())
+        pathlib.Path(arguments.page).write_text(page.render(run))
+        return EXIT_OK
+
+
+async def measure():
+    slopes = [*measures.measure_codec(), *measures.measure_document()]
+    slopes += await measures.measure_path()
+    slopes += await links.measure_links()
+    return page.dump(slopes, measures.heartbeat_bytes())
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -168,6 +168,8 @@
         await self.start_endpoints()
         for index in range(self.shape.entries):
             await self.start_entry(index)
+        for member in [*self.endpoints, *self.agents]:
+            await self.wait_listening(member)
         for entry in self.entries:
             await self.wait_ready(f"{entry.url}/readyz")
 
@@ -269,6 +271,12 @@
             while not await self.answers(url):
                 await asyncio.sleep(0.05)
 
+    async def wait_listening(self, member):
+        """Wait until a process takes connections: entries are often up first."""
+        async with asyncio.timeout(READY_SECONDS):
+            while not await listens(member.host):
+                await asyncio.sleep(0.05)
+
     async def answers(self, url):
         try:
             async with self.session.get(url) as response:
@@ -288,3 +296,12 @@
     async def fetch_json(self, url):
         async with self.session.get(url) as response:
             return await response.json()
+
+
+async def listens(host):
+    try:
+        _, writer = await asyncio.open_connection(host, PORT)
+    except OSError:
+        return False
+    writer.close()
+    return True
