Give choosing an endpoint its own module; run experiments from one command

Cause: choosing and waiting for an endpoint stood inside the dispatcher, and nothing could run and report experiments beside their baselines.

Change: request/selection.py owns the choices made for one call. 'make bench' runs every module of fescuedrum_bench/experiments and writes JSON, a Markdown report and plots to build/bench; a missed target ends it with exit code 1. A site now waits until its endpoints listen: the test of bad input asked an engine for its count before it listened, twice in two runs on a busy machine.

Conclusion: no decision has changed yet; the policy can now move by itself.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 WIRE := packages/fescuedrum/src/fescuedrum/wire
 
-.PHONY: setup test lint format demo demo-up thrift clean
+.PHONY: setup test lint format demo demo-up bench thrift clean
 
 $(STAMP): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -29,6 +29,10 @@
 demo-up: setup
 	$(PYTHON) -m fescuedrum_bench demo --keep-running
 
+# Writes build/bench: a JSON file for each experiment, report.md and plots.
+bench: setup
+	$(PYTHON) -m fescuedrum_bench bench
+
 # Needs the Thrift compiler; its output is committed, so that a build needs none.
 thrift:
 	rm -rf build/thrift && mkdir -p build/thrift
--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/commands/bench.py
@@ -0,0 +1,59 @@
+"""Run the experiments and write their report."""
+
+import asyncio
+import importlib
+import json
+import pathlib
+import pkgutil
+
+from fescuedrum.process import EXIT_FAILURE, EXIT_OK
+from fescuedrum_bench import experiments
+from fescuedrum_bench.report import write_report
+
+NO_EXPERIMENT = frozenset(("base",))
+
+
+class Command:
+    help = "run every experiment beside its baselines and write a report"
+
+    def add_arguments(self, parser):
+        parser.add_argument(
+            "experiments", nargs="*", help="names of those to run; all by default"
+        )
+        parser.add_argument("--directory", default="build/bench")
+        parser.add_argument(
+            "--scale", type=float, default=1.0, help="factor on each one's duration"
+        )
+        parser.add_argument("--seed", type=int, default=1)
+
+    def handle(self, arguments):
+        names = arguments.experiments or experiment_names()
+        done = [
+            asyncio.run(run_experiment(name, arguments.scale, arguments.seed))
+            for name in names
+        ]
+        write_report(pathlib.Path(arguments.directory), done)
+        missed = sum(not experiment.met for experiment in done)
+        print(json.dumps({"experiments": len(done), "missed": missed}))
+        return EXIT_FAILURE if missed else EXIT_OK
+
+
+def experiment_names():
+    """Return the names of all experiment modules."""
+    found = (module.name for module in pkgutil.iter_modules(experiments.__path__))
+    return [name for name in found if name not in NO_EXPERIMENT]
+
+
+async def run_experiment(name, scale, seed):
+    module = importlib.import_module(f"{experiments.__name__}.{name}")
+    experiment = await module.run(scale, seed)
+    print(f"\n{experiment.name}: {'reached' if experiment.met else 'MISSED'}")
+    for figure in experiment.figures:
+        print(f"  {describe(figure)}", flush=True)
+    return experiment
+
+
+def describe(figure):
+    baseline = "" if figure.baseline is None else f", baseline {figure.baseline:.4g}"
+    target = f", target {figure.target}" if figure.target else ""
+    return f"{figure.name}: {figure.value:.4g} {figure.unit}{baseline}{target}"
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -170,6 +170,8 @@
             await self.start_entry(index)
         for entry in self.entries:
             await self.wait_ready(f"{entry.url}/readyz")
+        for endpoint in self.endpoints:
+            await self.wait_ready(f"{endpoint.url}/healthz")
 
     async def start_endpoints(self):
         shape = self.shape
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/standins/engine.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/standins/engine.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from fescuedrum_bench.standins.runner import serve
+from fescuedrum_bench.standins.runner import healthz, serve
 
 WARM_AFTER_REQUESTS = 10
 DEFAULT_TOKENS = 8
@@ -49,6 +49,7 @@
         application.router.add_post("/v1/completions", self.complete)
         application.router.add_post("/v1/chat/completions", self.complete)
         application.router.add_get("/load", self.load)
+        application.router.add_get("/healthz", healthz)
         return application
 
     async def load(self, _):
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/standins/runner.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/standins/runner.py
@@ -5,6 +5,10 @@
 from fescuedrum.process import stop_event
 
 
+async def healthz(_):
+    return web.json_response({"alive": True})
+
+
 async def serve(application, arguments):
     """Listen on the address in the arguments until SIGTERM."""
     stop = stop_event()
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/standins/service.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/standins/service.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from fescuedrum_bench.standins.runner import serve
+from fescuedrum_bench.standins.runner import healthz, serve
 
 
 class Bookings:
@@ -22,6 +22,7 @@
         application.router.add_get("/stock/{item}", self.stock)
         application.router.add_post("/bookings", self.book)
         application.router.add_get("/executions", self.list_executions)
+        application.router.add_get("/healthz", healthz)
         return application
 
     async def stock(self, request):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/dispatch.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/dispatch.py
@@ -4,18 +4,17 @@
 import uuid
 from dataclasses import dataclass
 
-from fescuedrum.decisions import routing
 from fescuedrum.exceptions import (
     DeadlinePassed,
     OutcomeUnknown,
     Overloaded,
-    Unavailable,
 )
 from fescuedrum.outcomes import Outcome
 from fescuedrum.wire.gen.frames import ttypes as frames
 from fescuedrum_entry.connection.link import Lost
 from fescuedrum_entry.request import claims
 from fescuedrum_entry.request.call import Repetition
+from fescuedrum_entry.request.selection import Selection
 
 MAXIMUM_REPEATS = 3
 RETRY_SECONDS = 0.02
@@ -43,7 +42,7 @@
 class Dispatcher:
     """Own one call from its admission to its outcome."""
 
-    __slots__ = ("attempt", "call", "entry", "loop", "reply", "token", "tried")
+    __slots__ = ("attempt", "call", "entry", "loop", "reply", "selection", "token")
 
     def __init__(self, entry, call, reply):
         self.entry = entry
@@ -51,7 +50,7 @@
         self.reply = reply
         self.attempt = 0
         self.token = uuid.uuid4().hex
-        self.tried = set()
+        self.selection = Selection(entry, call)
         self.loop = asyncio.get_running_loop()
 
     async def run(self):
@@ -60,9 +59,9 @@
             return await self.run_keyed()
         repeats = 0
         while True:
-            link = await self.wait_for_link()
+            link = await self.selection.next_link()
             result = await self.send(link)
-            self.tried.add(link.instance.name)
+            self.selection.mark_tried(link)
             match result:
                 case Done():
                     return None
@@ -86,7 +85,7 @@
         return idempotent and not self.reply.started
 
     async def run_keyed(self):
-        link = await self.wait_for_link()
+        link = await self.selection.next_link()
         name = link.instance.name
         table = self.entry.platform
         claim = await claims.claim(table, self.call, name, self.token, self.loop)
@@ -116,20 +115,6 @@
                 case Uncertain(reason):
                     raise OutcomeUnknown(reason)
 
-    async def wait_for_link(self):
-        while True:
-            candidates = self.entry.candidates(self.call.service)
-            fresh = [each for each in candidates if each.name not in self.tried]
-            chosen = routing.choose(
-                fresh or candidates, self.entry.settings.zone, self.entry.random
-            )
-            if chosen is not None and chosen.load < 1:
-                return self.entry.links[chosen.name]
-            if self.loop.time() + RETRY_SECONDS >= self.call.deadline:
-                detail = "No endpoint was free before the deadline."
-                raise Unavailable(detail, retry_after=1)
-            await asyncio.sleep(RETRY_SECONDS)
-
     async def send(self, link, *, token=None, attach_only=False):
         """Make one attempt; relay its answer to the reply."""
         self.attempt += 1
