--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 STAMP := $(VENV)/.installed
 WIRE := packages/fescuedrum/src/fescuedrum/wire
 
-.PHONY: setup test lint format demo demo-up capacity thrift clean
+.PHONY: setup test lint format demo demo-up
+.PHONY: bench capacity
+.PHONY: thrift clean
 
 $(STAMP): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -32,6 +34,10 @@
 capacity: setup
 	$(PYTHON) -m fescuedrum_bench capacity
 
+# Writes build/bench: a JSON file for each experiment, report.md and plots.
+bench: setup
+	$(PYTHON) -m fescuedrum_bench bench
+
 # Needs the Thrift compiler; its output is committed, so that a build needs none.
 thrift:
 	rm -rf build/thrift && mkdir -p build/thrift
