--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from fescuedrum.conf.schema import setting
+from fescuedrum_entry.operators.accounts import Account
 
 
 @dataclass(slots=True)
@@ -32,4 +33,5 @@
     drain_seconds: float = setting(
         60.0, help="Longest wait for running requests at a stop.", minimum=0.0, unit="s"
     )
+    operators: list[Account] = setting(list, help="Operators who may sign in here.")
     log_level: str = setting("INFO", help="Lowest level that is logged.")
--- /dev/null
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Serve operators: their sign-in, the API of the configuration and the console."""
--- /dev/null
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/routes.py
@@ -0,0 +1,17 @@
+"""Add the operators' API to an entry's application."""
+
+from aiohttp import web
+
+from fescuedrum_entry.operators.access import ACCOUNT, require_role
+from fescuedrum_entry.operators.accounts import Role
+
+
+def add_routes(application, entry):
+    """Add the routes of the operators' API."""
+    router = application.router
+    router.add_get("/operators/me", require_role(entry, Role.VIEWER, show_account))
+
+
+async def show_account(request):
+    account = request[ACCOUNT]
+    return web.json_response({"name": account.name, "role": account.role})
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -14,6 +14,8 @@
 from fescuedrum.wire.gen.frames.ttypes import Hello
 from fescuedrum.wire.gen.members.ttypes import Heartbeat
 from fescuedrum_entry.connection.link import Link
+from fescuedrum_entry.operators import routes as operators
+from fescuedrum_entry.operators.access import SignInLimit
 from fescuedrum_entry.request.handler import CallerHandler
 from fescuedrum_entry.version.configuration import Configuration
 
@@ -36,10 +38,12 @@
         "random",
         "running",
         "settings",
+        "sign_in_limit",
     )
 
     def __init__(self, settings, incarnation):
         self.settings = settings
+        self.sign_in_limit = SignInLimit()
         self.incarnation = incarnation
         self.configuration = Configuration()
         self.links = {}
@@ -78,6 +82,7 @@
         application.router.add_route("*", "/services/{service}/{rest:.*}", handle)
         application.router.add_get("/healthz", self.healthz)
         application.router.add_get("/readyz", self.readyz)
+        operators.add_routes(application, self)
         return application
 
     async def healthz(self, _):
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -105,3 +105,27 @@
 
     code = "protocol"
     remedy = "Check that both processes run a supported release."
+
+
+class NotSignedIn(BadRequest):
+    """Refuse an operator without a valid token."""
+
+    code = "not-signed-in"
+    status = 401
+    remedy = "Sign in, or send 'Authorization: Bearer <token>' with a valid token."
+
+
+class NotAllowed(BadRequest):
+    """Refuse an operator whose role does not include the action."""
+
+    code = "not-allowed"
+    status = 403
+    remedy = "Ask an administrator for the role, or let someone who has it do this."
+
+
+class TooManySignIns(BadRequest):
+    """Refuse an address that failed to sign in too often."""
+
+    code = "too-many-sign-ins"
+    status = 429
+    remedy = "Wait for the time in Retry-After, then sign in with a valid token."
