Describe the whole desired state and say in words how documents differ

Cause: the document knew only services, organisations and zones by name. Change: classes for endpoints with roles, models, adapters, classes of work, limits, sharing rules and rank groups, each new field with a default; checks of references and sums with path, id and remedy; words that a change needs when it cuts off a service or removes a part; differences in words and a merge of two changes; a JSON Schema and a reference page made from the classes by make docs. Canonical bytes leave defaults out. Conclusion: apply, console and processes can share one document.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 WIRE := packages/fescuedrum/src/fescuedrum/wire
 
-.PHONY: setup test lint format demo demo-up thrift clean
+.PHONY: setup test lint format docs demo demo-up thrift clean
 
 $(STAMP): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -29,6 +29,9 @@
 demo-up: setup
 	$(PYTHON) -m fescuedrum_bench demo --keep-running
 
+docs: setup
+	$(PYTHON) -m fescuedrum_entry.management docs --directory docs
+
 # Needs the Thrift compiler; its output is committed, so that a build needs none.
 thrift:
 	rm -rf build/thrift && mkdir -p build/thrift
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/conf/document/__init__.py
@@ -0,0 +1,51 @@
+"""Define the configuration document: the whole desired state in one JSON text."""
+
+from fescuedrum.conf.document.encoding import (
+    canonical,
+    decode,
+    document_hash,
+    parse,
+)
+from fescuedrum.conf.document.model import (
+    Adapter,
+    Document,
+    Endpoint,
+    EndpointRole,
+    KeyHash,
+    Limits,
+    Model,
+    Organisation,
+    RankGroup,
+    Service,
+    ServiceKind,
+    SharingRule,
+    WorkClass,
+    Zone,
+    ZoneState,
+    hash_key,
+)
+from fescuedrum.conf.document.validation import check_document
+
+__all__ = [
+    "Adapter",
+    "Document",
+    "Endpoint",
+    "EndpointRole",
+    "KeyHash",
+    "Limits",
+    "Model",
+    "Organisation",
+    "RankGroup",
+    "Service",
+    "ServiceKind",
+    "SharingRule",
+    "WorkClass",
+    "Zone",
+    "ZoneState",
+    "canonical",
+    "check_document",
+    "decode",
+    "document_hash",
+    "hash_key",
+    "parse",
+]
--- a/packages/fescuedrum/src/fescuedrum/conf/schema.py
+++ b/packages/fescuedrum/src/fescuedrum/conf/schema.py
@@ -159,6 +159,26 @@
     return field.metadata.get("help", f"Give a value for {field.name}.")
 
 
+def dump_changed(instance):
+    """Turn a data class into plain JSON values without fields at their default."""
+    if dataclasses.is_dataclass(instance):
+        return {
+            field.name: dump_changed(getattr(instance, field.name))
+            for field in dataclasses.fields(instance)
+            if getattr(instance, field.name) != default_of(field)
+        }
+    if isinstance(instance, list):
+        return [dump_changed(item) for item in instance]
+    return dump(instance)
+
+
+def default_of(field):
+    """Return a field's default; MISSING when it has none."""
+    if field.default_factory is not MISSING:
+        return field.default_factory()
+    return field.default
+
+
 def dump(instance):
     """Turn a data class into plain JSON values."""
     if dataclasses.is_dataclass(instance):
--- a/tests/support/builders.py
+++ b/tests/support/builders.py
@@ -23,6 +23,23 @@
     return documents.Document(**values | changes)
 
 
+def build_full_document(**changes):
+    """Build a document that uses every part."""
+    endpoints = [documents.Endpoint(f"e-{n}", "advice", "zone-1") for n in range(2)]
+    rule = documents.SharingRule("floor", "advice", ["club"], minimum_share=0.2)
+    group = documents.RankGroup("g", "advice", 2, 8, 4, 5, ["e-0", "e-1"])
+    values = {
+        "endpoints": endpoints,
+        "models": [
+            documents.Model("m", "1", ["1", "2"], [documents.Adapter("a", "1")])
+        ],
+        "classes": [documents.WorkClass("overnight", 9)],
+        "sharing_rules": [rule],
+        "rank_groups": [group],
+    }
+    return build_document(**values | changes)
+
+
 def build_request(number=1, **changes):
     values = {
         "number": number,
