Wait for the endpoints of a site before its tests begin

Cause: a test asked an engine for its load and found nothing listening, once in a few runs: the site waited for its entries alone, and their readiness needs no endpoint. Change: the site waits for each endpoint's own page too. Conclusion: the race was in the launcher, not in what it launches.

--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -170,6 +170,9 @@
             await self.start_entry(index)
         for entry in self.entries:
             await self.wait_ready(f"{entry.url}/readyz")
+        for endpoint in self.endpoints:
+            path = "load" if endpoint.name.startswith("engine") else "executions"
+            await self.wait_ready(f"{endpoint.url}/{path}")
 
     async def start_endpoints(self):
         shape = self.shape
