--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
@@ -16,6 +16,9 @@
 RECONNECT_SECONDS = 0.2
 CONNECT_TIMEOUT_SECONDS = 2.0
 WINDOW_BYTES = 256 * 1024
+# A frame of credit for every token would cost as much as the token itself; a quarter
+# of the window keeps the agent sending while the credit is on its way.
+CREDIT_BYTES = WINDOW_BYTES // 4
 
 
 @dataclass(slots=True, frozen=True)
@@ -26,13 +29,14 @@
 class Exchange:
     """Hold one request on one connection and the frames that come for it."""
 
-    __slots__ = ("attempt", "events", "link", "number")
+    __slots__ = ("attempt", "events", "link", "number", "untold")
 
     def __init__(self, link, number, attempt):
         self.link = link
         self.number = number
         self.attempt = attempt
         self.events = asyncio.Queue()
+        self.untold = 0
 
     async def receive(self):
         """Wait for the next frame of this request, or Lost."""
@@ -40,7 +44,10 @@
 
     def taken(self, size):
         """Give the agent credit for bytes that the caller has taken."""
-        self.link.send(credit=frames.Credit(self.number, self.attempt, size))
+        self.untold += size
+        if self.untold >= CREDIT_BYTES:
+            self.link.send(credit=frames.Credit(self.number, self.attempt, self.untold))
+            self.untold = 0
 
     def close(self, *, finished):
         self.link.exchanges.pop(self.number, None)
