--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -5,6 +5,7 @@
 from fescuedrum.conf.schema import setting
 from fescuedrum.tls import TlsFiles
 from fescuedrum.wire.handshake import PeerKey
+from fescuedrum_entry.operators.accounts import Account
 
 
 @dataclass(slots=True)
@@ -46,6 +47,7 @@
     drain_seconds: float = setting(
         60.0, help="Longest wait for running requests at a stop.", minimum=0.0, unit="s"
     )
+    operators: list[Account] = setting(list, help="Operators who may sign in here.")
     callers_tls: TlsFiles | None = setting(
         None, help="Certificate and key shown to callers; without it, plain HTTP."
     )
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -17,6 +17,8 @@
 from fescuedrum.wire.peers import Peers
 from fescuedrum_entry.connection.callers import CallersRunner
 from fescuedrum_entry.connection.link import Link
+from fescuedrum_entry.operators import routes as operators
+from fescuedrum_entry.operators.access import SignInLimit
 from fescuedrum_entry.request import handler
 from fescuedrum_entry.version.configuration import Configuration
 
@@ -40,10 +42,12 @@
         "random",
         "running",
         "settings",
+        "sign_in_limit",
     )
 
     def __init__(self, settings, incarnation):
         self.settings = settings
+        self.sign_in_limit = SignInLimit()
         self.incarnation = incarnation
         self.configuration = Configuration()
         self.links = {}
@@ -91,6 +95,7 @@
         handler.add_routes(application, self)
         application.router.add_get("/healthz", self.healthz)
         application.router.add_get("/readyz", self.readyz)
+        operators.add_routes(application, self)
         return application
 
     async def healthz(self, _):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
@@ -45,6 +45,13 @@
         now = asyncio.get_running_loop().time()
         request_id = new_request_id()
         request_context.set({"request": request_id})
+        response = await self.answer(http_request, now, request_id)
+        if self.entry.leaving:
+            # A kept connection would bring this caller's next request here as well.
+            response.force_close()
+        return response
+
+    async def answer(self, http_request, now, request_id):
         try:
             call = await parse_call(
                 http_request,
@@ -103,6 +110,8 @@
             await reply.break_off(error)
         except ConnectionError:
             logger.info("caller left")
+            if not reply.started:
+                raise
         finally:
             self.entry.running -= 1
         return reply.response
