Count and trace requests at the entry

Cause: nobody could see how many requests ended how, nor why one of them waited or went to a certain endpoint.

Change: a catalogue declares each metric once, for a registry of the process and for its page; /metrics is for operators, as it names organisations. Each request has a trace: when it was read, each attempt with what was known of the endpoint, refusals, first byte, end. Two bounded rings keep them, one for requests that went wrong, were slow or took more than one attempt. GET /operators/requests and .../ID show them. A fault of the entry's own code is told in the common shape with the same request id.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -48,6 +48,12 @@
         60.0, help="Longest wait for running requests at a stop.", minimum=0.0, unit="s"
     )
     operators: list[Account] = setting(list, help="Operators who may sign in here.")
+    trace_count: int = setting(
+        2000, help="Requests kept for operators to look up, of each kind.", minimum=1
+    )
+    trace_slow_seconds: float = setting(
+        5.0, help="Time from which a request is kept as slow.", minimum=0.0, unit="s"
+    )
     callers_tls: TlsFiles | None = setting(
         None, help="Certificate and key shown to callers; without it, plain HTTP."
     )
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
@@ -10,6 +10,7 @@
 from fescuedrum.wire.connection import FrameConnection
 from fescuedrum.wire.gen.frames import ttypes as frames
 from fescuedrum.wire.gen.members import ttypes as members
+from fescuedrum_entry.connection.attempt import AttemptTrace
 
 logger = logging.getLogger(__name__)
 
@@ -26,21 +27,28 @@
     """Tell an exchange that its connection ended; the request may have run."""
 
 
+LOST = Lost()
+
+
 class Exchange:
     """Hold one request on one connection and the frames that come for it."""
 
-    __slots__ = ("attempt", "events", "link", "number", "untold")
+    __slots__ = ("attempt", "events", "link", "number", "trace", "untold")
 
-    def __init__(self, link, number, attempt):
+    def __init__(self, link, number, attempt, trace=None):
         self.link = link
         self.number = number
         self.attempt = attempt
         self.events = asyncio.Queue()
+        self.trace = trace
         self.untold = 0
 
     async def receive(self):
         """Wait for the next frame of this request, or Lost."""
-        return await self.events.get()
+        body = await self.events.get()
+        if self.trace is not None:
+            self.trace.received(body)
+        return body
 
     def taken(self, size):
         """Give the agent credit for bytes that the caller has taken."""
@@ -51,6 +59,8 @@
 
     def close(self, *, finished):
         self.link.exchanges.pop(self.number, None)
+        if self.trace is not None:
+            self.trace.closed()
         if not finished:
             self.link.send(cancel=frames.Cancel(self.number, self.attempt))
 
@@ -106,7 +116,8 @@
         request.number = self.next_number
         self.next_number += 1
         request.window = WINDOW_BYTES
-        exchange = Exchange(self, request.number, request.attempt)
+        trace = AttemptTrace.begin(self, request)
+        exchange = Exchange(self, request.number, request.attempt, trace)
         self.exchanges[request.number] = exchange
         self.send(request=request)
         return exchange
@@ -189,4 +200,4 @@
         self.last_heartbeat = None
         exchanges, self.exchanges = self.exchanges, {}
         for exchange in exchanges.values():
-            exchange.events.put_nowait(Lost())
+            exchange.events.put_nowait(LOST)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -9,6 +9,7 @@
 
 from fescuedrum import __version__
 from fescuedrum.exceptions import StoreUnavailable
+from fescuedrum.metrics import watch_loop
 from fescuedrum.platform.client import PlatformClient
 from fescuedrum.process import cancel, on_reload, stop_event
 from fescuedrum.tls import Certificates
@@ -17,9 +18,12 @@
 from fescuedrum.wire.peers import Peers
 from fescuedrum_entry.connection.callers import CallersRunner
 from fescuedrum_entry.connection.link import Link
-from fescuedrum_entry.operators import routes as operators
-from fescuedrum_entry.operators.access import SignInLimit
+from fescuedrum_entry.operators import requests, routes as operators
+from fescuedrum_entry.operators.access import SignInLimit, require_role
+from fescuedrum_entry.operators.accounts import Role
+from fescuedrum_entry.process.metrics import EntryMetrics
 from fescuedrum_entry.request import handler
+from fescuedrum_entry.request.trace import TraceBook
 from fescuedrum_entry.version.configuration import Configuration
 
 logger = logging.getLogger(__name__)
@@ -37,12 +41,14 @@
         "leaving",
         "link_tasks",
         "links",
+        "metrics",
         "peers",
         "platform",
         "random",
         "running",
         "settings",
         "sign_in_limit",
+        "traces",
     )
 
     def __init__(self, settings, incarnation):
@@ -57,7 +63,10 @@
         self.platform = None
         self.random = random.Random(incarnation)
         self.running = 0
+        self.traces = TraceBook(settings.trace_count, settings.trace_slow_seconds)
+        self.metrics = EntryMetrics()
         self.leaving = False
+        self.metrics.watch(self)
 
     async def run(self):
         """Serve until a signal, then drain and stop."""
@@ -70,6 +79,7 @@
                 asyncio.create_task(self.configuration.follow(self.platform, interval)),
                 asyncio.create_task(self.follow_instances()),
                 asyncio.create_task(self.callers_tls.follow()),
+                asyncio.create_task(watch_loop(self.metrics.loop_delay)),
                 asyncio.create_task(self.peers.certificates.follow()),
             ]
             runner = CallersRunner(self.build_application(), self.settings)
@@ -95,7 +105,11 @@
         handler.add_routes(application, self)
         application.router.add_get("/healthz", self.healthz)
         application.router.add_get("/readyz", self.readyz)
+        # The names of organisations are in it, and callers reach this port.
+        metrics = require_role(self, Role.VIEWER, self.expose_metrics)
+        application.router.add_get("/metrics", metrics)
         operators.add_routes(application, self)
+        requests.add_routes(application, self)
         return application
 
     async def healthz(self, _):
@@ -106,6 +120,10 @@
         body = {"ready": ready, "version": self.configuration.version}
         return web.json_response(body, status=200 if ready else 503)
 
+    async def expose_metrics(self, _):
+        text, content_type = self.metrics.catalogue.expose()
+        return web.Response(body=text, headers={"Content-Type": content_type})
+
     async def drain(self):
         """Turn readiness down and let running requests end."""
         self.leaving = True
--- /dev/null
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/metrics.py
@@ -0,0 +1,141 @@
+"""Declare the entry's metrics and count what its requests come to."""
+
+from fescuedrum.metrics import (
+    LOOP_DELAY_BUCKETS,
+    ORGANISATION,
+    OUTCOME,
+    SERVICE,
+    Catalogue,
+    Label,
+    bounded,
+)
+
+NO_SERVICE = "none"
+CODE = Label("code", "`ok` and the error codes of the callers' interface")
+REASON = Label("reason", "refusal reasons of agents, others as `other`")
+RESULT = Label("result", "4: ended, refused, lost, left")
+REFUSAL_REASONS = frozenset(
+    (
+        "cold",
+        "deadline",
+        "draining",
+        "fenced",
+        "full",
+        "key-unknown",
+        "late",
+        "leaving",
+        "queue-full",
+        "withdrawn",
+        "zone-out",
+    )
+)
+
+
+class EntryMetrics:
+    """Own the entry's metrics; each method counts one kind of event."""
+
+    __slots__ = (
+        "attempts",
+        "catalogue",
+        "first_byte",
+        "loop_delay",
+        "organisations",
+        "refusals",
+        "requests",
+        "seconds",
+    )
+
+    def __init__(self):
+        catalogue = self.catalogue = Catalogue()
+        self.requests = catalogue.counter(
+            "fescuedrum_requests_total",
+            "Callers' requests that came to an end.",
+            SERVICE,
+            OUTCOME,
+            CODE,
+        )
+        self.organisations = catalogue.counter(
+            "fescuedrum_organisation_requests_total",
+            "Requests of each organisation that came to an end.",
+            ORGANISATION,
+            OUTCOME,
+        )
+        self.seconds = catalogue.histogram(
+            "fescuedrum_request_seconds",
+            "Time from a request's head to the end of its answer.",
+            SERVICE,
+        )
+        self.first_byte = catalogue.histogram(
+            "fescuedrum_first_byte_seconds",
+            "Time from a request's head to the first byte of an endpoint's answer.",
+            SERVICE,
+        )
+        self.attempts = catalogue.counter(
+            "fescuedrum_attempts_total",
+            "Attempts at agents; more than requests by retries and hedges.",
+            RESULT,
+        )
+        self.refusals = catalogue.counter(
+            "fescuedrum_refusals_total", "Attempts that agents refused.", REASON
+        )
+        self.loop_delay = catalogue.histogram(
+            "fescuedrum_loop_delay_seconds",
+            "Lateness of the process's event loop; all requests wait for it.",
+            buckets=LOOP_DELAY_BUCKETS,
+        )
+
+    def watch(self, entry):
+        """Declare the gauges that are read from the entry's parts."""
+        reading = self.catalogue.reading
+        reading(
+            "fescuedrum_running_requests",
+            "Requests that run now.",
+            lambda: entry.running,
+        )
+        reading("fescuedrum_links", "Agents known.", lambda: len(entry.links))
+        reading(
+            "fescuedrum_links_usable",
+            "Agents that may get new work.",
+            lambda: sum(link.usable for link in entry.links.values()),
+        )
+        reading(
+            "fescuedrum_unexpected_frames",
+            "Frames of agents that fitted no request since each link began.",
+            lambda: sum(link.unexpected_frames for link in entry.links.values()),
+        )
+        reading(
+            "fescuedrum_unsent_bytes",
+            "Bytes that agents have not taken yet.",
+            lambda: sum(
+                link.connection.unsent_bytes
+                for link in entry.links.values()
+                if link.connection is not None
+            ),
+        )
+        reading(
+            "fescuedrum_configuration_version",
+            "Version of the configuration that is in force here.",
+            lambda: entry.configuration.version,
+        )
+        reading(
+            "fescuedrum_leaving",
+            "1 while the process drains for its stop.",
+            lambda: entry.leaving,
+        )
+
+    def ended(self, trace):
+        """Count a request by its finished trace."""
+        service = trace.service or NO_SERVICE
+        self.requests.labels(service, trace.outcome, trace.code).inc()
+        if trace.organisation:
+            self.organisations.labels(trace.organisation, trace.outcome).inc()
+        if trace.service:
+            self.seconds.labels(service).observe(trace.seconds)
+            if trace.first_byte is not None:
+                self.first_byte.labels(service).observe(trace.first_byte)
+
+    def refused(self, reason):
+        self.refusals.labels(bounded(reason, REFUSAL_REASONS)).inc()
+
+    def attempt_ended(self, result):
+        self.attempts.labels(result).inc()
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/errors.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/errors.py
@@ -49,7 +49,8 @@
     }
 
 
-def error_response(error, request_id):
+def error_response(error, request_id, **details):
+    """Answer with an error; details are added to its body."""
     headers = {
         OUTCOME_HEADER: error.outcome.value,
         REQUEST_ID_HEADER: request_id,
@@ -57,6 +58,7 @@
     if error.retry_after is not None:
         headers["Retry-After"] = str(error.retry_after)
     body = error_body(error, request_id)
+    body["error"] |= details
     response = web.json_response(body, status=error.status, headers=headers)
     if error.closes:
         # The rest of what the caller sends would be read as another request.
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
@@ -7,6 +7,7 @@
 
 from fescuedrum.exceptions import FescuedrumError, Unavailable
 from fescuedrum.logs import request_context
+from fescuedrum.outcomes import Outcome
 from fescuedrum_entry.request.call import Repetition
 from fescuedrum_entry.request.dispatch import Dispatcher
 from fescuedrum_entry.request.errors import (
@@ -17,6 +18,8 @@
 from fescuedrum_entry.request.parse import authenticate, check_head, parse_call
 from fescuedrum_entry.request.reply import Reply
 
+CODE_LEFT = "caller-left"
+
 logger = logging.getLogger(__name__)
 
 
@@ -42,27 +45,43 @@
 
     async def handle(self, http_request):
         """Serve one request to its outcome."""
-        now = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
         request_id = new_request_id()
         request_context.set({"request": request_id})
-        response = await self.answer(http_request, now, request_id)
+        trace = self.entry.traces.begin(request_id, loop.time())
+        try:
+            response = await self.answer(http_request, trace)
+        finally:
+            if not trace.detached:
+                self.close_trace(trace)
         if self.entry.leaving:
             # A kept connection would bring this caller's next request here as well.
             response.force_close()
         return response
 
-    async def answer(self, http_request, now, request_id):
+    def close_trace(self, trace):
+        if trace.seconds is None:
+            # Its caller left before it came to an end.
+            trace.end(loop_time(), Outcome.UNKNOWN, CODE_LEFT)
+        self.entry.traces.finish(trace)
+        self.entry.metrics.ended(trace)
+
+    async def answer(self, http_request, trace):
+        entry = self.entry
+        loop = asyncio.get_running_loop()
         try:
             call = await parse_call(
                 http_request,
                 self.configuration(),
-                self.entry.settings,
-                now,
-                request_id,
+                entry.settings,
+                trace.began,
+                trace.request_id,
             )
-            return await self.serve(http_request, call)
+            trace.take_call(call, entry.configuration.version, loop.time())
+            return await self.serve(http_request, call, trace)
         except FescuedrumError as error:
-            return error_response(error, request_id)
+            trace.fail(loop.time(), error)
+            return error_response(error, trace.request_id)
 
     def configuration(self):
         if self.entry.configuration.document is None:
@@ -83,7 +102,7 @@
         ]
         return web.json_response({"object": "list", "data": models})
 
-    async def serve(self, http_request, call):
+    async def serve(self, http_request, call, trace):
         """Run a call; only an idempotent one ends when its caller leaves."""
         request_context.set(
             {
@@ -94,24 +113,44 @@
         )
         reply = Reply(http_request, call)
         if call.repetition is Repetition.IDEMPOTENT:
-            return await self.run(call, reply)
+            return await self.run(call, reply, trace)
         # A caller who leaves has this task cancelled. A booking that is under way
         # must come to its end all the same, or its repeat would find half of it.
-        return await asyncio.shield(asyncio.create_task(self.run(call, reply)))
+        trace.detached = True
+        work = asyncio.create_task(self.run(call, reply, trace))
+        work.add_done_callback(lambda _: self.close_trace(trace))
+        return await asyncio.shield(work)
 
-    async def run(self, call, reply):
+    async def run(self, call, reply, trace):
         self.entry.running += 1
         try:
             await Dispatcher(self.entry, call, reply).run()
-        except FescuedrumError as error:
-            logger.info("request not answered", extra={"code": error.code})
-            if not reply.started:
-                raise
-            await reply.break_off(error)
-        except ConnectionError:
-            logger.info("caller left")
-            if not reply.started:
-                raise
+            trace.end(loop_time(), reply.outcome)
+        except Exception as error:
+            if reply.started and isinstance(error, ConnectionError):
+                trace.end(loop_time(), Outcome.UNKNOWN, CODE_LEFT)
+                return reply.response
+            await self.fail(reply, trace, known_error(error))
         finally:
             self.entry.running -= 1
         return reply.response
+
+    async def fail(self, reply, trace, error):
+        """Tell the caller of an error in the way that is still open."""
+        trace.fail(loop_time(), error)
+        logger.info("request not answered", extra={"code": error.code})
+        if not reply.started:
+            raise error
+        await reply.break_off(error)
+
+
+def known_error(error):
+    """Return an error that a caller may see; log one that is a fault of this code."""
+    if isinstance(error, FescuedrumError):
+        return error
+    logger.error("request broke the entry", exc_info=error)
+    return FescuedrumError()
+
+
+def loop_time():
+    return asyncio.get_running_loop().time()
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/reply.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/reply.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from fescuedrum.outcomes import OUTCOME_HEADER, REQUEST_ID_HEADER
+from fescuedrum.outcomes import OUTCOME_HEADER, REQUEST_ID_HEADER, Outcome
 from fescuedrum_entry.request.errors import error_body
 
 EVENT_STREAM = "text/event-stream"
@@ -32,12 +32,21 @@
     the caller has seen a byte can't.
     """
 
-    __slots__ = ("call", "headers", "held", "http_request", "response", "status")
+    __slots__ = (
+        "call",
+        "headers",
+        "held",
+        "http_request",
+        "outcome",
+        "response",
+        "status",
+    )
 
     def __init__(self, http_request, call):
         self.http_request = http_request
         self.call = call
         self.response = None
+        self.outcome = Outcome.UNKNOWN
         self.status = 0
         self.headers = []
         self.held = bytearray()
@@ -76,6 +85,7 @@
             self.held.clear()
 
     async def finish(self, outcome):
+        self.outcome = outcome
         if self.started:
             await self.response.write_eof()
             return
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -82,6 +82,14 @@
     remedy = "Use /v1/completions, /v1/chat/completions, /v1/models or /services/NAME/."
 
 
+class UnknownRequest(BadRequest):
+    """Tell an operator that an entry holds no trace of a request."""
+
+    code = "unknown-request"
+    status = 404
+    remedy = "Ask the other entries; each keeps its own recent requests only."
+
+
 class MethodNotAllowed(BadRequest):
     """Refuse a method that a path does not offer."""
 
