Measure the entry against a bare proxy

Cause: what a hop costs was known only in microseconds of this machine; a ratio to the least that the same library can do says whether it is much.

Change: an experiment with a bare aiohttp proxy before the same engine, for requests, token chunks, first tokens and idle connections.

--- a/packages/fescuedrum-bench/src/fescuedrum_bench/commands/standin.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/commands/standin.py
@@ -3,9 +3,14 @@
 import asyncio
 
 from fescuedrum.process import EXIT_OK
-from fescuedrum_bench.standins import engine, platform, service
+from fescuedrum_bench.standins import bareproxy, engine, platform, service
 
-KINDS = {"engine": engine, "platform": platform, "service": service}
+KINDS = {
+    "bareproxy": bareproxy,
+    "engine": engine,
+    "platform": platform,
+    "service": service,
+}
 
 
 class Command:
@@ -18,6 +23,7 @@
         parser.add_argument("--model", default="advice-1")
         parser.add_argument("--step-seconds", type=float, default=0.01)
         parser.add_argument("--cold-limit", type=int, default=2)
+        parser.add_argument("--upstream", default="")
         parser.add_argument("--work-seconds", type=float, default=0.02)
 
     def handle(self, arguments):
