Let operators check, watch and read both processes

Cause: settings were checked field by field only, the agent had no health routes, log lines named no version, and no page listed settings or metrics.

Change: rules across fields (silence against heartbeats, cold against warm limit, ports, addresses, URLs, peer keys, certificate files), warnings that don't stop the start; an agent listener with /healthz, /readyz and /metrics on operations_port; the version in force on each log line and the request's names on the endpoint's lines; help texts with an example, signals and exit codes; settings and metrics pages made by make docs, with a test that they are current.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from fescuedrum.conf import rules
 from fescuedrum.conf.schema import setting
 from fescuedrum.tls import TlsFiles
 from fescuedrum.wire.handshake import PeerKey
@@ -39,4 +40,20 @@
     peer_tls: TlsFiles | None = setting(
         None, help="Certificate, key and authority for entry-agent connections."
     )
+    operations_port: int = setting(
+        0, help="Port for /healthz, /readyz and /metrics; 0 for none.", minimum=0
+    )
     log_level: str = setting("INFO", help="Lowest level that is logged.")
+
+    def check(self):
+        """Return the findings across fields."""
+        return [
+            *rules.check_address("$.host", self.host),
+            *rules.check_url("$.endpoint_url", self.endpoint_url),
+            *rules.check_url("$.platform_url", self.platform_url),
+            *rules.check_ports(self),
+            *rules.check_limits(self),
+            *rules.check_peer_keys(self.peer_keys),
+            *rules.check_peer_tls(self.peer_tls),
+            *rules.check_log_level("$.log_level", self.log_level),
+        ]
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
@@ -44,6 +44,7 @@
             self.connection.close()
 
     def send(self, kind, number, attempt, **fields):
+        self.agent.metrics.told(kind, fields)
         body = BODIES[kind](number=number, attempt=attempt, **fields)
         self.connection.send(**{kind: body})
 
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -7,6 +7,8 @@
 
 from fescuedrum import __version__
 from fescuedrum.exceptions import ProtocolError
+from fescuedrum.logs import live_fields
+from fescuedrum.metrics import watch_loop
 from fescuedrum.outcomes import Outcome
 from fescuedrum.process import cancel, on_reload, stop_event
 from fescuedrum.wire.gen.frames.ttypes import Hello
@@ -14,6 +16,8 @@
 from fescuedrum.wire.peers import Peers
 from fescuedrum_agent.connection.session import Session
 from fescuedrum_agent.process.gate import Gate
+from fescuedrum_agent.process.metrics import AgentMetrics
+from fescuedrum_agent.process.operations import Operations
 from fescuedrum_agent.request.answer import Answer
 from fescuedrum_agent.request.execution import Execution
 from fescuedrum_agent.request.ledger import Ledger
@@ -33,6 +37,7 @@
         "gate",
         "incarnation",
         "ledger",
+        "metrics",
         "peers",
         "sequence",
         "session",
@@ -51,6 +56,9 @@
         self.peers = Peers(settings.peer_keys, settings.peer_tls, self.hello)
         self.session = None
         self.sequence = 0
+        self.metrics = AgentMetrics()
+        self.metrics.watch(self)
+        live_fields["version"] = lambda: self.configuration.version
 
     async def run(self):
         """Serve until a signal, then drain and stop."""
@@ -63,15 +71,19 @@
             self.serve_connection, self.settings.host, self.settings.port
         )
         reload = asyncio.create_task(self.peers.certificates.follow())
+        operations = Operations(self)
+        await operations.start()
         logger.info("agent started", extra={"release": __version__})
         beat = asyncio.create_task(self.beat())
+        lag = asyncio.create_task(watch_loop(self.metrics.loop_delay))
         await stop.wait()
         await self.drain()
-        await cancel([beat, reload])
+        await cancel([beat, lag, reload])
         server.close()
         for session in list(self.sessions):
             session.connection.close()
         await self.session.close()
+        await operations.stop()
         logger.info("agent stopped")
 
     async def serve_connection(self, reader, writer):
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
@@ -8,6 +8,7 @@
 from yarl import URL
 
 from fescuedrum.headers import as_text, end_to_end
+from fescuedrum.logs import request_context
 from fescuedrum.outcomes import Outcome
 from fescuedrum.wire.gen.frames.ttypes import Header
 
@@ -31,6 +32,7 @@
 
     async def run(self):
         """Call the endpoint; the answer always ends with an outcome."""
+        set_request_context(self.request)
         started = False
         try:
             async with self.call() as response:
@@ -66,6 +68,12 @@
         )
 
 
+def set_request_context(request):
+    """Put the request's names on each log line of the task that runs it."""
+    context = {"request": request.request_id, "organisation": request.organisation}
+    request_context.set(context)
+
+
 def judge_status(status):
     if status >= SERVER_ERROR:
         return Outcome.FAILED, f"the endpoint answered {status}"
--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/commands/docs.py
@@ -0,0 +1,73 @@
+"""Write the reference pages that describe both binaries."""
+
+import pathlib
+import sys
+
+from fescuedrum.conf.reference import reference_page
+from fescuedrum.metrics import describe_page
+from fescuedrum.process import EXIT_FAILURE, EXIT_OK
+from fescuedrum_agent.conf import AgentSettings
+from fescuedrum_agent.process.metrics import AgentMetrics
+from fescuedrum_entry.conf import EntrySettings
+from fescuedrum_entry.process.metrics import EntryMetrics
+
+SETTINGS_INTRODUCTION = """\
+Made from the settings classes by `make docs`. {binary} reads one JSON object from the
+file that `--settings` names; `--check-settings` lists every fault at once, each with
+the field's path and the remedy, and starts nothing. A field that is not known is a
+fault, so a misspelt one is never passed over."""
+METRICS_INTRODUCTION = """\
+Made from the registries by `make docs`. Both processes also export the client
+library's `process_*` metrics. No label takes a value that a caller or a peer chose, so
+the number of time series is bounded by the configuration. The entry serves `/metrics`
+on its port to operators (`Authorization: Bearer <token>`, role viewer); the agent
+serves it on `operations_port`, without names of organisations."""
+
+
+def build_pages():
+    """Return the text of each page by its file name."""
+    return {
+        "settings-entry.md": reference_page(
+            EntrySettings,
+            "Settings of the entry",
+            SETTINGS_INTRODUCTION.format(binary="`fescuedrum serve`"),
+        ),
+        "settings-agent.md": reference_page(
+            AgentSettings,
+            "Settings of the agent",
+            SETTINGS_INTRODUCTION.format(binary="`fescuedrum-agent`"),
+        ),
+        "metrics.md": describe_metrics(),
+    }
+
+
+def describe_metrics():
+    entry, agent = EntryMetrics(), AgentMetrics()
+    # Gauges are only declared here: nobody reads them, so they need no process.
+    entry.watch(None)
+    agent.watch(None)
+    catalogues = [("Entry", entry.catalogue), ("Agent", agent.catalogue)]
+    return describe_page("Metrics", METRICS_INTRODUCTION, catalogues)
+
+
+class Command:
+    help = "write the reference pages of settings and metrics"
+
+    def add_arguments(self, parser):
+        parser.add_argument("--directory", default="docs", help="where to write them")
+        parser.add_argument(
+            "--check", action="store_true", help="only tell whether they are current"
+        )
+
+    def handle(self, arguments):
+        directory = pathlib.Path(arguments.directory)
+        stale = []
+        for name, text in build_pages().items():
+            path = directory / name
+            if not arguments.check:
+                path.write_text(text)
+            elif not path.exists() or path.read_text() != text:
+                stale.append(name)
+        for name in stale:
+            print(f"{name} is not current; run make docs.", file=sys.stderr)
+        return EXIT_FAILURE if stale else EXIT_OK
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/commands/serve.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/commands/serve.py
@@ -5,14 +5,39 @@
 import sys
 
 from fescuedrum.logs import configure_logging
-from fescuedrum.process import EXIT_FINDINGS, EXIT_OK, load_settings
+from fescuedrum.process import (
+    EXIT_FINDINGS,
+    EXIT_OK,
+    load_settings,
+    run_check,
+    warn_of,
+)
 from fescuedrum_entry.conf import EntrySettings
 from fescuedrum_entry.process.entry import Entry
 
 INCARNATION_BITS = 62
 
 
+EPILOG = """\
+settings: one JSON object, for instance
+  {"name": "entry-1", "zone": "zone-1", "host": "10.0.0.5", "port": 7000,
+   "platform_url": "http://10.0.0.2:7000",
+   "peer_keys": [{"id": "2026-12", "secret": "..."}]}
+  docs/settings-entry.md lists every field.
+
+signals:
+  SIGTERM, SIGINT  turn /readyz down, let running requests end, stop with code 0
+  SIGHUP           load renewed certificates at once
+
+first steps:
+  fescuedrum serve --settings entry.json --check-settings
+  fescuedrum serve --settings entry.json
+  curl http://10.0.0.5:7000/readyz
+"""
+
+
 class Command:
+    epilog = EPILOG
     help = "serve callers and operators until SIGTERM"
 
     def add_arguments(self, parser):
@@ -29,9 +54,9 @@
             return EXIT_FINDINGS
         settings = loaded.ok_value
         if arguments.check_settings:
-            print("The settings are complete and valid.")
-            return EXIT_OK
+            return run_check(settings)
         fixed = {"instance": settings.name, "zone": settings.zone}
         configure_logging(settings.log_level, **fixed)
+        warn_of(settings)
         asyncio.run(Entry(settings, secrets.randbits(INCARNATION_BITS)).run())
         return EXIT_OK
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from fescuedrum.conf import rules
 from fescuedrum.conf.schema import setting
 from fescuedrum.tls import TlsFiles
 from fescuedrum.wire.handshake import PeerKey
@@ -64,3 +65,15 @@
         None, help="Certificate, key and authority for entry-agent connections."
     )
     log_level: str = setting("INFO", help="Lowest level that is logged.")
+
+    def check(self):
+        """Return the findings across fields."""
+        return [
+            *rules.check_address("$.host", self.host),
+            *rules.check_url("$.platform_url", self.platform_url),
+            *rules.check_silence(self),
+            *rules.check_peer_keys(self.peer_keys),
+            *rules.check_peer_tls(self.peer_tls),
+            *rules.check_files("$.callers_tls", self.callers_tls),
+            *rules.check_log_level("$.log_level", self.log_level),
+        ]
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -9,6 +9,7 @@
 
 from fescuedrum import __version__
 from fescuedrum.exceptions import StoreUnavailable
+from fescuedrum.logs import live_fields
 from fescuedrum.metrics import watch_loop
 from fescuedrum.platform.client import PlatformClient
 from fescuedrum.process import cancel, on_reload, stop_event
@@ -67,6 +68,7 @@
         self.metrics = EntryMetrics()
         self.leaving = False
         self.metrics.watch(self)
+        live_fields["version"] = lambda: self.configuration.version
 
     async def run(self):
         """Serve until a signal, then drain and stop."""
--- a/packages/fescuedrum/src/fescuedrum/logs.py
+++ b/packages/fescuedrum/src/fescuedrum/logs.py
@@ -8,6 +8,9 @@
 
 request_context = contextvars.ContextVar("request_context", default=None)
 
+# Fields of the process that change while it runs, each with a function that reads it.
+live_fields = {}
+
 STANDARD_ATTRIBUTES = frozenset(
     logging.LogRecord("", 0, "", 0, "", (), None).__dict__
 ) | {"message", "asctime", "taskName"}
@@ -28,6 +31,7 @@
             "logger": record.name,
             "message": record.getMessage(),
             **self.fixed,
+            **{name: read() for name, read in live_fields.items()},
             **(request_context.get() or {}),
         }
         for name, value in record.__dict__.items():
--- a/packages/fescuedrum/src/fescuedrum/management.py
+++ b/packages/fescuedrum/src/fescuedrum/management.py
@@ -34,7 +34,13 @@
     parser.add_argument("--version", action="version", version=__version__)
     subparsers = parser.add_subparsers(dest="command", required=True)
     for name, command in found.items():
-        subparser = subparsers.add_parser(name, help=command.help)
+        subparser = subparsers.add_parser(
+            name,
+            help=command.help,
+            description=command.help[0].upper() + command.help[1:] + ".",
+            epilog=getattr(command, "epilog", None),
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+        )
         command.add_arguments(subparser)
     return parser
 
--- a/packages/fescuedrum/src/fescuedrum/process.py
+++ b/packages/fescuedrum/src/fescuedrum/process.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import json
+import logging
 import pathlib
 import signal
+import sys
 
 from result import Err
 
 from fescuedrum import checks
 from fescuedrum.conf import schema
 
+logger = logging.getLogger(__name__)
+
 EXIT_OK = 0
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
@@ -23,7 +27,25 @@
     except (OSError, ValueError) as error:
         hint = "Name a readable file of JSON."
         return Err([checks.error("settings.E001", str(path), f"{error}.", hint)])
-    return schema.load(cls, data)
+    loaded = schema.load(cls, data)
+    if loaded.is_err():
+        return loaded
+    findings = loaded.ok_value.check()
+    return Err(findings) if checks.has_errors(findings) else loaded
+
+
+def run_check(settings):
+    """Tell that settings are valid, with the warnings that there are."""
+    for finding in settings.check():
+        print(f"warning: {finding}", file=sys.stderr)
+    print("The settings are complete and valid.")
+    return EXIT_OK
+
+
+def warn_of(settings):
+    """Log the warnings that settings give rise to."""
+    for finding in settings.check():
+        logger.warning("settings", extra={"finding": str(finding)})
 
 
 def stop_event():
--- a/packages/fescuedrum/src/fescuedrum/wire/handshake.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/handshake.py
@@ -25,7 +25,6 @@
 PROTOCOL = 1
 MINIMUM_PROTOCOL = 1
 NONCE_BYTES = 32
-MINIMUM_SECRET_LENGTH = 32
 ENTRY = "entry"
 AGENT = "agent"
 # What the connection must not repeat in another purpose of the same key.
