--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -129,3 +129,37 @@
     code = "too-many-sign-ins"
     status = 429
     remedy = "Wait for the time in Retry-After, then sign in with a valid token."
+
+
+class ChangeInvalid(BadRequest):
+    """Refuse a change whose document has faults; nothing was accepted."""
+
+    code = "change-invalid"
+    status = 422
+    remedy = "Mend what the findings name and apply again."
+
+    def __init__(self, detail="", *, findings):
+        super().__init__(detail)
+        self.findings = findings
+
+
+class ChangeRaced(BadRequest):
+    """Refuse a change that began from a version no longer newest."""
+
+    code = "change-raced"
+    status = 409
+    remedy = "Look at both changes, merge them and apply again."
+
+    def __init__(self, detail="", *, head_version, mine, theirs):
+        super().__init__(detail)
+        self.head_version = head_version
+        self.mine = mine
+        self.theirs = theirs
+
+
+class ChangeUnsettled(FescuedrumError):  # noqa: N818 - tells a state, not a fault
+    """Report that the store gave no answer: the change may be accepted or not."""
+
+    code = "change-unsettled"
+    status = 503
+    remedy = "Apply it again with the same id: it takes effect once at most."
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Accept versions of the configuration, spread them, and keep them in force."""
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/versions/apply.py
@@ -0,0 +1,179 @@
+"""Accept a change: check it, compare and set the head, and know that it is so."""
+
+import asyncio
+import logging
+from dataclasses import dataclass, field
+
+from fescuedrum import checks
+from fescuedrum.conf import document as documents, schema
+from fescuedrum.conf.diff import diff
+from fescuedrum.conf.safety import check_change
+from fescuedrum.exceptions import (
+    ChangeInvalid,
+    ChangeRaced,
+    ChangeUnsettled,
+    StoreUnavailable,
+)
+from fescuedrum.platform.interfaces import Write
+from fescuedrum.versions.audit import read_head
+from fescuedrum.versions.records import (
+    HEAD_KEY,
+    AuditRecord,
+    Head,
+    audit_key,
+    load_record,
+    object_name,
+)
+
+logger = logging.getLogger(__name__)
+
+# An operator waits this long at most to learn whether a change was accepted.
+SETTLE_SECONDS = 10.0
+RETRY_SECONDS = 0.1
+MAXIMUM_WORDS = 50
+
+
+@dataclass(slots=True)
+class Proposal:
+    """Hold a change that someone asks for; change is its id, the same when repeated."""
+
+    base_version: int
+    document: documents.Document
+    change: str
+    who: str
+    when: str
+    allowed: list[str] = field(default_factory=list)
+    note: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Accepted:
+    """Say that a change is known to be accepted."""
+
+    version: int
+    document_hash: str
+    body: bytes
+
+
+class Applier:
+    """Accept changes through the platform's table and object store."""
+
+    __slots__ = ("loop", "platform")
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.loop = asyncio.get_running_loop()
+
+    async def apply(self, proposal, served=None):
+        """Return Accepted, or raise why not.
+
+        ChangeInvalid and ChangeRaced say that nothing was accepted, StoreUnavailable
+        that nothing was tried, ChangeUnsettled that it may yet turn out accepted.
+        """
+        head, row_version = await read_head(self.platform)
+        body = documents.canonical(proposal.document)
+        if head.version != proposal.base_version:
+            return await self.find_earlier(proposal, head, body)
+        base = await self.read_document(head.hash)
+        changes = diff(base, proposal.document)
+        check_proposal(base, proposal, changes, served)
+        record = build_record(proposal, head, documents.document_hash(body), changes)
+        await self.platform.put_object(object_name(record.after), body)
+        new_head = Head(record.version, record.after, record.chain)
+        writes = [
+            Write(HEAD_KEY, schema.dump(new_head), row_version),
+            Write(audit_key(record.version), schema.dump(record), 0),
+        ]
+        await self.commit(writes, record, proposal)
+        extra = {"version": record.version, "change": record.change, "who": record.who}
+        logger.info("change accepted", extra=extra)
+        return Accepted(record.version, record.after, body)
+
+    async def find_earlier(self, proposal, head, body):
+        """Find that the change was accepted before, or show both sides of the race."""
+        version = proposal.base_version + 1
+        record = load_record(await self.platform.get(audit_key(version)))
+        if record is not None and record.change == proposal.change:
+            return Accepted(version, record.after, body)
+        raise await self.describe_race(proposal, head)
+
+    async def commit(self, writes, record, proposal):
+        """Write until it is known who made the version.
+
+        An answer can be lost after the write took effect, and a write whose answer
+        never came can still arrive late. Asking again is safe: the expected versions
+        let it take effect once, and the audit row then tells whose change it was.
+        """
+        deadline = self.loop.time() + SETTLE_SECONDS
+        while True:
+            try:
+                if await self.platform.transact(writes):
+                    return
+                row = await self.platform.get(audit_key(record.version))
+                break
+            except StoreUnavailable as error:
+                if self.loop.time() >= deadline:
+                    raise ChangeUnsettled(f"Change {record.change}.") from error
+                await asyncio.sleep(RETRY_SECONDS)
+        winner = load_record(row)
+        if winner is None or winner.change != record.change:
+            head, _ = await read_head(self.platform)
+            raise await self.describe_race(proposal, head)
+
+    async def describe_race(self, proposal, head):
+        base_record = load_record(
+            await self.platform.get(audit_key(proposal.base_version))
+        )
+        base = await self.read_document(base_record.after if base_record else "")
+        theirs = await self.read_document(head.hash)
+        return ChangeRaced(
+            f"Version {head.version} is in force; yours began at"
+            f" {proposal.base_version}.",
+            head_version=head.version,
+            mine=[str(each) for each in diff(base, proposal.document)],
+            theirs=[str(each) for each in diff(base, theirs)],
+        )
+
+    async def read_document(self, document_hash):
+        """Return an accepted document; the one before the first is empty."""
+        if not document_hash:
+            return documents.Document([], [], [])
+        body = await self.platform.get_object(object_name(document_hash))
+        if body is None:
+            raise StoreUnavailable(f"The object store lacks document {document_hash}.")
+        return documents.decode(body).unwrap()
+
+
+def check_proposal(base, proposal, changes, served):
+    """Raise ChangeInvalid with every finding that stops the change."""
+    findings = documents.check_document(proposal.document)
+    findings += check_change(base, proposal.document, proposal.allowed, served)
+    if not changes:
+        findings.append(
+            checks.error(
+                "change.E003", "$", "The change changes nothing.", "Change something."
+            )
+        )
+    if checks.has_errors(findings):
+        raise ChangeInvalid(findings=findings)
+
+
+def build_record(proposal, head, document_hash, changes):
+    words = [str(change) for change in changes]
+    if len(words) > MAXIMUM_WORDS:
+        more = len(words) - MAXIMUM_WORDS
+        words = [*words[:MAXIMUM_WORDS], f"and {more} more changes"]
+    record = AuditRecord(
+        version=head.version + 1,
+        change=proposal.change,
+        who=proposal.who,
+        when=proposal.when,
+        before=head.hash,
+        after=document_hash,
+        words=words,
+        allowed=list(proposal.allowed),
+        note=proposal.note,
+        previous=head.chain,
+    )
+    record.chain = record.compute_chain()
+    return record
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/versions/configuration.py
@@ -0,0 +1,112 @@
+"""Hold the configuration version in force at a process."""
+
+import logging
+import zlib
+
+from fescuedrum.conf import document as documents
+from fescuedrum.wire.gen.members.ttypes import DocumentBody
+
+logger = logging.getLogger(__name__)
+
+MAXIMUM_DOCUMENT_BYTES = 64 * 1024 * 1024
+
+
+class Configuration:
+    """Keep the newest document seen.
+
+    Reads of the head can be stale, peers can lag and frames can come late or twice;
+    every one of them ends in offer(), which lets the version only rise.
+    """
+
+    __slots__ = (
+        "body",
+        "compressed",
+        "document",
+        "document_hash",
+        "endpoints",
+        "listeners",
+        "organisations",
+        "refused_hash",
+        "services",
+        "services_by_model",
+        "version",
+        "zones_out",
+    )
+
+    def __init__(self):
+        self.version = 0
+        self.document_hash = ""
+        self.body = b""
+        self.compressed = b""
+        self.document = None
+        self.endpoints = {}
+        self.organisations = {}
+        self.services = {}
+        self.services_by_model = {}
+        self.zones_out = frozenset()
+        self.refused_hash = ""
+        self.listeners = []
+
+    def subscribe(self, listener):
+        """Call listener() after each new version is in force."""
+        self.listeners.append(listener)
+
+    def offer(self, version, document_hash, body):
+        """Take a document if it is newer, whole and understood; tell whether."""
+        if version <= self.version:
+            return False
+        if documents.document_hash(body) != document_hash:
+            logger.warning("document with a wrong hash dropped")
+            return False
+        decoded = documents.decode(body)
+        if decoded.is_err():
+            self.refused_hash = document_hash
+            faults = [str(finding) for finding in decoded.err_value[:5]]
+            extra = {"version": version, "faults": faults}
+            logger.error("document not understood", extra=extra)
+            return False
+        self.version = version
+        self.document_hash = document_hash
+        self.body = body
+        self.compressed = b""
+        self.take(decoded.ok_value)
+        logger.info("version in force", extra={"version": version})
+        for listener in self.listeners:
+            listener()
+        return True
+
+    def take(self, document):
+        self.document = document
+        self.endpoints = {each.name: each for each in document.endpoints}
+        self.organisations = {each.name: each for each in document.organisations}
+        self.services = {each.name: each for each in document.services}
+        self.services_by_model = {
+            model: each for each in document.services for model in each.models
+        }
+        self.zones_out = frozenset(
+            zone.name
+            for zone in document.zones
+            if zone.state is documents.ZoneState.OUT
+        )
+
+    def zone_is_out(self, name):
+        """Tell whether operators have taken a zone out."""
+        return name in self.zones_out
+
+    def offer_frame(self, frame):
+        """Take the document that a peer sent."""
+        body = frame.body
+        if frame.compressed:
+            # The bound keeps a faulty peer from filling the memory.
+            body = zlib.decompressobj().decompress(body, MAXIMUM_DOCUMENT_BYTES)
+        return self.offer(frame.version, frame.document_hash, body)
+
+    def answer(self, pull):
+        """Return the frame that answers a peer's pull; None when it is not held."""
+        if not self.body or pull.document_hash != self.document_hash:
+            return None
+        if not self.compressed:
+            self.compressed = zlib.compress(self.body)
+        return DocumentBody(
+            self.version, self.document_hash, self.compressed, compressed=True
+        )
--- a/packages/fescuedrum/src/fescuedrum/wire/gen/members/ttypes.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/gen/members/ttypes.py
@@ -359,6 +359,7 @@
      - version
      - document_hash
      - body
+     - compressed
 
     """
 
@@ -366,13 +367,15 @@
         'version',
         'document_hash',
         'body',
+        'compressed',
     )
 
 
-    def __init__(self, version=None, document_hash=None, body=None,):
+    def __init__(self, version=None, document_hash=None, body=None, compressed=None,):
         self.version = version
         self.document_hash = document_hash
         self.body = body
+        self.compressed = compressed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -398,6 +401,11 @@
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.compressed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -420,6 +428,10 @@
             oprot.writeFieldBegin('body', TType.STRING, 3)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
+        if self.compressed is not None:
+            oprot.writeFieldBegin('compressed', TType.BOOL, 4)
+            oprot.writeBool(self.compressed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -475,6 +487,7 @@
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.STRING, 'document_hash', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'body', 'BINARY', None, ),  # 3
+    (4, TType.BOOL, 'compressed', None, None, ),  # 4
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/fescuedrum/src/fescuedrum/wire/idl/members.thrift
+++ b/packages/fescuedrum/src/fescuedrum/wire/idl/members.thrift
@@ -30,4 +30,6 @@
   1: optional i64 version,
   2: optional string document_hash,
   3: optional binary body,
+  // The body is deflated; its hash is that of the plain bytes.
+  4: optional bool compressed,
 }
