Accept changes by compare-and-set with an audit trail; one class keeps versions in force

Cause: a change was written without a trail, a lost answer was guessed at, and entry and agent each had their own code to keep a version in force. Change: a change compares and sets the head and appends its audit row in one transaction; a lost answer is settled by asking again and reading the row back; a race shows both differences; audit rows are chained by hash. One library class holds the version in force; entries and agents announce a new one at once, pull it from each other once, deflated, and an entry that lags pulls from its agents.

--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -1,9 +1,11 @@
 """Start and stop a small site of real processes on loopback addresses."""
 
 import asyncio
+import datetime
 import json
 import pathlib
 import random
+import secrets
 import socket
 import sys
 import tempfile
@@ -12,9 +14,10 @@
 import aiohttp
 
 from fescuedrum.conf import document as documents, schema
+from fescuedrum.conf.safety import Allowance
 from fescuedrum.platform.client import PlatformClient
-from fescuedrum.platform.interfaces import Instance, Write
-from fescuedrum_entry.version.configuration import HEAD_KEY, object_name
+from fescuedrum.platform.interfaces import Instance
+from fescuedrum.versions.apply import Applier, Proposal
 
 PORT = 7000
 GUARD_PORT = 6999
@@ -103,6 +106,7 @@
         "keys",
         "members",
         "next_host",
+        "peer_secret",
         "platform",
         "prefix",
         "session",
@@ -124,6 +128,7 @@
         self.platform = None
         self.session = None
         self.version = 0
+        self.peer_secret = secrets.token_hex(32)
         self.keys = {name: f"{name}.secret" for name in organisations}
         self.document = self.build_document(organisations)
 
@@ -168,11 +173,12 @@
         await self.start_endpoints()
         for index in range(self.shape.entries):
             await self.start_entry(index)
+        for member in self.agents:
+            await self.wait_listening(member)
         for entry in self.entries:
             await self.wait_ready(f"{entry.url}/readyz")
         for endpoint in self.endpoints:
-            path = "load" if endpoint.name.startswith("engine") else "executions"
-            await self.wait_ready(f"{endpoint.url}/{path}")
+            await self.wait_ready(f"{endpoint.url}/healthz")
 
     async def start_endpoints(self):
         shape = self.shape
@@ -238,6 +244,7 @@
             "host": member.host,
             "port": PORT,
             "platform_url": self.platform.url,
+            "peer_keys": [{"id": "site", "secret": self.peer_secret}],
         }
         path.write_text(json.dumps(common | settings))
         member.command += ["--settings", str(path)]
@@ -258,20 +265,30 @@
 
     async def apply(self, document):
         """Put a document in force as the platform's operators would."""
-        client = PlatformClient(self.platform.url, self.session)
-        body = documents.canonical(document)
-        digest = documents.document_hash(body)
-        await client.put_object(object_name(digest), body)
-        head = {"version": self.version + 1, "hash": digest}
-        applied = await client.transact([Write(HEAD_KEY, head, self.version)])
-        assert applied, "another operator changed the head row"
-        self.version += 1
+        applier = Applier(PlatformClient(self.platform.url, self.session))
+        proposal = Proposal(
+            self.version,
+            document,
+            change=f"site-{self.version + 1}",
+            who="site",
+            when=datetime.datetime.now(datetime.UTC).isoformat(),
+            # A bench takes out what it likes.
+            allowed=list(Allowance),
+        )
+        accepted = await applier.apply(proposal)
+        self.version = accepted.version
 
     async def wait_ready(self, url):
         async with asyncio.timeout(READY_SECONDS):
             while not await self.answers(url):
                 await asyncio.sleep(0.05)
 
+    async def wait_listening(self, member):
+        """Wait until a process takes connections: entries are often up first."""
+        async with asyncio.timeout(READY_SECONDS):
+            while not await listens(member.host):
+                await asyncio.sleep(0.05)
+
     async def answers(self, url):
         try:
             async with self.session.get(url) as response:
@@ -291,3 +308,12 @@
     async def fetch_json(self, url):
         async with self.session.get(url) as response:
             return await response.json()
+
+
+async def listens(host):
+    try:
+        _, writer = await asyncio.open_connection(host, PORT)
+    except OSError:
+        return False
+    writer.close()
+    return True
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 
 from fescuedrum.conf.schema import setting
+from fescuedrum.tls import TlsFiles
+from fescuedrum.wire.handshake import PeerKey
 from fescuedrum_entry.operators.accounts import Account
 
 
@@ -34,4 +36,13 @@
         60.0, help="Longest wait for running requests at a stop.", minimum=0.0, unit="s"
     )
     operators: list[Account] = setting(list, help="Operators who may sign in here.")
+    callers_tls: TlsFiles | None = setting(
+        None, help="Certificate and key shown to callers; without it, plain HTTP."
+    )
+    peer_keys: list[PeerKey] = setting(
+        list, help="Keys that entries and agents prove; the first is used to prove."
+    )
+    peer_tls: TlsFiles | None = setting(
+        None, help="Certificate, key and authority for entry-agent connections."
+    )
     log_level: str = setting("INFO", help="Lowest level that is logged.")
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -10,18 +10,20 @@
 from fescuedrum import __version__
 from fescuedrum.exceptions import StoreUnavailable
 from fescuedrum.platform.client import PlatformClient
-from fescuedrum.process import cancel, stop_event
+from fescuedrum.process import cancel, on_reload, stop_event
+from fescuedrum.tls import Certificates
+from fescuedrum.versions.configuration import Configuration
 from fescuedrum.wire.gen.frames.ttypes import Hello
 from fescuedrum.wire.gen.members.ttypes import Heartbeat
+from fescuedrum.wire.peers import Peers
 from fescuedrum_entry.connection.link import Link
 from fescuedrum_entry.operators import routes as operators
 from fescuedrum_entry.operators.access import SignInLimit
 from fescuedrum_entry.request.handler import CallerHandler
-from fescuedrum_entry.version.configuration import Configuration
+from fescuedrum_entry.version.following import Following
 
 logger = logging.getLogger(__name__)
 
-PROTOCOL = 1
 DRAIN_POLL_SECONDS = 0.05
 
 
@@ -29,11 +31,14 @@
     """Own the links, the configuration and the HTTP server of one entry process."""
 
     __slots__ = (
+        "callers_tls",
         "configuration",
+        "following",
         "incarnation",
         "leaving",
         "link_tasks",
         "links",
+        "peers",
         "platform",
         "random",
         "running",
@@ -46,8 +51,12 @@
         self.sign_in_limit = SignInLimit()
         self.incarnation = incarnation
         self.configuration = Configuration()
+        self.configuration.subscribe(self.send_heartbeats)
+        self.following = None
         self.links = {}
         self.link_tasks = {}
+        self.peers = Peers(settings.peer_keys, settings.peer_tls, self.hello)
+        self.callers_tls = Certificates()
         self.platform = None
         self.random = random.Random(incarnation)
         self.running = 0
@@ -56,17 +65,19 @@
     async def run(self):
         """Serve until a signal, then drain and stop."""
         stop = stop_event()
+        on_reload(self.callers_tls.reload, self.peers.certificates.reload)
         async with aiohttp.ClientSession() as session:
             self.platform = PlatformClient(self.settings.platform_url, session)
-            interval = self.settings.poll_seconds
+            self.following = Following(self.configuration, self.platform)
             tasks = [
-                asyncio.create_task(self.configuration.follow(self.platform, interval)),
+                asyncio.create_task(self.following.run(self.head_interval)),
                 asyncio.create_task(self.follow_instances()),
+                asyncio.create_task(self.callers_tls.follow()),
+                asyncio.create_task(self.peers.certificates.follow()),
             ]
             runner = web.AppRunner(self.build_application(), access_log=None)
             await runner.setup()
-            site = web.TCPSite(runner, self.settings.host, self.settings.port)
-            await site.start()
+            await self.listen(runner)
             logger.info("entry started", extra={"release": __version__})
             await stop.wait()
             await self.drain()
@@ -74,6 +85,14 @@
             await cancel([*tasks, *self.link_tasks.values()])
         logger.info("entry stopped")
 
+    async def listen(self, runner):
+        settings = self.settings
+        context = None
+        if settings.callers_tls is not None:
+            context = self.callers_tls.server_context(settings.callers_tls)
+        site = web.TCPSite(runner, settings.host, settings.port, ssl_context=context)
+        await site.start()
+
     def build_application(self):
         application = web.Application()
         handle = CallerHandler(self).handle
@@ -101,6 +120,14 @@
         while self.running and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    def head_interval(self):
+        return self.settings.poll_seconds
+
+    def send_heartbeats(self):
+        """Tell every agent at once, as of a new version."""
+        for link in self.links.values():
+            link.send(heartbeat=self.heartbeat())
+
     async def follow_instances(self):
         """Read the instance list and keep a link to each agent on it."""
         while True:
@@ -135,7 +162,6 @@
 
     def hello(self):
         return Hello(
-            protocol=PROTOCOL,
             instance=self.settings.name,
             incarnation=self.incarnation,
             role="entry",
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -163,3 +163,17 @@
     code = "change-unsettled"
     status = 503
     remedy = "Apply it again with the same id: it takes effect once at most."
+
+
+class PeerRefusedError(ProtocolError):
+    """Refuse a peer that does not prove a key, or is not the one that was meant."""
+
+    code = "peer-refused"
+    remedy = "Give both processes a common key in peer_keys and check their addresses."
+
+
+class IncompatiblePeerError(ProtocolError):
+    """Refuse a peer whose protocols and ours have none in common."""
+
+    code = "incompatible-peer"
+    remedy = "Upgrade the older process to a release that speaks a common protocol."
