--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
@@ -22,12 +22,23 @@
 class Session:
     """Own one connection: read its frames, run its requests, send their answers."""
 
-    __slots__ = ("agent", "connection", "peer", "relays", "tasks")
+    __slots__ = (
+        "agent",
+        "beat_interval",
+        "connection",
+        "next_beat",
+        "peer",
+        "relays",
+        "tasks",
+    )
 
     def __init__(self, agent, reader, writer):
         self.agent = agent
         self.connection = FrameConnection(reader, writer)
         self.peer = None
+        # How often the entry wants heartbeats, and when the next is due.
+        self.beat_interval = 0.0
+        self.next_beat = 0.0
         self.relays = {}
         self.tasks = set()
 
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -106,12 +106,23 @@
 
     async def beat(self):
         while True:
-            self.send_heartbeats()
+            self.send_due_heartbeats()
             await asyncio.sleep(self.settings.heartbeat_seconds)
 
-    def send_heartbeats(self):
+    def send_due_heartbeats(self):
+        """Send heartbeats to the entries whose wanted interval has passed."""
+        now = asyncio.get_running_loop().time()
+        # A timer may fire a little early; half a tick is the nearest one.
+        early = self.settings.heartbeat_seconds / 2
+        due = [each for each in self.sessions if now >= each.next_beat - early]
+        for session in due:
+            session.next_beat = now + session.beat_interval
+        self.send_heartbeats(due)
+
+    def send_heartbeats(self, sessions=None):
+        """Tell all entries, or those given."""
         self.sequence += 1
-        for session in self.sessions:
+        for session in self.sessions if sessions is None else sessions:
             session.connection.send(heartbeat=self.heartbeat())
 
     def hello(self):
@@ -133,7 +144,6 @@
             incarnation=self.incarnation,
             zone=self.settings.zone,
             version=self.configuration.version,
-            document_hash=self.configuration.document_hash,
             leaving=self.gate.leaving,
             load=load,
             sequence=self.sequence,
@@ -141,10 +151,11 @@
 
     def heard(self, session, heartbeat):
         """Pull the document from an entry that runs a newer version."""
+        session.beat_interval = (heartbeat.wanted_interval_ms or 0) / 1000
         announced, in_force = heartbeat.version or 0, self.configuration.version
         now = asyncio.get_running_loop().time()
         if self.pulls.should_ask(announced, in_force, now):
-            session.connection.send(pull=Pull(heartbeat.document_hash))
+            session.connection.send(pull=Pull())
 
     def configuration_changed(self):
         self.gate.zone_out = self.configuration.zone_is_out(self.settings.zone)
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -18,8 +18,10 @@
 from fescuedrum.platform.client import PlatformClient
 from fescuedrum.platform.interfaces import Instance
 from fescuedrum.versions.apply import Applier, Proposal
+from fescuedrum_entry.operators.accounts import Account, Role
 
 PORT = 7000
+PEER_PORT = 7001
 GUARD_PORT = 6999
 READY_SECONDS = 20.0
 STOP_SECONDS = 70.0
@@ -106,6 +108,7 @@
         "keys",
         "members",
         "next_host",
+        "operator_token",
         "peer_secret",
         "platform",
         "prefix",
@@ -128,6 +131,7 @@
         self.platform = None
         self.session = None
         self.version = 0
+        self.operator_token = f"operator.{secrets.token_hex(16)}"
         self.peer_secret = secrets.token_hex(32)
         self.keys = {name: f"{name}.secret" for name in organisations}
         self.document = self.build_document(organisations)
@@ -225,16 +229,33 @@
             )
         )
 
-    async def start_entry(self, index):
+    async def start_entry(self, index, seeds=(), *, listed=True):
         zone = self.zone(index)
         member = self.add(
             f"entry-{index}", ["-m", "fescuedrum_entry.management", "serve"]
         )
-        await self.launch(member, zone, {})
+        await self.launch(member, zone, self.entry_settings(seeds))
         self.entries.append(member)
-        await self.list_instance(
-            Instance(member.name, "entry", zone, member.host, PORT)
+        if not listed:
+            return
+        line = Instance(
+            member.name, "entry", zone, member.host, PORT, peer_port=PEER_PORT
         )
+        await self.list_instance(line)
+
+    def entry_settings(self, seeds):
+        salted = documents.KeyHash(
+            "salt", documents.hash_key("salt", self.operator_token)
+        )
+        operator = Account("operator", Role.OPERATOR, [salted])
+        return {
+            "peer_port": PEER_PORT,
+            "operators": [schema.dump(operator)],
+            "seeds": [
+                {"name": seed.name, "host": seed.host, "port": PEER_PORT}
+                for seed in seeds
+            ],
+        }
 
     async def launch(self, member, zone, settings):
         path = self.directory / f"{member.name}.json"
@@ -305,6 +326,22 @@
         self.guard.close()
         self.temporary.cleanup()
 
+    async def operate(self, entry, path, data=None):
+        """Call the operators' API of an entry: (status, decoded answer)."""
+        headers = {"Authorization": f"Bearer {self.operator_token}"}
+        url = f"{entry.url}/operators/{path}"
+        method = "GET" if data is None else "POST"
+        async with self.session.request(
+            method, url, json=data, headers=headers
+        ) as response:
+            return response.status, await response.json()
+
+    async def set_faults(self, **faults):
+        """Order faults of the platform's stand-in."""
+        url = f"{self.platform.url}/faults"
+        async with self.session.put(url, json=faults) as response:
+            response.raise_for_status()
+
     async def fetch_json(self, url):
         async with self.session.get(url) as response:
             return await response.json()
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/commands/check.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/commands/check.py
@@ -4,8 +4,16 @@
 import pathlib
 import sys
 
-from fescuedrum.conf import document, schema
-from fescuedrum.process import EXIT_FINDINGS, EXIT_OK
+from fescuedrum import checks
+from fescuedrum.conf import document
+from fescuedrum.process import EXIT_FINDINGS, EXIT_OK, EXIT_USAGE
+from fescuedrum_entry.operators.changes import dump_findings
+from fescuedrum_entry.operators.client import (
+    add_entry_arguments,
+    print_finding,
+    read_document,
+    run_command,
+)
 
 
 class Command:
@@ -14,14 +22,36 @@
     def add_arguments(self, parser):
         parser.add_argument("document", help="file of the document (JSON)")
         parser.add_argument(
-            "--json", action="store_true", help="write findings as JSON"
+            "--allow", action="append", default=[], help="word that allows a harm"
         )
+        add_entry_arguments(parser, required=False)
 
     def handle(self, arguments):
-        parsed = document.parse(pathlib.Path(arguments.document).read_bytes())
-        findings = parsed.err_value if parsed.is_err() else []
-        if arguments.json:
-            print(json.dumps([schema.dump(finding) for finding in findings]))
-        for finding in findings:
-            print(finding, file=sys.stderr)
-        return EXIT_FINDINGS if findings else EXIT_OK
+        """Check alone, or with --entry also as a change of what is in force."""
+        if arguments.entry:
+            return run_command(arguments, lambda client: ask(client, arguments))
+        try:
+            body = pathlib.Path(arguments.document).read_bytes()
+        except OSError as error:
+            print(f"{error}. Name a readable file.", file=sys.stderr)
+            return EXIT_USAGE
+        decoded = document.decode(body)
+        if decoded.is_err():
+            return report(dump_findings(decoded.err_value), arguments)
+        findings = document.check_document(decoded.ok_value)
+        return report(dump_findings(findings), arguments)
+
+
+def ask(client, arguments):
+    data = {"document": read_document(arguments.document), "allowed": arguments.allow}
+    return report(client.post("check", data)["findings"], arguments)
+
+
+def report(findings, arguments):
+    if arguments.json:
+        print(json.dumps(findings))
+    for finding in findings:
+        print_finding(finding)
+    error = checks.Level.ERROR.name.lower()
+    faulty = any(finding["level"] == error for finding in findings)
+    return EXIT_FINDINGS if faulty else EXIT_OK
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -6,6 +6,7 @@
 from fescuedrum.tls import TlsFiles
 from fescuedrum.wire.handshake import PeerKey
 from fescuedrum_entry.operators.accounts import Account
+from fescuedrum_entry.process.seeds import Seed
 
 
 @dataclass(slots=True)
@@ -35,6 +36,12 @@
     drain_seconds: float = setting(
         60.0, help="Longest wait for running requests at a stop.", minimum=0.0, unit="s"
     )
+    peer_port: int = setting(
+        0, help="Port for other entries; 0 for none.", minimum=0, maximum=65535
+    )
+    seeds: list[Seed] = setting(
+        list, help="Entries of the zone to start from when the platform is out."
+    )
     operators: list[Account] = setting(list, help="Operators who may sign in here.")
     callers_tls: TlsFiles | None = setting(
         None, help="Certificate and key shown to callers; without it, plain HTTP."
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
@@ -4,6 +4,7 @@
 import logging
 from dataclasses import dataclass
 
+from fescuedrum.decisions.pacing import Backoff
 from fescuedrum.decisions.routing import Candidate
 from fescuedrum.exceptions import ProtocolError
 from fescuedrum.wire import codec
@@ -13,7 +14,6 @@
 
 logger = logging.getLogger(__name__)
 
-RECONNECT_SECONDS = 0.2
 CONNECT_TIMEOUT_SECONDS = 2.0
 WINDOW_BYTES = 256 * 1024
 # A frame of credit for every token would cost as much as the token itself; a quarter
@@ -67,6 +67,7 @@
         "last_heartbeat",
         "loop",
         "next_number",
+        "peer",
         "unexpected_frames",
     )
 
@@ -78,6 +79,7 @@
         self.last_heartbeat = None
         self.heard_at = 0.0
         self.next_number = 1
+        self.peer = None
         self.unexpected_frames = 0
         self.loop = asyncio.get_running_loop()
 
@@ -87,6 +89,8 @@
         beat = self.last_heartbeat
         if self.connection is None or beat is None or beat.leaving:
             return False
+        if self.instance.name in self.entry.members.damped:
+            return False
         # An agent that takes what is sent too slowly gets no more until it caught up.
         return not self.connection.congested
 
@@ -117,9 +121,10 @@
 
     async def run(self):
         """Connect, serve the connection to its end, and start again."""
+        backoff = Backoff(self.entry.random)
         while True:
             try:
-                await self.serve()
+                await self.serve(backoff)
             except (OSError, TimeoutError, ProtocolError) as error:
                 logger.info(
                     "connection ended",
@@ -127,19 +132,21 @@
                 )
             finally:
                 self.lose()
-            await asyncio.sleep(RECONNECT_SECONDS)
+            await asyncio.sleep(backoff.next_wait())
 
-    async def serve(self):
+    async def serve(self, backoff):
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
             reader, writer = await self.entry.peers.connect(
                 self.instance.host, self.instance.port
             )
         connection = FrameConnection(reader, writer)
         try:
-            await connection.handshake(self.entry.peers.entry_side(self.instance.name))
+            side = self.entry.peers.entry_side(self.instance.name)
+            self.peer = await connection.handshake(side)
         except BaseException:
             writer.transport.abort()
             raise
+        backoff.succeeded()
         watch = asyncio.create_task(self.watch(connection))
         try:
             self.heard_at = self.loop.time()
@@ -157,10 +164,10 @@
         A middlebox that forgets a connection drops its packets without a reset, so
         neither side sees an error; only missing heartbeats show it.
         """
-        settings = self.entry.settings
-        while self.loop.time() - self.heard_at < settings.silence_seconds:
+        members = self.entry.members
+        while self.loop.time() - self.heard_at < members.allowed_silence():
             connection.send(heartbeat=self.entry.heartbeat())
-            await asyncio.sleep(settings.heartbeat_seconds)
+            await asyncio.sleep(members.interval())
         logger.warning("connection silent", extra={"agent": self.instance.name})
         # A plain close would wait for the peer to take what is still buffered.
         connection.writer.transport.abort()
@@ -169,6 +176,7 @@
         match body:
             case members.Heartbeat():
                 self.last_heartbeat = body
+                self.entry.members.heard(self.peer, body)
                 self.entry.following.heard(self, body)
             case members.Pull():
                 self.entry.following.answer(self, body)
@@ -188,6 +196,8 @@
         exchange.events.put_nowait(body)
 
     def lose(self):
+        if self.connection is not None:
+            self.entry.members.lost(self.instance.name)
         self.connection = None
         self.last_heartbeat = None
         exchanges, self.exchanges = self.exchanges, {}
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/operators/access.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/access.py
@@ -76,13 +76,14 @@
     return protected
 
 
-def error_response(error):
+def error_response(error, **details):
     """Tell an operator of an error in the shape that callers get too."""
     body = {
         "code": error.code,
         "outcome": error.outcome.value,
         "message": str(error),
         "request": uuid.uuid4().hex,
+        **details,
     }
     headers = {}
     if error.retry_after is not None:
--- /dev/null
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/client.py
@@ -0,0 +1,111 @@
+"""Call the operators' API of an entry from the command line."""
+
+import asyncio
+import json
+import pathlib
+import sys
+
+import aiohttp
+
+from fescuedrum.process import (
+    EXIT_FAILURE,
+    EXIT_FINDINGS,
+    EXIT_RACED,
+    EXIT_UNSETTLED,
+    EXIT_USAGE,
+)
+
+TIMEOUT_SECONDS = 30.0
+EXIT_BY_CODE = {
+    "change-invalid": EXIT_FINDINGS,
+    "change-raced": EXIT_RACED,
+    "change-unsettled": EXIT_UNSETTLED,
+}
+
+
+def add_entry_arguments(parser, *, required=True):
+    """Add the arguments that name an entry and the operator's token."""
+    parser.add_argument("--entry", required=required, help="URL of any entry")
+    parser.add_argument("--token-file", help="file that holds your token")
+    parser.add_argument("--json", action="store_true", help="write the answer as JSON")
+
+
+class ApiError(Exception):
+    """Carry the error body of an entry, or say that no answer came."""
+
+    def __init__(self, error):
+        super().__init__(error["message"])
+        self.error = error
+
+
+class OperatorClient:
+    """Send requests to the operators' API of one entry."""
+
+    __slots__ = ("headers", "url")
+
+    def __init__(self, arguments):
+        self.url = arguments.entry.rstrip("/") + "/operators/"
+        token = ""
+        if arguments.token_file:
+            token = pathlib.Path(arguments.token_file).read_text().strip()
+        self.headers = {"Authorization": f"Bearer {token}"}
+
+    def get(self, path, **params):
+        """Return the decoded answer; raise ApiError."""
+        return asyncio.run(self.call("GET", path, params=params))
+
+    def post(self, path, data):
+        """Send a JSON body and return the decoded answer; raise ApiError."""
+        return asyncio.run(self.call("POST", path, json=data))
+
+    async def call(self, method, path, **options):
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout, headers=self.headers) as session,
+                session.request(method, self.url + path, **options) as response,
+            ):
+                data = await response.json()
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            message = f"{self.url} gave no answer: {error!r}. Try another entry."
+            raise ApiError({"code": "no-answer", "message": message}) from error
+        if "error" in data:
+            raise ApiError(data["error"])
+        return data
+
+
+def run_command(arguments, handle):
+    """Run handle(client) and turn errors into messages and exit codes."""
+    try:
+        return handle(OperatorClient(arguments))
+    except ApiError as error:
+        report_error(error.error, as_json=arguments.json)
+        return EXIT_BY_CODE.get(error.error["code"], EXIT_FAILURE)
+    except (OSError, ValueError) as error:
+        print(f"{error}. Name a readable file.", file=sys.stderr)
+        return EXIT_USAGE
+
+
+def report_error(error, *, as_json):
+    if as_json:
+        print(json.dumps(error))
+    print(error["message"], file=sys.stderr)
+    for finding in error.get("findings", ()):
+        print_finding(finding)
+    for side in ("mine", "theirs"):
+        for words in error.get(side, ()):
+            print(f"  {side}: {words}", file=sys.stderr)
+
+
+def print_finding(finding):
+    """Write one finding of an entry to standard error."""
+    print(
+        f"{finding['path']}: ({finding['id']}) {finding['message']}"
+        f" Hint: {finding['hint']}",
+        file=sys.stderr,
+    )
+
+
+def read_document(path):
+    """Return the decoded JSON of a document's file."""
+    return json.loads(pathlib.Path(path).read_text())
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/operators/routes.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/routes.py
@@ -2,14 +2,18 @@
 
 from aiohttp import web
 
+from fescuedrum_entry.operators import status
 from fescuedrum_entry.operators.access import ACCOUNT, require_role
 from fescuedrum_entry.operators.accounts import Role
+from fescuedrum_entry.operators.changes import Changes
 
 
 def add_routes(application, entry):
     """Add the routes of the operators' API."""
     router = application.router
     router.add_get("/operators/me", require_role(entry, Role.VIEWER, show_account))
+    Changes(entry).add_routes(router)
+    status.add_routes(application, entry)
 
 
 async def show_account(request):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -8,7 +8,6 @@
 from aiohttp import web
 
 from fescuedrum import __version__
-from fescuedrum.exceptions import StoreUnavailable
 from fescuedrum.platform.client import PlatformClient
 from fescuedrum.process import cancel, on_reload, stop_event
 from fescuedrum.tls import Certificates
@@ -19,6 +18,7 @@
 from fescuedrum_entry.connection.link import Link
 from fescuedrum_entry.operators import routes as operators
 from fescuedrum_entry.operators.access import SignInLimit
+from fescuedrum_entry.process.members import Members
 from fescuedrum_entry.request.handler import CallerHandler
 from fescuedrum_entry.version.following import Following
 
@@ -38,6 +38,7 @@
         "leaving",
         "link_tasks",
         "links",
+        "members",
         "peers",
         "platform",
         "random",
@@ -53,6 +54,7 @@
         self.configuration = Configuration()
         self.configuration.subscribe(self.send_heartbeats)
         self.following = None
+        self.members = Members(self)
         self.links = {}
         self.link_tasks = {}
         self.peers = Peers(settings.peer_keys, settings.peer_tls, self.hello)
@@ -70,17 +72,20 @@
             self.platform = PlatformClient(self.settings.platform_url, session)
             self.following = Following(self.configuration, self.platform)
             tasks = [
-                asyncio.create_task(self.following.run(self.head_interval)),
-                asyncio.create_task(self.follow_instances()),
+                asyncio.create_task(self.following.run(self.members.read_interval)),
+                asyncio.create_task(self.members.run()),
                 asyncio.create_task(self.callers_tls.follow()),
                 asyncio.create_task(self.peers.certificates.follow()),
             ]
             runner = web.AppRunner(self.build_application(), access_log=None)
             await runner.setup()
             await self.listen(runner)
+            peer_server = await self.members.listen()
             logger.info("entry started", extra={"release": __version__})
             await stop.wait()
             await self.drain()
+            if peer_server is not None:
+                peer_server.close()
             await runner.cleanup()
             await cancel([*tasks, *self.link_tasks.values()])
         logger.info("entry stopped")
@@ -108,48 +113,49 @@
         return web.json_response({"alive": True})
 
     async def readyz(self, _):
-        ready = not self.leaving and self.configuration.document is not None
+        configuration = self.configuration
+        # Callers that come to a zone taken out would cross to another for nothing.
+        zone_out = configuration.zone_is_out(self.settings.zone)
+        loaded = configuration.document is not None
+        ready = loaded and not self.leaving and not zone_out
         body = {"ready": ready, "version": self.configuration.version}
         return web.json_response(body, status=200 if ready else 503)
 
     async def drain(self):
-        """Turn readiness down and let running requests end."""
+        """Turn readiness down, say so, and let running requests end."""
         self.leaving = True
+        self.send_heartbeats()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.drain_seconds
         while self.running and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
-    def head_interval(self):
-        return self.settings.poll_seconds
-
     def send_heartbeats(self):
-        """Tell every agent at once, as of a new version."""
+        """Tell every agent and entry at once, as of a new version."""
+        self.members.send_heartbeats()
         for link in self.links.values():
             link.send(heartbeat=self.heartbeat())
 
-    async def follow_instances(self):
-        """Read the instance list and keep a link to each agent on it."""
-        while True:
-            try:
-                self.update_links(await self.platform.list_instances())
-            except StoreUnavailable as error:
-                logger.info("instances not read", extra={"error": str(error)})
-            await asyncio.sleep(self.settings.poll_seconds)
-
     def update_links(self, instances):
-        agents = {each.name: each for each in instances if each.role == "agent"}
+        """Keep a link to each of the agents given."""
+        agents = {each.name: each for each in instances}
         for name, instance in agents.items():
             if name not in self.links:
                 link = Link(self, instance)
                 self.links[name] = link
                 self.link_tasks[name] = asyncio.create_task(link.run())
-        # The list lags: an instance gone from it keeps its link while it answers.
         for name in [*self.links]:
-            if name not in agents and self.links[name].connection is None:
+            if name not in agents and self.may_unlink(name):
                 self.link_tasks.pop(name).cancel()
                 del self.links[name]
 
+    def may_unlink(self, name):
+        """Tell whether a link that is not called for may be closed now."""
+        link = self.links[name]
+        # The list lags: an instance gone from it keeps its link while it answers.
+        listed = {each.name for each in self.members.instances}
+        return link.connection is None or (name in listed and not link.exchanges)
+
     def candidates(self, service):
         """Return the usable endpoints of a service outside zones taken out."""
         return [
@@ -160,6 +166,18 @@
             and link.instance.zone not in self.configuration.zones_out
         ]
 
+    def served_zones(self):
+        """Return the zones in which endpoints of each service are usable now."""
+        served = {}
+        for link in self.links.values():
+            if link.usable:
+                served.setdefault(link.instance.service, set()).add(link.instance.zone)
+        return served
+
+    def describe_members(self):
+        """Return what is known of each process that this entry is linked to."""
+        return self.members.describe()
+
     def hello(self):
         return Hello(
             instance=self.settings.name,
@@ -174,6 +192,6 @@
             incarnation=self.incarnation,
             zone=self.settings.zone,
             version=self.configuration.version,
-            document_hash=self.configuration.document_hash,
             leaving=self.leaving,
+            wanted_interval_ms=int(self.members.interval() * 1000),
         )
--- /dev/null
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/members.py
@@ -0,0 +1,364 @@
+"""Know the members of the zone, talk for it to other zones, and choose connections."""
+
+import asyncio
+import json
+import logging
+import zlib
+from dataclasses import dataclass
+
+from fescuedrum.conf import schema
+from fescuedrum.decisions import topology
+from fescuedrum.decisions.digests import (
+    INTERVAL_SECONDS,
+    Digests,
+    ServiceSum,
+    ZoneSum,
+    sum_up,
+)
+from fescuedrum.decisions.membership import Beat, Membership
+from fescuedrum.decisions.pacing import allowed_silence, beat_interval
+from fescuedrum.exceptions import StoreUnavailable
+from fescuedrum.platform.interfaces import Instance
+from fescuedrum.process import cancel
+from fescuedrum.wire.gen.members import ttypes as wire
+from fescuedrum_entry.connection.peer import Peer, serve_peer
+
+logger = logging.getLogger(__name__)
+
+ENTRY_ROLE, AGENT_ROLE = "entry", "agent"
+# Entries that are no readers of their zone ask the platform this much less often.
+SLOW_READ_FACTOR = 10
+READ_JITTER = 0.2
+MAXIMUM_LISTING_BYTES = 16 * 1024 * 1024
+
+
+@dataclass(slots=True, frozen=True)
+class MemberStatus:
+    """Tell operators of one member."""
+
+    name: str
+    role: str
+    zone: str
+    state: str
+    version: int
+    silent: bool
+
+
+class Members:
+    """Own what an entry knows of other processes and its connections to entries."""
+
+    __slots__ = (
+        "channels",
+        "damped",
+        "digests",
+        "entry",
+        "instances",
+        "loop",
+        "membership",
+        "peers",
+        "seeds",
+        "settings",
+    )
+
+    def __init__(self, entry):
+        self.entry = entry
+        self.settings = entry.settings
+        self.membership = Membership()
+        self.digests = Digests()
+        self.instances = None
+        self.channels = set()
+        # Members that come and go too often to get new work just yet.
+        self.damped = set()
+        self.peers = {}
+        self.seeds = {}
+        self.loop = None
+
+    async def run(self):
+        """Follow the instance list and the members until cancelled."""
+        self.loop = asyncio.get_running_loop()
+        for seed in self.settings.seeds:
+            peer = Peer(self.entry, seed.name, self.settings.zone, seed.host, seed.port)
+            self.seeds[seed.name] = asyncio.create_task(peer.run())
+        tasks = [
+            asyncio.create_task(self.follow_instances()),
+            asyncio.create_task(self.judge()),
+            asyncio.create_task(self.tell_digest()),
+        ]
+        try:
+            await asyncio.gather(*tasks)
+        finally:
+            await cancel([*tasks, *self.seeds.values(), *self.peers.values()])
+
+    async def listen(self):
+        """Return the server that other entries connect to; None without a port."""
+        settings = self.settings
+        if not settings.peer_port:
+            return None
+
+        async def serve(reader, writer):
+            await serve_peer(self.entry, reader, writer)
+
+        return await self.entry.peers.listen(serve, settings.host, settings.peer_port)
+
+    # How often
+
+    def interval(self):
+        """Return the seconds between heartbeats, longer with many members."""
+        members = len(self.entry.links) + len(self.channels)
+        return beat_interval(self.settings.heartbeat_seconds, members)
+
+    def allowed_silence(self):
+        """Return the seconds without a heartbeat after which a member is suspected."""
+        return allowed_silence(self.settings.silence_seconds, self.interval())
+
+    def read_interval(self):
+        """Return the seconds until this entry asks the platform again."""
+        jitter = self.entry.random.uniform(1 - READ_JITTER, 1)
+        seconds = self.settings.poll_seconds * jitter
+        if self.entry.configuration.document is None or self.is_reader():
+            return seconds
+        return seconds * SLOW_READ_FACTOR
+
+    def is_reader(self):
+        # Without a port for peers nobody could tell this entry what they read.
+        if not self.settings.peer_port:
+            return True
+        name, zone = self.settings.name, self.settings.zone
+        return topology.is_reader(name, self.zone_entries(), zone)
+
+    def zone_entries(self):
+        return self.membership.alive(ENTRY_ROLE, self.settings.zone)
+
+    # Instance list
+
+    async def follow_instances(self):
+        """Read the instance list and keep the connections that it calls for."""
+        while True:
+            try:
+                instances = await self.entry.platform.list_instances()
+                if instances != self.instances:
+                    self.take_instances(instances)
+                    self.spread_listing()
+                else:
+                    self.choose_connections()
+            except StoreUnavailable as error:
+                logger.info("instances not read", extra={"error": str(error)})
+            await asyncio.sleep(self.read_interval())
+
+    def take_instances(self, instances):
+        self.instances = instances
+        lines = [
+            (each.name, each.role, each.zone, each.service)
+            for each in instances
+            if each.name != self.settings.name
+            and (each.zone == self.settings.zone or each.role == AGENT_ROLE)
+        ]
+        self.membership.listed(lines, self.loop.time())
+        self.choose_connections()
+
+    def choose_connections(self):
+        self.entry.update_links(self.choose_agents())
+        wanted = self.choose_peers()
+        for name in [*self.peers]:
+            if name not in wanted:
+                self.peers.pop(name).cancel()
+        for name, peer in wanted.items():
+            if name not in self.peers and name not in self.seeds:
+                self.peers[name] = asyncio.create_task(peer.run())
+
+    def choose_agents(self):
+        """Return the agents to be linked to: the zone's own and some of the others."""
+        agents = [each for each in self.instances if each.role == AGENT_ROLE]
+        remote = {}
+        for each in agents:
+            if each.zone != self.settings.zone:
+                remote.setdefault(each.service, []).append(each.name)
+        chosen = topology.choose_remote(self.settings.name, remote)
+        return [
+            each
+            for each in agents
+            if each.zone == self.settings.zone or each.name in chosen
+        ]
+
+    def choose_peers(self):
+        """Return the entries to dial: of the zone, and for other zones if it's ours."""
+        name, zone = self.settings.name, self.settings.zone
+        zones = {}
+        for each in self.instances:
+            if each.role == ENTRY_ROLE and each.peer_port and each.name != name:
+                zones.setdefault(each.zone, []).append(each)
+        wanted = [
+            each for each in zones.pop(zone, ()) if topology.dials(name, each.name)
+        ]
+        mine = self.zone_entries()
+        for other, entries in zones.items():
+            if topology.is_spokesperson(name, mine, zone, other):
+                names = topology.best([each.name for each in entries], 1, name, other)
+                wanted += [each for each in entries if each.name in names]
+        return {
+            each.name: Peer(self.entry, each.name, each.zone, each.host, each.peer_port)
+            for each in wanted
+        }
+
+    def spread_listing(self):
+        """Pass a list that changed on to the zone, so that few need to read it."""
+        for channel in self.zone_channels():
+            self.send_listing(channel)
+
+    def send_listing(self, channel):
+        if self.instances is not None:
+            lines = json.dumps([schema.dump(each) for each in self.instances])
+            body = zlib.compress(lines.encode())
+            channel.connection.send(listing=wire.Listing(body))
+
+    def take_listing(self, listing):
+        """Take the list that a peer of the zone has read."""
+        inflate = zlib.decompressobj()
+        lines = json.loads(inflate.decompress(listing.body, MAXIMUM_LISTING_BYTES))
+        instances = [schema.load(Instance, line).unwrap() for line in lines]
+        if instances != self.instances:
+            self.take_instances(instances)
+
+    # Heartbeats
+
+    def opened(self, channel):
+        self.channels.add(channel)
+        if self.instances is None and channel.hello.zone == self.settings.zone:
+            channel.connection.send(listing_pull=wire.ListingPull())
+
+    def closed(self, channel):
+        self.channels.discard(channel)
+        name = channel.hello.instance
+        if all(each.hello.instance != name for each in self.channels):
+            self.membership.lost(name, self.loop.time())
+
+    def zone_channels(self):
+        zone = self.settings.zone
+        return [each for each in self.channels if each.hello.zone == zone]
+
+    def heard(self, hello, heartbeat):
+        """Take a heartbeat of the process that said hello on its connection."""
+        beat = Beat(
+            hello.instance,
+            hello.role,
+            hello.zone,
+            hello.incarnation,
+            sequence=heartbeat.sequence or 0,
+            version=heartbeat.version or 0,
+            leaving=bool(heartbeat.leaving),
+            service=hello.service_name or "",
+        )
+        self.membership.heard(beat, self.loop.time())
+
+    def lost(self, name):
+        self.membership.lost(name, self.loop.time())
+
+    def send_heartbeats(self):
+        """Tell every entry at once, as of a new version."""
+        for channel in self.channels:
+            channel.connection.send(heartbeat=self.entry.heartbeat())
+
+    async def judge(self):
+        """Suspect and forget members that stay silent."""
+        while True:
+            await asyncio.sleep(self.settings.heartbeat_seconds)
+            now = self.loop.time()
+            self.membership.judge(now, self.allowed_silence())
+            self.damped = self.membership.damped(now)
+
+    def describe(self):
+        """Return the status of each member."""
+        return [
+            MemberStatus(
+                each.name,
+                each.role,
+                each.zone,
+                each.state.value,
+                each.version,
+                each.silent,
+            )
+            for each in self.membership.members.values()
+            # Of other zones' members, those that this entry has no link to.
+            if each.zone == self.settings.zone or each.name in self.entry.links
+        ]
+
+    # Digests
+
+    async def tell_digest(self):
+        """Send the zone's digest to the other zones that this entry talks to."""
+        while True:
+            jitter = self.entry.random.uniform(1 - READ_JITTER, 1)
+            await asyncio.sleep(INTERVAL_SECONDS * jitter)
+            frame = dump_digest(self.sum_up_zone(self.settings.zone), 0.0)
+            for channel in self.channels:
+                if channel.hello.zone != self.settings.zone:
+                    channel.connection.send(digest=frame)
+
+    def sum_up_zone(self, zone):
+        """Sum up a zone from the heartbeats of its members."""
+        links = self.entry.links.values()
+        loads = [
+            (link.instance.service, link.last_heartbeat.load)
+            for link in links
+            if link.usable and link.instance.zone == zone
+        ]
+        known = self.membership.members.values()
+        members = [each for each in known if each.zone == zone]
+        return sum_up(zone, members, loads, self.entry.configuration.version)
+
+    def take_digest(self, channel, frame):
+        """Keep a zone's digest and pass it on to the own zone if it came first-hand."""
+        age = (frame.age_ms or 0) / 1000
+        is_new = self.digests.take(load_digest(frame), age, self.loop.time())
+        if is_new and channel.hello.zone == frame.zone:
+            for each in self.zone_channels():
+                each.connection.send(digest=frame)
+
+    def zone_sums(self):
+        """Return what is known of each zone's capacity, by the zone's name."""
+        now = self.loop.time()
+        sums = {each.zone: each for each, _ in self.digests.current(now)}
+        zones = {link.instance.zone for link in self.entry.links.values()}
+        for zone in zones | {self.settings.zone}:
+            # Own heartbeats are fresher than a digest where all agents are linked.
+            if zone == self.settings.zone or zone not in sums:
+                sums[zone] = self.sum_up_zone(zone)
+        return sums
+
+
+def dump_digest(total, age):
+    return wire.ZoneDigest(
+        zone=total.zone,
+        version=total.version,
+        lowest_version=total.lowest_version,
+        entries=total.entries,
+        agents=total.agents,
+        silent=total.silent,
+        services=[
+            wire.ServiceSum(
+                each.service, each.endpoints, each.warm, each.limit, each.running
+            )
+            for each in total.services.values()
+        ],
+        age_ms=int(age * 1000),
+    )
+
+
+def load_digest(frame):
+    total = ZoneSum(
+        frame.zone,
+        frame.version or 0,
+        frame.lowest_version or 0,
+        frame.entries or 0,
+        frame.agents or 0,
+        frame.silent or 0,
+    )
+    for each in frame.services or ():
+        total.services[each.service_name] = ServiceSum(
+            each.service_name,
+            each.endpoints or 0,
+            each.warm or 0,
+            each.limit or 0,
+            each.running or 0,
+        )
+    return total
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/version/following.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/version/following.py
@@ -48,7 +48,7 @@
         announced = heartbeat.version or 0
         in_force = self.configuration.version
         if self.pulls.should_ask(announced, in_force, self.loop.time()):
-            connection.send(pull=Pull(heartbeat.document_hash))
+            connection.send(pull=Pull())
 
     def answer(self, connection, pull):
         """Send the document to a peer that asked for its hash."""
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/decisions/pacing.py
@@ -0,0 +1,48 @@
+"""Pace heartbeats and reconnects.
+
+Load pattern: a switch comes back, or all entries of a zone restart, and every process
+dials every other at once; or a zone grows, and each new member adds heartbeats to all.
+Without jitter the dials come in waves that fill the listeners' queues and fail
+together; with a fixed interval a node's control traffic grows with its zone. So waits
+double with each failure and are drawn from the whole interval, and heartbeats slow
+down once there are more members than BEATS_PER_SECOND allows.
+
+80 heartbeats a second each way, at about 100 bytes with their packet's headers, are
+16 KB a second: within the 17 KB a second that a node may spend.
+"""
+
+BEATS_PER_SECOND = 80.0
+# A member is silent after this many heartbeats that did not come.
+MISSED_BEATS = 4
+FIRST_RETRY_SECONDS = 0.2
+LONGEST_RETRY_SECONDS = 5.0
+
+
+def beat_interval(base, members):
+    """Return the seconds between heartbeats to each of so many members."""
+    return max(base, members / BEATS_PER_SECOND)
+
+
+def allowed_silence(base, interval):
+    """Return the seconds of silence after which a member is suspected."""
+    return max(base, MISSED_BEATS * interval)
+
+
+class Backoff:
+    """Choose the wait before each attempt to connect."""
+
+    __slots__ = ("failures", "random")
+
+    def __init__(self, random):
+        self.random = random
+        self.failures = 0
+
+    def succeeded(self):
+        self.failures = 0
+
+    def next_wait(self):
+        """Return the seconds to wait after another connection ended or failed."""
+        longest = min(FIRST_RETRY_SECONDS * 2**self.failures, LONGEST_RETRY_SECONDS)
+        # Beyond this the wait no longer grows, and neither need the number.
+        self.failures = min(self.failures + 1, 10)
+        return self.random.uniform(longest / 2, longest)
--- a/packages/fescuedrum/src/fescuedrum/platform/interfaces.py
+++ b/packages/fescuedrum/src/fescuedrum/platform/interfaces.py
@@ -41,6 +41,8 @@
     state: InstanceState = InstanceState.LIVE
     endpoint: str = ""
     service: str = ""
+    # Where an entry takes connections of other entries; 0 for nowhere.
+    peer_port: int = 0
 
 
 class Table(Protocol):
--- a/packages/fescuedrum/src/fescuedrum/process.py
+++ b/packages/fescuedrum/src/fescuedrum/process.py
@@ -14,6 +14,8 @@
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
 EXIT_FINDINGS = 3
+EXIT_RACED = 4
+EXIT_UNSETTLED = 5
 
 
 def load_settings(cls, path):
--- a/packages/fescuedrum/src/fescuedrum/versions/configuration.py
+++ b/packages/fescuedrum/src/fescuedrum/versions/configuration.py
@@ -103,7 +103,7 @@
 
     def answer(self, pull):
         """Return the frame that answers a peer's pull; None when it is not held."""
-        if not self.body or pull.document_hash != self.document_hash:
+        if not self.body or pull.document_hash not in (None, self.document_hash):
             return None
         if not self.compressed:
             self.compressed = zlib.compress(self.body)
--- a/packages/fescuedrum/src/fescuedrum/wire/gen/frames/ttypes.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/gen/frames/ttypes.py
@@ -1363,6 +1363,9 @@
      - heartbeat
      - pull
      - document
+     - digest
+     - listing_pull
+     - listing
 
     """
 
@@ -1380,10 +1383,13 @@
         'heartbeat',
         'pull',
         'document',
+        'digest',
+        'listing_pull',
+        'listing',
     )
 
 
-    def __init__(self, hello=None, request=None, refusal=None, head=None, chunk=None, end=None, cancel=None, credit=None, challenge=None, proof=None, heartbeat=None, pull=None, document=None,):
+    def __init__(self, hello=None, request=None, refusal=None, head=None, chunk=None, end=None, cancel=None, credit=None, challenge=None, proof=None, heartbeat=None, pull=None, document=None, digest=None, listing_pull=None, listing=None,):
         self.hello = hello
         self.request = request
         self.refusal = refusal
@@ -1397,6 +1403,9 @@
         self.heartbeat = heartbeat
         self.pull = pull
         self.document = document
+        self.digest = digest
+        self.listing_pull = listing_pull
+        self.listing = listing
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1485,6 +1494,24 @@
                     self.document.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRUCT:
+                    self.digest = fescuedrum.wire.gen.members.ttypes.ZoneDigest()
+                    self.digest.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.STRUCT:
+                    self.listing_pull = fescuedrum.wire.gen.members.ttypes.ListingPull()
+                    self.listing_pull.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.STRUCT:
+                    self.listing = fescuedrum.wire.gen.members.ttypes.Listing()
+                    self.listing.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1547,6 +1574,18 @@
             oprot.writeFieldBegin('document', TType.STRUCT, 22)
             self.document.write(oprot)
             oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRUCT, 23)
+            self.digest.write(oprot)
+            oprot.writeFieldEnd()
+        if self.listing_pull is not None:
+            oprot.writeFieldBegin('listing_pull', TType.STRUCT, 24)
+            self.listing_pull.write(oprot)
+            oprot.writeFieldEnd()
+        if self.listing is not None:
+            oprot.writeFieldBegin('listing', TType.STRUCT, 25)
+            self.listing.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1697,6 +1736,9 @@
     (20, TType.STRUCT, 'heartbeat', [fescuedrum.wire.gen.members.ttypes.Heartbeat, None], None, ),  # 20
     (21, TType.STRUCT, 'pull', [fescuedrum.wire.gen.members.ttypes.Pull, None], None, ),  # 21
     (22, TType.STRUCT, 'document', [fescuedrum.wire.gen.members.ttypes.DocumentBody, None], None, ),  # 22
+    (23, TType.STRUCT, 'digest', [fescuedrum.wire.gen.members.ttypes.ZoneDigest, None], None, ),  # 23
+    (24, TType.STRUCT, 'listing_pull', [fescuedrum.wire.gen.members.ttypes.ListingPull, None], None, ),  # 24
+    (25, TType.STRUCT, 'listing', [fescuedrum.wire.gen.members.ttypes.Listing, None], None, ),  # 25
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/fescuedrum/src/fescuedrum/wire/gen/members/ttypes.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/gen/members/ttypes.py
@@ -143,6 +143,7 @@
      - leaving
      - load
      - sequence
+     - wanted_interval_ms
 
     """
 
@@ -155,10 +156,11 @@
         'leaving',
         'load',
         'sequence',
+        'wanted_interval_ms',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, zone=None, version=None, document_hash=None, leaving=None, load=None, sequence=None,):
+    def __init__(self, instance=None, incarnation=None, zone=None, version=None, document_hash=None, leaving=None, load=None, sequence=None, wanted_interval_ms=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.zone = zone
@@ -167,6 +169,7 @@
         self.leaving = leaving
         self.load = load
         self.sequence = sequence
+        self.wanted_interval_ms = wanted_interval_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -218,6 +221,11 @@
                     self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.wanted_interval_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -260,6 +268,10 @@
             oprot.writeFieldBegin('sequence', TType.I64, 8)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.wanted_interval_ms is not None:
+            oprot.writeFieldBegin('wanted_interval_ms', TType.I32, 10)
+            oprot.writeI32(self.wanted_interval_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -353,6 +365,401 @@
         return not (self == other)
 
 
+class ServiceSum(object):
+    """
+    Attributes:
+     - service_name
+     - endpoints
+     - warm
+     - limit
+     - running
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'endpoints',
+        'warm',
+        'limit',
+        'running',
+    )
+
+
+    def __init__(self, service_name=None, endpoints=None, warm=None, limit=None, running=None,):
+        self.service_name = service_name
+        self.endpoints = endpoints
+        self.warm = warm
+        self.limit = limit
+        self.running = running
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.endpoints = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.warm = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.limit = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceSum')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.endpoints is not None:
+            oprot.writeFieldBegin('endpoints', TType.I32, 2)
+            oprot.writeI32(self.endpoints)
+            oprot.writeFieldEnd()
+        if self.warm is not None:
+            oprot.writeFieldBegin('warm', TType.I32, 3)
+            oprot.writeI32(self.warm)
+            oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.I32, 4)
+            oprot.writeI32(self.limit)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 5)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ZoneDigest(object):
+    """
+    Attributes:
+     - zone
+     - version
+     - lowest_version
+     - entries
+     - agents
+     - silent
+     - services
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'zone',
+        'version',
+        'lowest_version',
+        'entries',
+        'agents',
+        'silent',
+        'services',
+        'age_ms',
+    )
+
+
+    def __init__(self, zone=None, version=None, lowest_version=None, entries=None, agents=None, silent=None, services=None, age_ms=None,):
+        self.zone = zone
+        self.version = version
+        self.lowest_version = lowest_version
+        self.entries = entries
+        self.agents = agents
+        self.silent = silent
+        self.services = services
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.lowest_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.entries = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.agents = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.silent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.services = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = ServiceSum()
+                        _elem5.read(iprot)
+                        self.services.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ZoneDigest')
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 1)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.lowest_version is not None:
+            oprot.writeFieldBegin('lowest_version', TType.I64, 3)
+            oprot.writeI64(self.lowest_version)
+            oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.I32, 4)
+            oprot.writeI32(self.entries)
+            oprot.writeFieldEnd()
+        if self.agents is not None:
+            oprot.writeFieldBegin('agents', TType.I32, 5)
+            oprot.writeI32(self.agents)
+            oprot.writeFieldEnd()
+        if self.silent is not None:
+            oprot.writeFieldBegin('silent', TType.I32, 6)
+            oprot.writeI32(self.silent)
+            oprot.writeFieldEnd()
+        if self.services is not None:
+            oprot.writeFieldBegin('services', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.services))
+            for iter6 in self.services:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 8)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ListingPull(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ListingPull')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Listing(object):
+    """
+    Attributes:
+     - body
+
+    """
+
+    __slots__ = (
+        'body',
+    )
+
+
+    def __init__(self, body=None,):
+        self.body = body
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Listing')
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 1)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class DocumentBody(object):
     """
     Attributes:
@@ -475,12 +882,43 @@
     (6, TType.BOOL, 'leaving', None, None, ),  # 6
     (7, TType.STRUCT, 'load', [LoadReport, None], None, ),  # 7
     (8, TType.I64, 'sequence', None, None, ),  # 8
+    None,  # 9
+    (10, TType.I32, 'wanted_interval_ms', None, None, ),  # 10
 )
 all_structs.append(Pull)
 Pull.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'document_hash', 'UTF8', None, ),  # 1
 )
+all_structs.append(ServiceSum)
+ServiceSum.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'endpoints', None, None, ),  # 2
+    (3, TType.I32, 'warm', None, None, ),  # 3
+    (4, TType.I32, 'limit', None, None, ),  # 4
+    (5, TType.I32, 'running', None, None, ),  # 5
+)
+all_structs.append(ZoneDigest)
+ZoneDigest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.I64, 'lowest_version', None, None, ),  # 3
+    (4, TType.I32, 'entries', None, None, ),  # 4
+    (5, TType.I32, 'agents', None, None, ),  # 5
+    (6, TType.I32, 'silent', None, None, ),  # 6
+    (7, TType.LIST, 'services', (TType.STRUCT, [ServiceSum, None], False), None, ),  # 7
+    (8, TType.I32, 'age_ms', None, None, ),  # 8
+)
+all_structs.append(ListingPull)
+ListingPull.thrift_spec = (
+)
+all_structs.append(Listing)
+Listing.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'body', 'BINARY', None, ),  # 1
+)
 all_structs.append(DocumentBody)
 DocumentBody.thrift_spec = (
     None,  # 0
--- a/packages/fescuedrum/src/fescuedrum/wire/handshake.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/handshake.py
@@ -113,11 +113,12 @@
 
 
 class EntrySide:
-    """Decide the handshake of the side that dials."""
+    """Decide the handshake of the side that dials a process of the expected role."""
 
-    __slots__ = ("hello", "keyring", "peer", "protocol", "transcript")
+    __slots__ = ("expected", "hello", "keyring", "peer", "protocol", "transcript")
 
-    def __init__(self, keyring, hello, *, addressee, nonce):
+    def __init__(self, keyring, hello, *, addressee, nonce, expected=AGENT):
+        self.expected = expected
         hello.protocol = PROTOCOL
         hello.minimum_protocol = MINIMUM_PROTOCOL
         hello.nonce = nonce
@@ -138,7 +139,8 @@
                 self.protocol = negotiate(body)
                 self.transcript.append(check_nonce(body.nonce))
                 return [{"proof": self.keyring.prove(ENTRY, self.transcript)}]
-            case frames.Hello(role="agent") if self.protocol and self.peer is None:
+            case frames.Hello() if self.protocol and self.peer is None:
+                self.check_role(body)
                 self.check_addressee(body)
                 self.peer = body
                 self.transcript += identity(body)
@@ -152,6 +154,12 @@
                 return []
         raise PeerRefusedError(f"The peer sent {type(body).__name__} in the handshake.")
 
+    def check_role(self, hello):
+        if hello.role != self.expected:
+            raise PeerRefusedError(
+                f"{hello.instance!r} is {hello.role!r}, not {self.expected!r}."
+            )
+
     def check_addressee(self, hello):
         # An address that was given to another instance must not pass for the old one.
         if hello.instance != self.hello.addressee:
--- a/packages/fescuedrum/src/fescuedrum/wire/idl/frames.thrift
+++ b/packages/fescuedrum/src/fescuedrum/wire/idl/frames.thrift
@@ -121,4 +121,7 @@
   20: members.Heartbeat heartbeat,
   21: members.Pull pull,
   22: members.DocumentBody document,
+  23: members.ZoneDigest digest,
+  24: members.ListingPull listing_pull,
+  25: members.Listing listing,
 }
--- a/packages/fescuedrum/src/fescuedrum/wire/idl/members.thrift
+++ b/packages/fescuedrum/src/fescuedrum/wire/idl/members.thrift
@@ -19,13 +19,45 @@
   6: optional bool leaving,
   7: optional LoadReport load,
   8: optional i64 sequence,
+  // How often the sender wants to hear heartbeats; absent leaves it to the receiver.
+  10: optional i32 wanted_interval_ms,
 }
 
-// Ask a peer for the configuration document with this hash.
+// Ask a peer for the document with this hash; absent means the one in force there.
 struct Pull {
   1: optional string document_hash,
 }
 
+struct ServiceSum {
+  1: optional string service_name,
+  2: optional i32 endpoints,
+  3: optional i32 warm,
+  4: optional i32 limit,
+  5: optional i32 running,
+}
+
+// What entries of other zones need to know of a zone.
+struct ZoneDigest {
+  1: optional string zone,
+  2: optional i64 version,
+  3: optional i64 lowest_version,
+  4: optional i32 entries,
+  5: optional i32 agents,
+  6: optional i32 silent,
+  7: optional list<ServiceSum> services,
+  // Time since it was made, added up on the way.
+  8: optional i32 age_ms,
+}
+
+// Ask a peer for the instance list that it read last.
+struct ListingPull {
+}
+
+struct Listing {
+  // Deflated JSON, lines as the platform gives them.
+  1: optional binary body,
+}
+
 struct DocumentBody {
   1: optional i64 version,
   2: optional string document_hash,
--- a/packages/fescuedrum/src/fescuedrum/wire/peers.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/peers.py
@@ -4,7 +4,7 @@
 import secrets
 
 from fescuedrum.tls import Certificates
-from fescuedrum.wire.handshake import NONCE_BYTES, AgentSide, EntrySide, Keyring
+from fescuedrum.wire.handshake import AGENT, NONCE_BYTES, AgentSide, EntrySide, Keyring
 
 
 class Peers:
@@ -19,10 +19,12 @@
         self.certificates = Certificates()
         self.client_context = None
 
-    def entry_side(self, addressee):
+    def entry_side(self, addressee, expected=AGENT):
         nonce = secrets.token_bytes(NONCE_BYTES)
         hello = self.make_hello()
-        return EntrySide(self.keyring, hello, addressee=addressee, nonce=nonce)
+        return EntrySide(
+            self.keyring, hello, addressee=addressee, nonce=nonce, expected=expected
+        )
 
     def agent_side(self):
         nonce = secrets.token_bytes(NONCE_BYTES)
