--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -9,6 +9,8 @@
 from fescuedrum.exceptions import ProtocolError
 from fescuedrum.outcomes import Outcome
 from fescuedrum.process import cancel, on_reload, stop_event
+from fescuedrum.versions.configuration import Configuration
+from fescuedrum.versions.pulling import Pulls
 from fescuedrum.wire.gen.frames.ttypes import Hello
 from fescuedrum.wire.gen.members.ttypes import Heartbeat, LoadReport, Pull
 from fescuedrum.wire.peers import Peers
@@ -17,7 +19,6 @@
 from fescuedrum_agent.request.answer import Answer
 from fescuedrum_agent.request.execution import Execution
 from fescuedrum_agent.request.ledger import Ledger
-from fescuedrum_agent.version.configuration import Configuration
 
 logger = logging.getLogger(__name__)
 
@@ -34,6 +35,7 @@
         "incarnation",
         "ledger",
         "peers",
+        "pulls",
         "sequence",
         "session",
         "sessions",
@@ -45,7 +47,9 @@
         self.incarnation = incarnation
         self.gate = Gate(settings.cold_limit, settings.warm_limit, settings.warm_after)
         self.ledger = Ledger(settings.ledger_bytes)
-        self.configuration = Configuration(self.configuration_changed)
+        self.configuration = Configuration()
+        self.configuration.subscribe(self.configuration_changed)
+        self.pulls = Pulls()
         self.sessions = set()
         self.executions = {}
         self.peers = Peers(settings.peer_keys, settings.peer_tls, self.hello)
@@ -102,12 +106,23 @@
 
     async def beat(self):
         while True:
-            self.send_heartbeats()
+            self.send_due_heartbeats()
             await asyncio.sleep(self.settings.heartbeat_seconds)
 
-    def send_heartbeats(self):
+    def send_due_heartbeats(self):
+        """Send heartbeats to the entries whose wanted interval has passed."""
+        now = asyncio.get_running_loop().time()
+        # A timer may fire a little early; half a tick is the nearest one.
+        early = self.settings.heartbeat_seconds / 2
+        due = [each for each in self.sessions if now >= each.next_beat - early]
+        for session in due:
+            session.next_beat = now + session.beat_interval
+        self.send_heartbeats(due)
+
+    def send_heartbeats(self, sessions=None):
+        """Tell all entries, or those given."""
         self.sequence += 1
-        for session in self.sessions:
+        for session in self.sessions if sessions is None else sessions:
             session.connection.send(heartbeat=self.heartbeat())
 
     def hello(self):
@@ -129,7 +144,6 @@
             incarnation=self.incarnation,
             zone=self.settings.zone,
             version=self.configuration.version,
-            document_hash=self.configuration.document_hash,
             leaving=self.gate.leaving,
             load=load,
             sequence=self.sequence,
@@ -137,12 +151,14 @@
 
     def heard(self, session, heartbeat):
         """Pull the document from an entry that runs a newer version."""
-        if heartbeat.version > self.configuration.version:
-            session.connection.send(pull=Pull(heartbeat.document_hash))
+        session.beat_interval = (heartbeat.wanted_interval_ms or 0) / 1000
+        announced, in_force = heartbeat.version or 0, self.configuration.version
+        now = asyncio.get_running_loop().time()
+        if self.pulls.should_ask(announced, in_force, now):
+            session.connection.send(pull=Pull())
 
-    def configuration_changed(self, document):
+    def configuration_changed(self):
         self.gate.zone_out = self.configuration.zone_is_out(self.settings.zone)
-        logger.info("version in force", extra={"version": self.configuration.version})
         self.send_heartbeats()
 
     def submit(self, session, request):
