--- a/packages/fescuedrum-entry/src/fescuedrum_entry/operators/access.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/access.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import functools
-import uuid
 
 from aiohttp import web
 
 from fescuedrum.exceptions import FescuedrumError, NotSignedIn, TooManySignIns
 from fescuedrum_entry.operators.accounts import check_role, find_account
+from fescuedrum_entry.request.errors import error_response, new_request_id
 
 ACCOUNT = web.RequestKey("account", object)
 FAILURES_BEFORE_LIMIT = 10
@@ -71,21 +71,6 @@
             request[ACCOUNT] = account
             return await handler(request)
         except FescuedrumError as error:
-            return error_response(error)
+            return error_response(error, new_request_id())
 
     return protected
-
-
-def error_response(error, **details):
-    """Tell an operator of an error in the shape that callers get too."""
-    body = {
-        "code": error.code,
-        "outcome": error.outcome.value,
-        "message": str(error),
-        "request": uuid.uuid4().hex,
-        **details,
-    }
-    headers = {}
-    if error.retry_after is not None:
-        headers["Retry-After"] = str(error.retry_after)
-    return web.json_response({"error": body}, status=error.status, headers=headers)
