--- a/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from fescuedrum.conf.schema import setting
+from fescuedrum.decisions.queueing import QueuePolicy
 
 
 @dataclass(slots=True)
@@ -22,6 +23,15 @@
     warm_after: int = setting(
         10, help="Answers after which a cold endpoint is warm.", minimum=1
     )
+    queue_limit: int = setting(
+        256, help="Requests that may wait for the endpoint.", minimum=0
+    )
+    queue_policy: QueuePolicy = setting(
+        QueuePolicy.FAIR, help="fair; fifo only to compare with."
+    )
+    admission: bool = setting(
+        True, help="Refuse at once what can't be in time; false only to compare with."
+    )
     heartbeat_seconds: float = setting(
         0.5, help="Time between heartbeats.", minimum=0.05, unit="s"
     )
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
@@ -31,7 +31,13 @@
         while answer.status is None and not answer.done:
             await answer.changed.wait()
         if answer.status is not None:
-            self.send("head", status=answer.status, headers=answer.headers)
+            self.send(
+                "head",
+                status=answer.status,
+                headers=answer.headers,
+                waited_ms=answer.waited_ms,
+                cold=answer.cold,
+            )
         offset = 0
         while True:
             offset = await self.send_available(offset)
@@ -39,7 +45,12 @@
                 break
             await answer.changed.wait()
         self.send(
-            "end", outcome=answer.outcome.value, length=offset, reason=answer.reason
+            "end",
+            outcome=answer.outcome.value,
+            length=offset,
+            reason=answer.reason,
+            retry_after_ms=answer.retry_after_ms,
+            unavailable=answer.unavailable,
         )
 
     async def send_available(self, offset):
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
@@ -22,12 +22,14 @@
 class Session:
     """Own one connection: read its frames, run its requests, send their answers."""
 
-    __slots__ = ("agent", "connection", "peer", "relays", "tasks")
+    __slots__ = ("agent", "connection", "peer", "received", "relays", "tasks")
 
     def __init__(self, agent, reader, writer):
         self.agent = agent
         self.connection = FrameConnection(reader, writer)
         self.peer = None
+        # Requests seen on this connection; the entry corrects late reports by it.
+        self.received = 0
         self.relays = {}
         self.tasks = set()
 
@@ -49,7 +51,7 @@
             case frames.Hello():
                 self.peer = body.instance
                 self.connection.send(hello=self.agent.hello())
-                self.connection.send(heartbeat=self.agent.heartbeat())
+                self.connection.send(heartbeat=self.agent.heartbeat(self))
             case frames.Request():
                 self.handle_request(body)
             case frames.Credit():
@@ -63,9 +65,10 @@
                 self.agent.configuration.offer(body)
 
     def handle_request(self, request):
-        answer, reason = self.agent.submit(self, request)
+        self.received += 1
+        answer, refused = self.agent.submit(self, request)
         if answer is None:
-            self.send("refusal", request.number, request.attempt, reason=reason)
+            self.send("refusal", request.number, request.attempt, **refused.fields())
             return
         relay = Relay(self, request, answer)
         self.relays[request.number] = relay
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import logging
+import random
+from functools import partial
 
 import aiohttp
 
 from fescuedrum import __version__
-from fescuedrum.outcomes import Outcome
+from fescuedrum.decisions.admission import Admission, RefusalReason, Refused
+from fescuedrum.decisions.limits import EndpointLimit
+from fescuedrum.decisions.queueing import build_queue
 from fescuedrum.process import cancel, stop_event
 from fescuedrum.wire.gen.frames.ttypes import Hello
 from fescuedrum.wire.gen.members.ttypes import Heartbeat, LoadReport, Pull
@@ -15,6 +19,7 @@
 from fescuedrum_agent.request.answer import Answer
 from fescuedrum_agent.request.execution import Execution
 from fescuedrum_agent.request.ledger import Ledger
+from fescuedrum_agent.request.ticket import Ticket
 from fescuedrum_agent.version.configuration import Configuration
 
 logger = logging.getLogger(__name__)
@@ -28,7 +33,6 @@
 
     __slots__ = (
         "configuration",
-        "executions",
         "gate",
         "incarnation",
         "ledger",
@@ -36,16 +40,17 @@
         "session",
         "sessions",
         "settings",
+        "tickets",
     )
 
     def __init__(self, settings, incarnation):
         self.settings = settings
         self.incarnation = incarnation
-        self.gate = Gate(settings.cold_limit, settings.warm_limit, settings.warm_after)
+        self.gate = build_gate(settings, random.Random(incarnation))
         self.ledger = Ledger(settings.ledger_bytes)
         self.configuration = Configuration(self.configuration_changed)
         self.sessions = set()
-        self.executions = {}
+        self.tickets = {}
         self.session = None
         self.sequence = 0
 
@@ -79,7 +84,7 @@
 
     async def drain(self):
         """Refuse new work, tell every entry, and let running requests end."""
-        self.gate.leaving = True
+        self.gate.close(leaving=True)
         self.send_heartbeats()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.drain_seconds
@@ -87,17 +92,18 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     def busy(self):
-        return self.gate.running or any(session.relays for session in self.sessions)
+        return bool(self.tickets) or any(session.relays for session in self.sessions)
 
     async def beat(self):
         while True:
+            self.gate.sweep(asyncio.get_running_loop().time())
             self.send_heartbeats()
             await asyncio.sleep(self.settings.heartbeat_seconds)
 
     def send_heartbeats(self):
         self.sequence += 1
         for session in self.sessions:
-            session.connection.send(heartbeat=self.heartbeat())
+            session.connection.send(heartbeat=self.heartbeat(session))
 
     def hello(self):
         return Hello(
@@ -110,9 +116,17 @@
             service_name=self.settings.service,
         )
 
-    def heartbeat(self):
+    def heartbeat(self, session):
+        gate = self.gate
         load = LoadReport(
-            running=self.gate.running, limit=self.gate.limit, warm=self.gate.warm
+            running=gate.running,
+            waiting=gate.queue.length,
+            limit=gate.limit.limit,
+            warm=gate.warm,
+            received=session.received,
+            cost_rate=gate.admission.rate(gate.limit.limit),
+            delay=gate.admission.seconds_per_cost,
+            answers=gate.answers,
         )
         return Heartbeat(
             instance=self.settings.name,
@@ -131,37 +145,55 @@
             session.connection.send(pull=Pull(heartbeat.document_hash))
 
     def configuration_changed(self, document):
-        self.gate.zone_out = self.configuration.zone_is_out(self.settings.zone)
+        self.gate.close(zone_out=self.configuration.zone_is_out(self.settings.zone))
+        self.gate.queue.set_weights(
+            {each.name: each.weight for each in document.organisations}
+        )
         logger.info("version in force", extra={"version": self.configuration.version})
         self.send_heartbeats()
 
     def submit(self, session, request):
-        """Start a request or find its answer: (answer, None) or (None, reason)."""
+        """Take a request or find its answer: (answer, None) or (None, Refused)."""
         if request.key and (answer := self.ledger.find(request.key)):
             return answer, None
         if request.attach_only:
-            return None, "key-unknown"
-        if reason := self.gate.refusal():
-            return None, reason
+            return None, Refused(RefusalReason.KEY_UNKNOWN, 0.0)
         answer = Answer()
+        execution = Execution(self.session, self.settings.endpoint_url, request, answer)
+        now = asyncio.get_running_loop().time()
+        place = (session, request.number)
+        ticket = Ticket(request, answer, execution, partial(self.finished, place), now)
+        if refused := self.gate.offer(ticket.work, now):
+            return None, refused
         if request.key:
             self.ledger.add(request.key, answer)
-        self.gate.enter()
-        execution = Execution(self.session, self.settings.endpoint_url, request, answer)
-        task = asyncio.create_task(execution.run())
-        self.executions[(session, request.number)] = (task, request)
-        task.add_done_callback(lambda _: self.finished(session, request, answer))
+        self.tickets[place] = ticket
         return answer, None
 
-    def finished(self, session, request, answer):
-        self.executions.pop((session, request.number), None)
-        self.gate.exit(answered=answer.outcome is Outcome.ANSWERED)
-        if answer.outcome is not Outcome.ANSWERED:
-            self.gate.collapse()
+    def finished(self, place, ticket):
+        """Settle a request that ended, or that waited and was given up."""
+        self.tickets.pop(place, None)
+        if not ticket.ran:
+            self.ledger.forget(ticket.request.key, ticket.answer)
+            return
+        now = asyncio.get_running_loop().time()
+        self.gate.finish(ticket.work, ticket.result(now), now)
 
     def cancel(self, session, number):
         """Free the endpoint's work for a caller who left, if it may be cut."""
-        task, request = self.executions.get((session, number), (None, None))
+        ticket = self.tickets.get((session, number))
+        if ticket is None:
+            return
+        if self.gate.withdraw(ticket.work):
+            ticket.refuse(Refused(RefusalReason.WITHDRAWN, 0.0))
         # A non-idempotent request runs on: its effect can't be taken back.
-        if task is not None and request.idempotent:
-            task.cancel()
+        elif ticket.request.idempotent:
+            ticket.task.cancel()
+
+
+def build_gate(settings, chooser):
+    limit = EndpointLimit(settings.cold_limit, settings.warm_limit, settings.warm_after)
+    queue = build_queue(settings.queue_policy)
+    gate = Gate(limit, queue, Admission(chooser), settings.queue_limit)
+    gate.admit_all = not settings.admission
+    return gate
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/gate.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/gate.py
@@ -1,61 +1,171 @@
-"""Admit no more work than the endpoint can carry.
+"""Admit no more work than the endpoint can carry, and share it fairly.
 
-The gate stands here and not only at the entries: each entry's view is late, and
-only here do the requests of all entries meet. A cold endpoint stays at its floor
-until it has given enough answers in a row; then each answer raises the limit by one.
+The gate stands here and not only at the entries: each entry's view is late, and only
+here do the requests of all entries meet. What can't run now waits in a bounded queue
+that serves organisations by weight; what can't be in time is refused at once.
 """
 
+from dataclasses import dataclass
+
+from fescuedrum.decisions.admission import Admission, RefusalReason, Refused
+from fescuedrum.decisions.limits import EndpointLimit, Phase
+
+# A leaving endpoint or a zone that is out: others can take the request at once.
+ELSEWHERE_SECONDS = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Answered:
+    """Say that the endpoint answered, after how long and at which true cost."""
+
+    seconds: float
+    cost: float
+
+
+@dataclass(slots=True, frozen=True)
+class Failed:
+    """Say that the endpoint failed; unavailable when it refused or cut."""
+
+    unavailable: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Abandoned:
+    """Say that the caller left or the deadline passed: no word on the endpoint."""
+
 
 class Gate:
-    """Count running requests against a limit that follows the endpoint's warmth."""
+    """Own the endpoint's places and the queue before them.
+
+    The payload of each work has two methods, of which one is called once:
+    start(cold=...) when it may run, refuse(Refused) when it waited and is given up.
+    """
 
     __slots__ = (
+        "admission",
+        "admit_all",
         "answers",
-        "cold_limit",
         "leaving",
         "limit",
+        "queue",
+        "queue_limit",
         "running",
-        "warm_after",
-        "warm_limit",
         "zone_out",
     )
 
-    def __init__(self, cold_limit, warm_limit, warm_after):
-        self.answers = 0
-        self.warm_after = warm_after
-        self.cold_limit = cold_limit
-        self.warm_limit = warm_limit
-        self.limit = cold_limit
+    def __init__(self, limit: EndpointLimit, queue, admission: Admission, queue_limit):
+        self.limit = limit
+        self.queue = queue
+        self.admission = admission
+        self.queue_limit = queue_limit
+        # Baseline for experiments: queue without a prediction.
+        self.admit_all = False
         self.running = 0
+        self.answers = 0
         self.leaving = False
         self.zone_out = False
 
-    def refusal(self):
-        """Return why new work is refused, or None."""
+    def closed(self):
+        """Return why no new work may start here at all, or None."""
         if self.leaving:
-            return "leaving"
+            return RefusalReason.LEAVING
         if self.zone_out:
-            return "zone-out"
-        if self.running >= self.limit:
-            return "full"
+            return RefusalReason.ZONE_OUT
+        return None
+
+    def close(self, *, leaving=None, zone_out=None):
+        """Set why the gate is closed; what waits is refused at once, not run."""
+        self.leaving = self.leaving if leaving is None else leaving
+        self.zone_out = self.zone_out if zone_out is None else zone_out
+        if reason := self.closed():
+            for work in self.queue.works():
+                self.give_up(work, Refused(reason, ELSEWHERE_SECONDS))
+
+    def offer(self, work, now):
+        """Start or queue a request and return None, or return why it is refused."""
+        if reason := self.closed():
+            return Refused(reason, ELSEWHERE_SECONDS)
+        if self.running < self.limit.limit and not self.queue.length:
+            # With nothing running there is nothing to wait for, and the prediction
+            # may stem from a cold start; refusing would let it never be corrected.
+            if self.running and (refused := self.judge(work, 0.0, now)):
+                return refused
+            self.queue.charge_direct(work)
+            self.start(work, now)
+            return None
+        if refused := self.judge(work, self.queue.cost_ahead(work), now):
+            return refused
+        return self.enqueue(work)
+
+    def judge(self, work, cost_ahead, now):
+        if self.admit_all:
+            return None
+        return self.admission.judge(work, cost_ahead, self.limit.limit, now)
+
+    def enqueue(self, work):
+        self.queue.push(work)
+        if self.queue.length <= self.queue_limit:
+            return None
+        # Refusing the newcomer would let whoever fills the queue shut out all others.
+        victim = self.queue.most_over()
+        seconds = self.admission.wait(self.queue.backlog, self.limit.limit)
+        refused = self.admission.refuse(RefusalReason.SHED, seconds)
+        if victim is work:
+            self.queue.remove(work)
+            return refused
+        self.give_up(victim, refused)
         return None
 
-    def enter(self):
+    def give_up(self, work, refused):
+        self.queue.remove(work)
+        work.payload.refuse(refused)
+
+    def start(self, work, now):
+        self.limit.starting(self.running, now)
         self.running += 1
+        work.payload.start(cold=self.limit.phase is Phase.COLD)
 
-    def exit(self, answered):
+    def finish(self, work, result, now):
+        """Take back the place of a request that ran."""
         self.running -= 1
-        if not answered:
-            return
-        self.answers += 1
-        if self.answers >= self.warm_after:
-            self.limit = min(self.limit + 1, self.warm_limit)
+        match result:
+            case Answered(seconds, cost):
+                self.answers += 1
+                self.queue.correct(work, cost)
+                self.admission.observe(seconds, cost)
+                self.limit.answered(seconds / max(cost, 1.0), now)
+            case Failed(unavailable):
+                self.limit.failed(now, unavailable=unavailable)
+            case Abandoned():
+                pass
+        self.admit_waiting(now)
 
-    def collapse(self):
-        """Return to the cold floor on a sign that the endpoint is cold again."""
-        self.limit = self.cold_limit
-        self.answers = 0
+    def admit_waiting(self, now):
+        """Start waiting requests while there are places."""
+        while self.running < self.limit.limit and self.queue.length:
+            work = self.queue.pop()
+            if refused := self.judge(work, 0.0, now):
+                # Started now it would end too late and take a place from another.
+                self.queue.correct(work, 0.0)
+                work.payload.refuse(refused)
+                continue
+            self.start(work, now)
+
+    def withdraw(self, work):
+        """Take out a waiting request whose caller left; True if it waited."""
+        if not work.waiting:
+            return False
+        self.queue.remove(work)
+        return True
+
+    def sweep(self, now):
+        """Refuse what waits and can't be in time any more, at once."""
+        if self.admit_all:
+            return
+        for work in self.queue.works():
+            if refused := self.judge(work, 0.0, now):
+                self.give_up(work, refused)
 
     @property
     def warm(self):
-        return self.limit >= self.warm_limit
+        return self.limit.warm
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/request/answer.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/request/answer.py
@@ -8,7 +8,18 @@
 class Answer:
     """Collect status, headers and bytes of one execution."""
 
-    __slots__ = ("body", "changed", "headers", "outcome", "reason", "status")
+    __slots__ = (
+        "body",
+        "changed",
+        "cold",
+        "headers",
+        "outcome",
+        "reason",
+        "retry_after_ms",
+        "status",
+        "unavailable",
+        "waited_ms",
+    )
 
     def __init__(self):
         self.status = None
@@ -16,6 +27,12 @@
         self.body = bytearray()
         self.outcome = None
         self.reason = ""
+        # With the outcome not-run: when to come back.
+        self.retry_after_ms = None
+        # The endpoint refused or cut the connection: a sign that it is cold or gone.
+        self.unavailable = False
+        self.waited_ms = 0
+        self.cold = False
         self.changed = asyncio.Event()
 
     @property
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
@@ -40,9 +40,11 @@
                     self.answer.append(data)
             self.answer.finish(*judge_status(response.status))
         except aiohttp.ClientConnectorError as error:
+            self.answer.unavailable = True
             # No connection was made, so no byte of the request can have left.
             self.answer.finish(Outcome.NOT_RUN, f"connect: {error}")
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            self.answer.unavailable = not isinstance(error, TimeoutError)
             phase = "answer" if started else "request"
             self.answer.finish(Outcome.UNKNOWN, f"{phase} cut: {error!r}")
         except asyncio.CancelledError:
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/request/ledger.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/request/ledger.py
@@ -21,6 +21,11 @@
         self.answers[key] = answer
         self.evict()
 
+    def forget(self, key, answer):
+        """Drop a key whose request was given up before it ran."""
+        if self.answers.get(key) is answer:
+            del self.answers[key]
+
     def evict(self):
         held = sum(len(answer.body) for answer in self.answers.values())
         for key, answer in list(self.answers.items()):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from fescuedrum.conf.schema import setting
+from fescuedrum.decisions.routing import RoutingPolicy
 
 
 @dataclass(slots=True)
@@ -29,6 +30,18 @@
     poll_seconds: float = setting(
         0.5, help="Time between reads of the head row.", minimum=0.05, unit="s"
     )
+    endpoint_wait_seconds: float = setting(
+        5.0,
+        help="Longest wait for an endpoint when none may get work.",
+        minimum=0.0,
+        unit="s",
+    )
+    endpoint_wait_limit: int = setting(
+        1000, help="Calls that may wait for an endpoint at the same time.", minimum=0
+    )
+    routing_policy: RoutingPolicy = setting(
+        RoutingPolicy.ADAPTIVE, help="adaptive; others only to compare with."
+    )
     drain_seconds: float = setting(
         60.0, help="Longest wait for running requests at a stop.", minimum=0.0, unit="s"
     )
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
@@ -4,7 +4,6 @@
 import logging
 from dataclasses import dataclass
 
-from fescuedrum.decisions.routing import Candidate
 from fescuedrum.exceptions import ProtocolError
 from fescuedrum.wire import codec
 from fescuedrum.wire.connection import FrameConnection
@@ -26,12 +25,14 @@
 class Exchange:
     """Hold one request on one connection and the frames that come for it."""
 
-    __slots__ = ("attempt", "events", "link", "number")
+    __slots__ = ("attempt", "candidate", "events", "link", "number")
 
-    def __init__(self, link, number, attempt):
+    def __init__(self, link, number, attempt, candidate=None):
         self.link = link
         self.number = number
         self.attempt = attempt
+        # On which the router counts this request as unanswered.
+        self.candidate = candidate
         self.events = asyncio.Queue()
 
     async def receive(self):
@@ -43,6 +44,7 @@
         self.link.send(credit=frames.Credit(self.number, self.attempt, size))
 
     def close(self, *, finished):
+        self.link.entry.router.ended(self.link, self.candidate)
         self.link.exchanges.pop(self.number, None)
         if not finished:
             self.link.send(cancel=frames.Cancel(self.number, self.attempt))
@@ -80,23 +82,13 @@
         beat = self.last_heartbeat
         return self.connection is not None and beat is not None and not beat.leaving
 
-    def candidate(self):
-        load = self.last_heartbeat.load
-        return Candidate(
-            name=self.instance.name,
-            zone=self.instance.zone,
-            running=load.running or 0,
-            limit=load.limit or 1,
-            unanswered=len(self.exchanges),
-            warm=bool(load.warm),
-        )
-
     def open(self, request):
         """Send a request and return its exchange."""
         request.number = self.next_number
         self.next_number += 1
         request.window = WINDOW_BYTES
-        exchange = Exchange(self, request.number, request.attempt)
+        candidate = self.entry.router.sent(self)
+        exchange = Exchange(self, request.number, request.attempt, candidate)
         self.exchanges[request.number] = exchange
         self.send(request=request)
         return exchange
@@ -155,6 +147,7 @@
         match body:
             case members.Heartbeat():
                 self.last_heartbeat = body
+                self.entry.router.heard(self)
             case members.Pull():
                 self.entry.configuration.answer_pull(self, body)
             case frames.Hello():
@@ -170,11 +163,14 @@
         if exchange is None or exchange.attempt != body.attempt:
             self.unexpected_frames += 1
             return
+        if isinstance(body, frames.End):
+            self.entry.router.delivered(self, body)
         exchange.events.put_nowait(body)
 
     def lose(self):
         self.connection = None
         self.last_heartbeat = None
+        self.entry.router.lost(self)
         exchanges, self.exchanges = self.exchanges, {}
         for exchange in exchanges.values():
             exchange.events.put_nowait(Lost())
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -14,7 +14,9 @@
 from fescuedrum.wire.gen.frames.ttypes import Hello
 from fescuedrum.wire.gen.members.ttypes import Heartbeat
 from fescuedrum_entry.connection.link import Link
+from fescuedrum_entry.process.router import Router
 from fescuedrum_entry.request.handler import CallerHandler
+from fescuedrum_entry.request.selection import WaitingRoom
 from fescuedrum_entry.version.configuration import Configuration
 
 logger = logging.getLogger(__name__)
@@ -34,8 +36,10 @@
         "links",
         "platform",
         "random",
+        "router",
         "running",
         "settings",
+        "waiting_room",
     )
 
     def __init__(self, settings, incarnation):
@@ -46,6 +50,10 @@
         self.link_tasks = {}
         self.platform = None
         self.random = random.Random(incarnation)
+        self.router = Router(self, settings.routing_policy, self.random)
+        self.waiting_room = WaitingRoom(
+            self, settings.endpoint_wait_limit, settings.endpoint_wait_seconds
+        )
         self.running = 0
         self.leaving = False
 
@@ -116,17 +124,7 @@
         for name in [*self.links]:
             if name not in agents and self.links[name].connection is None:
                 self.link_tasks.pop(name).cancel()
-                del self.links[name]
-
-    def candidates(self, service):
-        """Return the usable endpoints of a service outside zones taken out."""
-        return [
-            link.candidate()
-            for link in self.links.values()
-            if link.instance.service == service
-            and link.usable
-            and link.instance.zone not in self.configuration.zones_out
-        ]
+                self.router.forget(self.links.pop(name))
 
     def hello(self):
         return Hello(
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/call.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/call.py
@@ -31,3 +31,7 @@
     deadline: float
     priority: int
     cost: float
+    # Model, for engines; an endpoint that has it loaded is preferred.
+    model: str = ""
+    # Start of the prompt; requests that share it run faster at one endpoint.
+    prefix: str = ""
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/dispatch.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/dispatch.py
@@ -25,6 +25,8 @@
     """Say that an attempt provably did not run."""
 
     reason: str
+    # When the agent said to come back; None when it said nothing of it.
+    retry_after_ms: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -65,7 +67,8 @@
             match result:
                 case Done():
                     return None
-                case NotRun(reason):
+                case NotRun(reason, retry_after_ms):
+                    self.selection.refused(link, reason, retry_after_ms)
                     await self.pause(Overloaded(f"No endpoint took it: {reason}."))
                 case Uncertain() if self.may_repeat():
                     repeats += 1
@@ -157,8 +160,8 @@
         length = 0
         while True:
             match await exchange.receive():
-                case frames.Refusal(reason=reason):
-                    return NotRun(reason)
+                case frames.Refusal() as refusal:
+                    return NotRun(refusal.reason, refusal.retry_after_ms)
                 case Lost():
                     return Uncertain("The connection to the agent ended.")
                 case frames.ResponseHead() as head:
@@ -174,7 +177,7 @@
 
     async def settle(self, end, length):
         if end.outcome == Outcome.NOT_RUN:
-            return NotRun(end.reason)
+            return NotRun(end.reason, end.retry_after_ms)
         if end.outcome == Outcome.FAILED and self.may_repeat():
             return Uncertain(end.reason)
         if end.outcome == Outcome.UNKNOWN or end.length != length:
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/decisions/limits.py
@@ -0,0 +1,169 @@
+"""Decide how many requests an endpoint runs at the same time.
+
+Load patterns: an endpoint just started, or gone cold without warning, that falls over
+under what a warm one carries; and an endpoint whose delay grows faster than its
+throughput. With a fixed limit the first falls over at each restart, and the second
+collects requests that it only makes wait.
+
+The limit starts at a floor and stays there until enough answers came in a row. Then
+each answer in good time raises it by one, which doubles it in each round of answers,
+up to the ceiling. Warm, it moves by additive increase and multiplicative decrease on
+delay for each unit of cost, against the best window seen. A sign of coldness takes it
+back to the floor: refused or cut connections, "unavailable", failures or very slow
+answers in a row. After a pause the old limit proves nothing, since the endpoint may
+have been restarted meanwhile, so it is climbed again (as TCP does after idling).
+
+Grounds for the figures. SLOW: a full batch makes an engine's step about one and a
+half times as long as a small one, which is no congestion; twice is. COLD: coldness
+shows as several times the delay, and five such answers in a row are not chance.
+BACK_OFF: a tenth a window empties an endpoint's own queue in a few windows without
+letting it run dry. FORGET: a best delay that can't be reached any more, as after a
+new model, is forgotten within some 15 windows at the floor.
+"""
+
+import enum
+import statistics
+
+SLOW = 2.0
+COLD = 4.0
+COLD_STREAK = 5
+FAILURE_STREAK = 3
+BACK_OFF = 0.9
+FORGET = 1.05
+LIGHT = 2
+MINIMUM_WINDOW = 8
+IDLE_SECONDS = 10.0
+
+
+class Phase(enum.StrEnum):
+    """Say how far an endpoint is known to carry load."""
+
+    COLD = "cold"
+    RAMP = "ramp"
+    WARM = "warm"
+
+
+class EndpointLimit:
+    """Hold the concurrency limit of one endpoint; times are loop time in seconds."""
+
+    __slots__ = (
+        "answers",
+        "best_delay",
+        "ceiling",
+        "collapses",
+        "failures",
+        "floor",
+        "last_at",
+        "limit",
+        "phase",
+        "saturated",
+        "slow_answers",
+        "warm_after",
+        "window",
+    )
+
+    def __init__(self, floor, ceiling, warm_after):
+        self.floor = floor
+        self.ceiling = ceiling
+        self.warm_after = warm_after
+        self.best_delay = None
+        self.last_at = None
+        self.collapses = 0
+        self.reset(Phase.COLD)
+
+    def reset(self, phase):
+        self.phase = phase
+        self.limit = self.floor
+        self.answers = 0
+        self.failures = 0
+        self.slow_answers = 0
+        self.clear_window()
+
+    def clear_window(self):
+        self.window = []
+        self.saturated = False
+
+    @property
+    def warm(self):
+        return self.phase is Phase.WARM
+
+    def starting(self, running, now):
+        """Note that a request is about to start beside the running ones."""
+        idle = running == 0 and self.last_at is not None
+        if idle and now - self.last_at > IDLE_SECONDS and self.phase is Phase.WARM:
+            self.reset(Phase.RAMP)
+        self.last_at = now
+        if running + 1 >= self.limit:
+            self.saturated = True
+
+    def answered(self, delay, now):
+        """Learn from an answer; delay is in seconds for each unit of cost."""
+        self.last_at = now
+        self.failures = 0
+        self.answers += 1
+        if self.is_cold(delay):
+            self.collapse()
+            return
+        match self.phase:
+            case Phase.COLD:
+                self.leave_floor()
+            case Phase.RAMP:
+                self.climb(delay)
+            case Phase.WARM:
+                pass
+        self.add_to_window(delay)
+
+    def is_cold(self, delay):
+        best = self.best_delay
+        very_slow = best is not None and delay > COLD * best
+        self.slow_answers = self.slow_answers + 1 if very_slow else 0
+        return self.slow_answers >= COLD_STREAK and self.limit > self.floor
+
+    def leave_floor(self):
+        if self.answers >= self.warm_after:
+            self.phase = Phase.RAMP
+            self.limit = min(self.limit + 1, self.ceiling)
+
+    def climb(self, delay):
+        best = self.best_delay
+        if best is None or delay <= SLOW * best:
+            self.limit = min(self.limit + 1, self.ceiling)
+        if self.limit >= self.ceiling:
+            self.phase = Phase.WARM
+
+    def add_to_window(self, delay):
+        self.window.append(delay)
+        if len(self.window) >= max(self.limit, MINIMUM_WINDOW):
+            # One caller's odd requests move a mean, but not a median.
+            self.close_window(statistics.median(self.window))
+
+    def close_window(self, delay):
+        best = self.best_delay
+        # Only an endpoint with little to do shows what delay it has without load; if
+        # the best were forgotten under load, limit and delay would rise together.
+        light = self.limit <= LIGHT * self.floor
+        grown = best is not None and best * (FORGET if light else 1.0)
+        self.best_delay = delay if best is None else min(grown, delay)
+        if delay > SLOW * self.best_delay:
+            self.limit = max(self.floor, int(self.limit * BACK_OFF))
+            # Delay has shown where the endpoint's own ceiling lies.
+            if self.phase is Phase.RAMP:
+                self.phase = Phase.WARM
+        elif self.saturated and self.phase is Phase.WARM:
+            self.limit = min(self.limit + 1, self.ceiling)
+        self.clear_window()
+
+    def failed(self, now, *, unavailable):
+        """Learn from a failure; unavailable means that it refused, cut or was full.
+
+        A single failed request may be the caller's fault, and must not let one
+        caller take an endpoint from all others; only a row of them is a sign.
+        """
+        self.last_at = now
+        self.failures += 1
+        if unavailable or self.failures >= FAILURE_STREAK:
+            self.collapse()
+
+    def collapse(self):
+        self.collapses += 1
+        self.reset(Phase.COLD)
--- a/packages/fescuedrum/src/fescuedrum/wire/gen/frames/ttypes.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/gen/frames/ttypes.py
@@ -653,6 +653,8 @@
      - attempt
      - status
      - headers
+     - waited_ms
+     - cold
 
     """
 
@@ -661,14 +663,18 @@
         'attempt',
         'status',
         'headers',
+        'waited_ms',
+        'cold',
     )
 
 
-    def __init__(self, number=None, attempt=None, status=None, headers=None,):
+    def __init__(self, number=None, attempt=None, status=None, headers=None, waited_ms=None, cold=None,):
         self.number = number
         self.attempt = attempt
         self.status = status
         self.headers = headers
+        self.waited_ms = waited_ms
+        self.cold = cold
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -705,6 +711,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.I32:
+                    self.waited_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.BOOL:
+                    self.cold = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -734,6 +750,14 @@
                 iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.waited_ms is not None:
+            oprot.writeFieldBegin('waited_ms', TType.I32, 30)
+            oprot.writeI32(self.waited_ms)
+            oprot.writeFieldEnd()
+        if self.cold is not None:
+            oprot.writeFieldBegin('cold', TType.BOOL, 31)
+            oprot.writeBool(self.cold)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -871,6 +895,8 @@
      - outcome
      - length
      - reason
+     - retry_after_ms
+     - unavailable
 
     """
 
@@ -880,15 +906,19 @@
         'outcome',
         'length',
         'reason',
+        'retry_after_ms',
+        'unavailable',
     )
 
 
-    def __init__(self, number=None, attempt=None, outcome=None, length=None, reason=None,):
+    def __init__(self, number=None, attempt=None, outcome=None, length=None, reason=None, retry_after_ms=None, unavailable=None,):
         self.number = number
         self.attempt = attempt
         self.outcome = outcome
         self.length = length
         self.reason = reason
+        self.retry_after_ms = retry_after_ms
+        self.unavailable = unavailable
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -924,6 +954,16 @@
                     self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.I32:
+                    self.retry_after_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.BOOL:
+                    self.unavailable = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -954,6 +994,14 @@
             oprot.writeFieldBegin('reason', TType.STRING, 5)
             oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
             oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I32, 30)
+            oprot.writeI32(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        if self.unavailable is not None:
+            oprot.writeFieldBegin('unavailable', TType.BOOL, 31)
+            oprot.writeBool(self.unavailable)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1404,6 +1452,33 @@
     (2, TType.I32, 'attempt', None, None, ),  # 2
     (3, TType.I32, 'status', None, None, ),  # 3
     (4, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 4
+    None,  # 5
+    None,  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    (30, TType.I32, 'waited_ms', None, None, ),  # 30
+    (31, TType.BOOL, 'cold', None, None, ),  # 31
 )
 all_structs.append(Chunk)
 Chunk.thrift_spec = (
@@ -1421,6 +1496,32 @@
     (3, TType.STRING, 'outcome', 'UTF8', None, ),  # 3
     (4, TType.I64, 'length', None, None, ),  # 4
     (5, TType.STRING, 'reason', 'UTF8', None, ),  # 5
+    None,  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    (30, TType.I32, 'retry_after_ms', None, None, ),  # 30
+    (31, TType.BOOL, 'unavailable', None, None, ),  # 31
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- a/packages/fescuedrum/src/fescuedrum/wire/gen/members/ttypes.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/gen/members/ttypes.py
@@ -24,6 +24,11 @@
      - limit
      - warm
      - step_seconds
+     - received
+     - cost_rate
+     - delay
+     - answers
+     - loaded
 
     """
 
@@ -33,15 +38,25 @@
         'limit',
         'warm',
         'step_seconds',
+        'received',
+        'cost_rate',
+        'delay',
+        'answers',
+        'loaded',
     )
 
 
-    def __init__(self, running=None, waiting=None, limit=None, warm=None, step_seconds=None,):
+    def __init__(self, running=None, waiting=None, limit=None, warm=None, step_seconds=None, received=None, cost_rate=None, delay=None, answers=None, loaded=None,):
         self.running = running
         self.waiting = waiting
         self.limit = limit
         self.warm = warm
         self.step_seconds = step_seconds
+        self.received = received
+        self.cost_rate = cost_rate
+        self.delay = delay
+        self.answers = answers
+        self.loaded = loaded
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -77,6 +92,36 @@
                     self.step_seconds = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I64:
+                    self.received = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.DOUBLE:
+                    self.cost_rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.DOUBLE:
+                    self.delay = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.I64:
+                    self.answers = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.LIST:
+                    self.loaded = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.loaded.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -107,6 +152,29 @@
             oprot.writeFieldBegin('step_seconds', TType.DOUBLE, 5)
             oprot.writeDouble(self.step_seconds)
             oprot.writeFieldEnd()
+        if self.received is not None:
+            oprot.writeFieldBegin('received', TType.I64, 20)
+            oprot.writeI64(self.received)
+            oprot.writeFieldEnd()
+        if self.cost_rate is not None:
+            oprot.writeFieldBegin('cost_rate', TType.DOUBLE, 21)
+            oprot.writeDouble(self.cost_rate)
+            oprot.writeFieldEnd()
+        if self.delay is not None:
+            oprot.writeFieldBegin('delay', TType.DOUBLE, 22)
+            oprot.writeDouble(self.delay)
+            oprot.writeFieldEnd()
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.I64, 23)
+            oprot.writeI64(self.answers)
+            oprot.writeFieldEnd()
+        if self.loaded is not None:
+            oprot.writeFieldBegin('loaded', TType.LIST, 24)
+            oprot.writeListBegin(TType.STRING, len(self.loaded))
+            for iter6 in self.loaded:
+                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -451,6 +519,25 @@
     (3, TType.I32, 'limit', None, None, ),  # 3
     (4, TType.BOOL, 'warm', None, None, ),  # 4
     (5, TType.DOUBLE, 'step_seconds', None, None, ),  # 5
+    None,  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.I64, 'received', None, None, ),  # 20
+    (21, TType.DOUBLE, 'cost_rate', None, None, ),  # 21
+    (22, TType.DOUBLE, 'delay', None, None, ),  # 22
+    (23, TType.I64, 'answers', None, None, ),  # 23
+    (24, TType.LIST, 'loaded', (TType.STRING, 'UTF8', False), None, ),  # 24
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
--- a/packages/fescuedrum/src/fescuedrum/wire/idl/frames.thrift
+++ b/packages/fescuedrum/src/fescuedrum/wire/idl/frames.thrift
@@ -60,6 +60,10 @@
   2: optional i32 attempt,
   3: optional i32 status,
   4: optional list<Header> headers,
+  // Time in the agent's queue.
+  30: optional i32 waited_ms,
+  // The endpoint was cold when the request started.
+  31: optional bool cold,
 }
 
 struct Chunk {
@@ -76,6 +80,10 @@
   3: optional string outcome,
   4: optional i64 length,
   5: optional string reason,
+  // With the outcome not-run: when to come back.
+  30: optional i32 retry_after_ms,
+  // The endpoint refused or cut the agent's connection.
+  31: optional bool unavailable,
 }
 
 struct Cancel {
--- a/packages/fescuedrum/src/fescuedrum/wire/idl/members.thrift
+++ b/packages/fescuedrum/src/fescuedrum/wire/idl/members.thrift
@@ -8,6 +8,14 @@
   3: optional i32 limit,
   4: optional bool warm,
   5: optional double step_seconds,
+  // Requests of the receiver that this agent had seen on this connection.
+  20: optional i64 received,
+  // Cost served a second while all places were taken; absent before it is known.
+  21: optional double cost_rate,
+  // Seconds for each unit of cost, smoothed, and the answers ever behind it.
+  22: optional double delay,
+  23: optional i64 answers,
+  24: optional list<string> loaded,
 }
 
 struct Heartbeat {
--- /dev/null
+++ b/tests/support/load.py
@@ -0,0 +1,107 @@
+"""Build work and gates, and serve them on simulated time, as callers would see it."""
+
+import heapq
+import random
+
+from fescuedrum.decisions.admission import Admission
+from fescuedrum.decisions.limits import EndpointLimit
+from fescuedrum.decisions.queueing import FairQueue, PriorityClass, Work
+from fescuedrum_agent.process.gate import Answered, Gate
+
+
+class Payload:
+    """Note what the gate did with a work."""
+
+    __slots__ = ("on_start", "refused", "started")
+
+    def __init__(self, on_start=None):
+        self.on_start = on_start
+        self.started = False
+        self.refused = None
+
+    def start(self, *, cold):
+        assert not self.started
+        assert self.refused is None
+        self.started = True
+        if self.on_start:
+            self.on_start()
+
+    def refuse(self, refused):
+        assert not self.started
+        self.refused = refused
+
+
+def build_work(organisation="club", cost=1.0, deadline=1e6, **changes):
+    payload = Payload(changes.pop("on_start", None))
+    values = {"rank": PriorityClass.NORMAL} | changes
+    return Work(organisation, cost, deadline, payload=payload, **values)
+
+
+def build_gate(*, queue=None, floor=2, ceiling=16, warm_after=10, queue_limit=256):
+    limit = EndpointLimit(floor, ceiling, warm_after)
+    return Gate(limit, queue or FairQueue(), Admission(random.Random(1)), queue_limit)
+
+
+class Endpoint:
+    """Serve works through a gate in virtual time: the time of each is its cost.
+
+    A plain heap of ends, not a model of an engine: delay does not grow with load.
+    """
+
+    def __init__(self, gate, seconds_per_cost=1.0):
+        self.gate = gate
+        self.seconds_per_cost = seconds_per_cost
+        self.now = 0.0
+        self.ends = []
+        self.finished = []
+        self.refused = []
+        self.number = 0
+
+    def offer(self, organisation, cost, *, patience=1e6, estimate=None, **changes):
+        work = build_work(
+            organisation,
+            estimate or cost,
+            self.now + patience,
+            arrived=self.now,
+            **changes,
+        )
+        work.payload.on_start = lambda: self.begin(work, cost)
+        if refused := self.gate.offer(work, self.now):
+            work.payload.refused = refused
+        if work.payload.refused:
+            self.refused.append(work)
+        return work
+
+    def begin(self, work, cost):
+        self.number += 1
+        seconds = cost * self.seconds_per_cost
+        heapq.heappush(self.ends, (self.now + seconds, self.number, work, cost))
+
+    def run_until(self, time):
+        while self.ends and self.ends[0][0] <= time:
+            self.now, _, work, cost = heapq.heappop(self.ends)
+            self.finished.append((work, self.now, cost))
+            seconds = cost * self.seconds_per_cost
+            self.gate.finish(work, Answered(seconds, cost), self.now)
+        self.now = time
+
+    def waits(self, organisation):
+        """Return the seconds from arrival to answer of an organisation's works."""
+        return sorted(
+            end - work.arrived
+            for work, end, _ in self.finished
+            if work.organisation == organisation
+        )
+
+    def received(self, organisation):
+        return sum(
+            cost for work, _, cost in self.finished if work.organisation == organisation
+        )
+
+    def in_time(self):
+        return sum(cost for work, end, cost in self.finished if end <= work.deadline)
+
+
+def percentile(values, share):
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
--- a/tests/unit/test_gate.py
+++ b/tests/unit/test_gate.py
@@ -1,34 +1,118 @@
-"""Check that the agent's gate holds back work from a cold endpoint."""
+"""Check that the agent's gate holds back work and shares what there is."""
 
-from fescuedrum_agent.process.gate import Gate
+import random
 
+from support.load import build_gate, build_work
 
-def serve(gate, count):
-    for _ in range(count):
-        gate.enter()
-        gate.exit(answered=True)
+from fescuedrum.decisions.admission import RefusalReason
+from fescuedrum_agent.process.gate import Answered, Failed
+
+
+def serve(gate, count, seconds=0.1):
+    for index in range(count):
+        work = build_work(deadline=1e9)
+        assert gate.offer(work, index) is None
+        gate.finish(work, Answered(seconds, work.cost), index + seconds)
 
 
 def test_a_cold_endpoint_stays_at_its_floor_until_it_has_answered_enough():
-    gate = Gate(cold_limit=2, warm_limit=8, warm_after=3)
+    gate = build_gate(floor=2, ceiling=8, warm_after=3)
     serve(gate, 2)
-    assert gate.limit == 2
+    assert gate.limit.limit == 2
     serve(gate, 10)
-    assert gate.limit == 8
+    assert gate.limit.limit == 8
 
 
 def test_a_sign_of_coldness_takes_the_limit_back_to_the_floor():
-    gate = Gate(cold_limit=2, warm_limit=8, warm_after=3)
+    gate = build_gate(floor=2, ceiling=8, warm_after=3)
     serve(gate, 10)
-    gate.collapse()
-    gate.enter()
-    gate.enter()
-    assert gate.refusal() == "full"
+    cut, *others = works = [build_work(deadline=1e9) for _ in range(8)]
+    for work in works:
+        gate.offer(work, 10.0)
+    assert gate.running == 8
+    gate.finish(cut, Failed(unavailable=True), 10.1)
+    assert gate.limit.limit == 2
+    late = build_work(deadline=1e9)
+    gate.offer(late, 10.2)
+    # Seven still run: the new one waits until the endpoint is below its floor.
+    for work in others[:5]:
+        assert not late.payload.started
+        gate.finish(work, Failed(unavailable=True), 10.3)
+    gate.finish(others[5], Failed(unavailable=True), 10.3)
+    assert late.payload.started
 
 
 def test_a_leaving_endpoint_and_a_zone_taken_out_get_no_new_work():
-    gate = Gate(cold_limit=2, warm_limit=8, warm_after=3)
-    gate.zone_out = True
-    assert gate.refusal() == "zone-out"
-    gate.leaving = True
-    assert gate.refusal() == "leaving"
+    gate = build_gate(floor=1)
+    running, waiting = build_work(), build_work()
+    gate.offer(running, 0.0)
+    gate.offer(waiting, 0.0)
+    gate.close(zone_out=True)
+    assert waiting.payload.refused.reason is RefusalReason.ZONE_OUT
+    gate.finish(running, Answered(0.1, 1.0), 0.1)
+    assert not waiting.payload.started
+    assert gate.offer(build_work(), 0.2).reason is RefusalReason.ZONE_OUT
+    gate.close(leaving=True)
+    assert gate.offer(build_work(), 0.2).reason is RefusalReason.LEAVING
+
+
+def test_a_cold_endpoint_gets_no_more_than_its_floor_from_all_entries_together():
+    """Operators bring a zone back and six entries see idle endpoints at once.
+
+    Each entry alone would keep to the floor, but together they would send six times
+    as much, and the endpoint would fall over. Only the gate sees all of them.
+    """
+    gate = build_gate(floor=2, ceiling=16)
+    works = [build_work(organisation=f"o{index % 3}") for index in range(60)]
+    for work in works:
+        gate.offer(work, 0.0)
+    assert sum(work.payload.started for work in works) == 2
+
+
+def test_after_an_idle_spell_the_limit_is_climbed_again():
+    """An endpoint is restarted in a quiet night and no request notices it.
+
+    In the morning the agent still believes in the warm limit, sends sixteen requests
+    at once, and the cold endpoint falls over.
+    """
+    gate = build_gate(floor=2, ceiling=16, warm_after=3)
+    serve(gate, 40)
+    assert gate.limit.limit == 16
+    works = [build_work(deadline=1e9) for _ in range(16)]
+    for work in works:
+        gate.offer(work, 3600.0)
+    assert sum(work.payload.started for work in works) == 2
+
+
+def test_who_fills_the_queue_is_shed_and_not_who_comes_next():
+    gate = build_gate(floor=1, queue_limit=10)
+    hot = [build_work("hot") for _ in range(30)]
+    refused = [gate.offer(work, 0.0) for work in hot]
+    assert sum(each is not None for each in refused) == 19
+    assert gate.offer(build_work("small"), 0.0) is None
+    shed = [work for work in hot if work.payload.refused]
+    assert len(shed) == 1
+    assert shed[0].payload.refused.reason is RefusalReason.SHED
+    assert shed[0].payload.refused.retry_after > 0
+
+
+def test_no_place_is_lost_whatever_the_order_of_ends():
+    """Works end, fail, leave and are shed in any order; places must add up."""
+    chooser = random.Random(7)
+    gate = build_gate(floor=3, ceiling=6, warm_after=2, queue_limit=8)
+    offered = []
+    for step in range(4000):
+        now = step * 0.01
+        work = build_work(f"o{chooser.randrange(4)}", deadline=now + 1)
+        offered.append(work)
+        gate.offer(work, now)
+        running = [each for each in offered if each.payload.started]
+        offered = [each for each in offered if each.waiting or each in running]
+        assert gate.running == len(running)
+        assert gate.queue.length == sum(each.waiting for each in offered)
+        ending = chooser.choice(running)
+        result = chooser.choice([Answered(0.05, 2.0), Failed(False), Failed(True)])
+        offered.remove(ending)
+        gate.finish(ending, result, now)
+        if chooser.random() < 0.1 and offered:
+            gate.withdraw(chooser.choice(offered))
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -1,20 +1,38 @@
-"""Check the choice of an endpoint."""
+"""Check the choice of an endpoint, by where requests go and how long they take."""
 
 import random
 from collections import Counter
 
+import pytest
 from support.builders import build_candidate
 
-from fescuedrum.decisions import routing
+from fescuedrum.decisions.breakers import FAILURES, Breaker
+from fescuedrum.decisions.outliers import MAXIMUM_SHARE, Outliers
+from fescuedrum.decisions.routing import RoutingPolicy, View, Wish
+
+
+def build_view(*candidates, policy=RoutingPolicy.ADAPTIVE):
+    view = View(policy)
+    for candidate in candidates:
+        view.add(candidate)
+    return view
+
+
+def report(view, candidate, running, **changes):
+    values = {"waiting": 0, "limit": 4, "warm": True, "received": candidate.sent}
+    view.report(candidate, running=running, **values | changes)
+
+
+HERE = Wish(zone="zone-1")
 
 
 def test_the_own_zone_goes_first_while_it_has_room():
     near = build_candidate("near", running=3)
     far = build_candidate("far", zone="zone-2")
-    chosen = routing.choose([near, far], "zone-1", random.Random(1))
-    assert chosen is near
-    near.running = 4
-    assert routing.choose([far, near], "zone-1", random.Random(1)) is far
+    view = build_view(near, far)
+    assert view.choose(HERE, random.Random(1)) is near
+    report(view, near, 4)
+    assert view.choose(HERE, random.Random(1)) is far
 
 
 def test_entries_do_not_all_choose_the_endpoint_that_looked_idle_last():
@@ -25,8 +43,133 @@
     """
     candidates = [build_candidate(f"e{index}", running=1) for index in range(12)]
     candidates[0].running = 0
-    chosen = Counter(
-        routing.choose(candidates, "zone-1", random.Random(seed)).name
-        for seed in range(1000)
-    )
-    assert chosen["e0"] < 250
+    shares = {}
+    for policy in (RoutingPolicy.ADAPTIVE, RoutingPolicy.LEAST_REPORTED):
+        view = build_view(*candidates, policy=policy)
+        shares[policy] = Counter(
+            view.choose(HERE, random.Random(seed)).name for seed in range(1000)
+        )["e0"]
+    assert shares[RoutingPolicy.ADAPTIVE] < 250
+    assert shares[RoutingPolicy.LEAST_REPORTED] == 1000
+
+
+def test_own_sends_since_a_late_report_count():
+    """Half a second passes between reports, and hundreds of requests are sent in it."""
+    view = build_view(build_candidate("a", limit=10), build_candidate("b", limit=10))
+    chooser = random.Random(2)
+    sent = Counter()
+    for _ in range(20):
+        chosen = view.choose(HERE, chooser)
+        view.sent(chosen)
+        sent[chosen.name] += 1
+    assert max(sent.values()) <= 12
+
+
+def test_a_report_that_has_seen_the_sends_does_not_count_them_twice():
+    candidate = build_candidate("a", limit=10)
+    view = build_view(candidate)
+    for _ in range(3):
+        view.sent(candidate)
+    report(view, candidate, 2, received=2, limit=10)
+    assert candidate.outstanding == 3
+    report(view, candidate, 3, received=3, limit=10)
+    assert candidate.outstanding == 3
+    view.ended(candidate)
+    assert candidate.outstanding == 2
+    assert view.outstanding == 2
+
+
+def test_a_prefix_stays_at_its_home_until_that_is_overloaded():
+    """All shops ask with the same long instructions; one engine has them cached.
+
+    Without affinity each engine computes them anew; without a bound on it one engine
+    gets everything.
+    """
+    candidates = [build_candidate(f"e{index}", limit=16) for index in range(12)]
+    view = build_view(*candidates)
+    chooser = random.Random(4)
+    wish = Wish(zone="zone-1", prefix="instructions")
+    home = view.choose(wish, chooser)
+    assert {view.choose(wish, chooser) for _ in range(50)} == {home}
+    for _ in range(96):
+        view.sent(view.choose(wish, chooser))
+    assert home.outstanding <= 16
+    assert sum(each.outstanding for each in candidates) == 96
+
+
+def test_an_endpoint_that_was_tried_is_not_chosen_again():
+    view = build_view(*(build_candidate(f"e{index}") for index in range(5)))
+    wish = Wish(zone="zone-1", tried=frozenset(("e0", "e1", "e2", "e3")))
+    chosen = {view.choose(wish, random.Random(seed)).name for seed in range(50)}
+    assert chosen == {"e4"}
+    all_tried = Wish(tried=frozenset(f"e{index}" for index in range(5)))
+    assert view.choose(all_tried, random.Random(1)) is None
+
+
+@pytest.mark.parametrize("policy", list(RoutingPolicy))
+def test_what_is_taken_out_gets_nothing_and_comes_back(policy):
+    candidates = [build_candidate(f"e{index}") for index in range(4)]
+    view = build_view(*candidates, policy=policy)
+    chooser = random.Random(1)
+    for _ in range(3):
+        view.remove("e1")
+        chosen = {view.choose(HERE, chooser).name for _ in range(200)}
+        assert "e1" not in chosen
+        view.add(candidates[1])
+        assert len(view) == 4
+    for name in ("e0", "e1", "e2", "e3"):
+        view.remove(name)
+    assert view.choose(HERE, chooser) is None
+
+
+def report_all(outliers, delays, answers, now):
+    for name, delay in delays.items():
+        outliers.report(name, delay, answers, now)
+
+
+def test_a_slow_endpoint_is_ejected_and_gently_returned():
+    """One engine of twelve runs five times slower; every twelfth caller waits."""
+    outliers = Outliers()
+    delays = {f"e{index}": 0.01 for index in range(12)}
+    delays["e3"] = 0.05
+    for step in range(6):
+        report_all(outliers, delays, step + 1, step * 0.5)
+    assert not outliers.allows("e3", 3.0)
+    assert all(outliers.allows(name, 3.0) for name in delays if name != "e3")
+    trials = 0
+    for step in range(6, 600):
+        if outliers.allows("e3", step * 0.5):
+            outliers.sent("e3", step * 0.5)
+            trials += 1
+            outliers.report("e3", 0.05, 100 + step, step * 0.5)
+    assert 1 <= trials <= 150
+    delays["e3"] = 0.01
+    report_all(outliers, delays, 9999, 301.0)
+    assert all(outliers.allows("e3", 301.0 + step) for step in range(5))
+
+
+def test_ejection_is_bounded_when_many_are_slow():
+    """A new model makes half of the engines slower; they must go on serving."""
+    outliers = Outliers()
+    delays = {f"e{index}": 0.01 if index < 7 else 0.09 for index in range(12)}
+    for step in range(20):
+        report_all(outliers, delays, step + 1, step * 0.5)
+    allowed = sum(outliers.allows(name, 10.0) for name in delays)
+    assert allowed >= 12 * (1 - MAXIMUM_SHARE)
+
+
+def test_a_breaker_opens_tries_once_and_closes():
+    breaker = Breaker()
+    for _ in range(FAILURES):
+        assert breaker.allows(0.0)
+        breaker.failed(0.0)
+    assert not breaker.allows(0.5)
+    assert breaker.allows(1.0)
+    breaker.sent(1.0)
+    assert not breaker.allows(1.0)
+    breaker.failed(1.1)
+    assert not breaker.allows(2.2)
+    assert breaker.allows(3.2)
+    breaker.sent(3.2)
+    breaker.succeeded()
+    assert breaker.allows(3.3)
