--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 
 .PHONY: setup test lint format demo demo-up
 .PHONY: bench capacity
+.PHONY: docs
 .PHONY: thrift clean
 
 $(STAMP): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml)
@@ -38,6 +39,9 @@
 bench: setup
 	$(PYTHON) -m fescuedrum_bench bench
 
+docs: setup
+	$(PYTHON) -m fescuedrum_entry.management docs --directory docs
+
 # Needs the Thrift compiler; its output is committed, so that a build needs none.
 thrift:
 	rm -rf build/thrift && mkdir -p build/thrift
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
@@ -15,6 +15,9 @@
 RECONNECT_SECONDS = 0.2
 CONNECT_TIMEOUT_SECONDS = 2.0
 WINDOW_BYTES = 256 * 1024
+# A frame of credit for every token would cost as much as the token itself; a quarter
+# of the window keeps the agent sending while the credit is on its way.
+CREDIT_BYTES = WINDOW_BYTES // 4
 
 
 @dataclass(slots=True, frozen=True)
@@ -25,7 +28,7 @@
 class Exchange:
     """Hold one request on one connection and the frames that come for it."""
 
-    __slots__ = ("attempt", "candidate", "events", "link", "number")
+    __slots__ = ("attempt", "candidate", "events", "link", "number", "untold")
 
     def __init__(self, link, number, attempt, candidate=None):
         self.link = link
@@ -34,6 +37,7 @@
         # On which the router counts this request as unanswered.
         self.candidate = candidate
         self.events = asyncio.Queue()
+        self.untold = 0
 
     async def receive(self):
         """Wait for the next frame of this request, or Lost."""
@@ -41,7 +45,10 @@
 
     def taken(self, size):
         """Give the agent credit for bytes that the caller has taken."""
-        self.link.send(credit=frames.Credit(self.number, self.attempt, size))
+        self.untold += size
+        if self.untold >= CREDIT_BYTES:
+            self.link.send(credit=frames.Credit(self.number, self.attempt, self.untold))
+            self.untold = 0
 
     def close(self, *, finished):
         self.link.entry.router.ended(self.link, self.candidate)
@@ -80,7 +87,10 @@
     def usable(self):
         """Tell whether new work may go to this agent."""
         beat = self.last_heartbeat
-        return self.connection is not None and beat is not None and not beat.leaving
+        if self.connection is None or beat is None or beat.leaving:
+            return False
+        # An agent that takes what is sent too slowly gets no more until it caught up.
+        return not self.connection.congested
 
     def open(self, request):
         """Send a request and return its exchange."""
@@ -113,13 +123,17 @@
 
     async def serve(self):
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-            reader, writer = await asyncio.open_connection(
+            reader, writer = await self.entry.peers.connect(
                 self.instance.host, self.instance.port
             )
         connection = FrameConnection(reader, writer)
+        try:
+            await connection.handshake(self.entry.peers.entry_side(self.instance.name))
+        except BaseException:
+            writer.transport.abort()
+            raise
         watch = asyncio.create_task(self.watch(connection))
         try:
-            connection.send(hello=self.entry.hello())
             self.heard_at = self.loop.time()
             while (frame := await connection.receive()) is not None:
                 self.heard_at = self.loop.time()
@@ -150,8 +164,6 @@
                 self.entry.router.heard(self)
             case members.Pull():
                 self.entry.configuration.answer_pull(self, body)
-            case frames.Hello():
-                pass
             case None:
                 self.unexpected_frames += 1
             case _:
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/router.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/router.py
@@ -116,8 +116,13 @@
     def choose(self, service, wish):
         """Return the link of the chosen endpoint, or None when there is none."""
         routes = self.routes(service)
-        candidate = routes.view.choose(wish, self.random)
-        return routes.targets[candidate.name].link if candidate else None
+        while candidate := routes.view.choose(wish, self.random):
+            target = routes.targets[candidate.name]
+            if target.link.usable:
+                return target.link
+            # It became congested since its last report, and is back with the next.
+            routes.view.remove(candidate.name)
+        return None
 
     def sent(self, link):
         """Count a request; return the candidate that its end is counted on."""
