--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 
 from fescuedrum.decisions.pacing import Backoff
-from fescuedrum.decisions.routing import Candidate
 from fescuedrum.exceptions import ProtocolError
 from fescuedrum.wire import codec
 from fescuedrum.wire.connection import FrameConnection
@@ -33,12 +32,22 @@
 class Exchange:
     """Hold one request on one connection and the frames that come for it."""
 
-    __slots__ = ("attempt", "events", "link", "number", "trace", "untold")
+    __slots__ = (
+        "attempt",
+        "candidate",
+        "events",
+        "link",
+        "number",
+        "trace",
+        "untold",
+    )
 
-    def __init__(self, link, number, attempt, trace=None):
+    def __init__(self, link, number, attempt, candidate=None, trace=None):
         self.link = link
         self.number = number
         self.attempt = attempt
+        # On which the router counts this request as unanswered.
+        self.candidate = candidate
         self.events = asyncio.Queue()
         self.trace = trace
         self.untold = 0
@@ -58,6 +67,7 @@
             self.untold = 0
 
     def close(self, *, finished):
+        self.link.entry.router.ended(self.link, self.candidate)
         self.link.exchanges.pop(self.number, None)
         if self.trace is not None:
             self.trace.closed()
@@ -104,24 +114,14 @@
         # An agent that takes what is sent too slowly gets no more until it caught up.
         return not self.connection.congested
 
-    def candidate(self):
-        load = self.last_heartbeat.load
-        return Candidate(
-            name=self.instance.name,
-            zone=self.instance.zone,
-            running=load.running or 0,
-            limit=load.limit or 1,
-            unanswered=len(self.exchanges),
-            warm=bool(load.warm),
-        )
-
     def open(self, request):
         """Send a request and return its exchange."""
         request.number = self.next_number
         self.next_number += 1
         request.window = WINDOW_BYTES
         trace = AttemptTrace.begin(self, request)
-        exchange = Exchange(self, request.number, request.attempt, trace)
+        candidate = self.entry.router.sent(self)
+        exchange = Exchange(self, request.number, request.attempt, candidate, trace)
         self.exchanges[request.number] = exchange
         self.send(request=request)
         return exchange
@@ -189,6 +189,7 @@
                 self.last_heartbeat = body
                 self.entry.members.heard(self.peer, body)
                 self.entry.following.heard(self, body)
+                self.entry.router.heard(self)
             case members.Pull():
                 self.entry.following.answer(self, body)
             case members.DocumentBody():
@@ -204,6 +205,8 @@
         if exchange is None or exchange.attempt != body.attempt:
             self.unexpected_frames += 1
             return
+        if isinstance(body, frames.End):
+            self.entry.router.delivered(self, body)
         exchange.events.put_nowait(body)
 
     def lose(self):
@@ -211,6 +214,7 @@
             self.entry.members.lost(self.instance.name)
         self.connection = None
         self.last_heartbeat = None
+        self.entry.router.lost(self)
         exchanges, self.exchanges = self.exchanges, {}
         for exchange in exchanges.values():
             exchange.events.put_nowait(LOST)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -23,7 +23,9 @@
 from fescuedrum_entry.operators.accounts import Role
 from fescuedrum_entry.process.members import Members
 from fescuedrum_entry.process.metrics import EntryMetrics
+from fescuedrum_entry.process.router import Router
 from fescuedrum_entry.request import handler
+from fescuedrum_entry.request.selection import WaitingRoom
 from fescuedrum_entry.request.trace import TraceBook
 from fescuedrum_entry.version.following import Following
 
@@ -48,10 +50,12 @@
         "peers",
         "platform",
         "random",
+        "router",
         "running",
         "settings",
         "sign_in_limit",
         "traces",
+        "waiting_room",
     )
 
     def __init__(self, settings, incarnation):
@@ -68,6 +72,11 @@
         self.callers_tls = Certificates()
         self.platform = None
         self.random = random.Random(incarnation)
+        self.router = Router(self, settings.routing_policy, self.random)
+        self.configuration.subscribe(self.router.refresh_all)
+        self.waiting_room = WaitingRoom(
+            self, settings.endpoint_wait_limit, settings.endpoint_wait_seconds
+        )
         self.running = 0
         self.traces = TraceBook(settings.trace_count, settings.trace_slow_seconds)
         self.metrics = EntryMetrics()
@@ -163,7 +172,7 @@
         for name in [*self.links]:
             if name not in agents and self.may_unlink(name):
                 self.link_tasks.pop(name).cancel()
-                del self.links[name]
+                self.router.forget(self.links.pop(name))
 
     def may_unlink(self, name):
         """Tell whether a link that is not called for may be closed now."""
@@ -172,16 +181,6 @@
         listed = {each.name for each in self.members.instances}
         return link.connection is None or (name in listed and not link.exchanges)
 
-    def candidates(self, service):
-        """Return the usable endpoints of a service outside zones taken out."""
-        return [
-            link.candidate()
-            for link in self.links.values()
-            if link.instance.service == service
-            and link.usable
-            and link.instance.zone not in self.configuration.zones_out
-        ]
-
     def served_zones(self):
         """Return the zones in which endpoints of each service are usable now."""
         served = {}
