--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
@@ -28,6 +28,7 @@
         "connection",
         "next_beat",
         "peer",
+        "received",
         "relays",
         "tasks",
     )
@@ -39,6 +40,8 @@
         # How often the entry wants heartbeats, and when the next is due.
         self.beat_interval = 0.0
         self.next_beat = 0.0
+        # Requests seen on this connection; the entry corrects late reports by it.
+        self.received = 0
         self.relays = {}
         self.tasks = set()
 
@@ -77,9 +80,10 @@
                     self.connection.send(document=document)
 
     def handle_request(self, request):
-        answer, reason = self.agent.submit(self, request)
+        self.received += 1
+        answer, refused = self.agent.submit(self, request)
         if answer is None:
-            self.send("refusal", request.number, request.attempt, reason=reason)
+            self.send("refusal", request.number, request.attempt, **refused.fields())
             return
         relay = Relay(self, request, answer)
         self.relays[request.number] = relay
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/metrics.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/metrics.py
@@ -6,6 +6,7 @@
     Catalogue,
     Label,
 )
+from fescuedrum.outcomes import Outcome
 
 REASON = Label("reason", "refusal reasons of this release")
 
@@ -13,7 +14,7 @@
 class AgentMetrics:
     """Own the agent's metrics."""
 
-    __slots__ = ("answers", "catalogue", "loop_delay", "refusals")
+    __slots__ = ("answers", "catalogue", "loop_delay", "refusals", "seconds", "waits")
 
     def __init__(self):
         catalogue = self.catalogue = Catalogue()
@@ -27,6 +28,15 @@
             "Requests that were refused and not run.",
             REASON,
         )
+        self.seconds = catalogue.histogram(
+            "fescuedrum_agent_execution_seconds",
+            "Time from a request's start at the endpoint to the end of its answer.",
+            OUTCOME,
+        )
+        self.waits = catalogue.histogram(
+            "fescuedrum_agent_queue_seconds",
+            "Time that requests which ran had waited here for their place.",
+        )
         self.loop_delay = catalogue.histogram(
             "fescuedrum_loop_delay_seconds",
             "Lateness of the process's event loop; all requests wait for it.",
@@ -41,10 +51,15 @@
             "Requests that the endpoint runs now.",
             lambda: agent.gate.running,
         )
+        reading(
+            "fescuedrum_agent_queued",
+            "Requests that wait here for a place at the endpoint.",
+            lambda: agent.gate.queue.length,
+        )
         reading(
             "fescuedrum_agent_limit",
             "Requests that the endpoint may run at once.",
-            lambda: agent.gate.limit,
+            lambda: agent.gate.limit.limit,
         )
         reading(
             "fescuedrum_agent_warm",
@@ -77,6 +92,12 @@
             lambda: agent.gate.leaving,
         )
 
+    def ran(self, ticket, now):
+        """Count a request that the endpoint ran to its end."""
+        outcome = ticket.answer.outcome or Outcome.UNKNOWN
+        self.seconds.labels(outcome.value).observe(now - ticket.started_at)
+        self.waits.observe(ticket.started_at - ticket.work.arrived)
+
     def told(self, kind, fields):
         """Count a frame that is sent to an entry."""
         if kind == "refusal":
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/attempt.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/attempt.py
@@ -7,6 +7,7 @@
 RESULT_REFUSED = "refused"
 RESULT_LOST = "lost"
 RESULT_LEFT = "left"
+MILLISECONDS = 1000
 
 
 class AttemptTrace:
@@ -44,7 +45,8 @@
             case frames.Chunk():
                 return
             case frames.ResponseHead():
-                self.note(Step.HEAD, status=body.status)
+                waited = (body.waited_ms or 0) / MILLISECONDS
+                self.note(Step.HEAD, status=body.status, queued_at_agent=waited)
             case frames.Refusal():
                 self.result = RESULT_REFUSED
                 self.metrics.refused(body.reason)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/metrics.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/metrics.py
@@ -1,5 +1,6 @@
 """Declare the entry's metrics and count what its requests come to."""
 
+from fescuedrum.decisions.admission import RefusalReason
 from fescuedrum.metrics import (
     LOOP_DELAY_BUCKETS,
     ORGANISATION,
@@ -14,21 +15,7 @@
 CODE = Label("code", "`ok` and the error codes of the callers' interface")
 REASON = Label("reason", "refusal reasons of agents, others as `other`")
 RESULT = Label("result", "4: ended, refused, lost, left")
-REFUSAL_REASONS = frozenset(
-    (
-        "cold",
-        "deadline",
-        "draining",
-        "fenced",
-        "full",
-        "key-unknown",
-        "late",
-        "leaving",
-        "queue-full",
-        "withdrawn",
-        "zone-out",
-    )
-)
+REFUSAL_REASONS = frozenset(RefusalReason)
 
 
 class EntryMetrics:
