Give the trace's test whole instances

Cause: the router now counts each request on its service's view, and the test's instances, made of loose names, had no service.

Change: the test builds the platform's own Instance.

Conclusion: tests use the real classes where one exists.

--- a/tests/unit/test_trace.py
+++ b/tests/unit/test_trace.py
@@ -1,12 +1,12 @@
 """Check that operators can see what became of a request."""
 
 import json
-from types import SimpleNamespace
 
 from support.callers import AUTHORISED, Script, build_entry, send, serving
 
 from fescuedrum.conf.document import KeyHash, hash_key
 from fescuedrum.exceptions import OutcomeUnknown, Overloaded
+from fescuedrum.platform.interfaces import Instance
 from fescuedrum.wire.gen.frames import ttypes as frames
 from fescuedrum.wire.gen.members.ttypes import Heartbeat, LoadReport
 from fescuedrum_entry.connection.link import Link
@@ -36,7 +36,7 @@
             ("agent-1", frames.Refusal(1, 1, "full")),
             ("agent-2", frames.End(1, 2, "answered", 2)),
         ):
-            instance = SimpleNamespace(name=name, zone="zone-2")
+            instance = Instance(name, "agent", "zone-2", "127.0.0.1", 1)
             link = Link(self.entry, instance)
             link.last_heartbeat = Heartbeat(load=LoadReport(3, 0, 8, True))
             exchange = link.open(frames.Request(request_id=number, attempt=1))
