--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
@@ -22,17 +22,34 @@
 class Session:
     """Own one connection: read its frames, run its requests, send their answers."""
 
-    __slots__ = ("agent", "connection", "peer", "relays", "tasks")
+    __slots__ = (
+        "agent",
+        "beat_interval",
+        "connection",
+        "next_beat",
+        "peer",
+        "received",
+        "relays",
+        "tasks",
+    )
 
     def __init__(self, agent, reader, writer):
         self.agent = agent
         self.connection = FrameConnection(reader, writer)
         self.peer = None
+        # How often the entry wants heartbeats, and when the next is due.
+        self.beat_interval = 0.0
+        self.next_beat = 0.0
+        # Requests seen on this connection; the entry corrects late reports by it.
+        self.received = 0
         self.relays = {}
         self.tasks = set()
 
     async def run(self):
         try:
+            side = self.agent.peers.agent_side()
+            self.peer = (await self.connection.handshake(side)).instance
+            self.agent.greet(self)
             while (frame := await self.connection.receive()) is not None:
                 self.handle(codec.body_of(frame))
         finally:
@@ -46,10 +63,6 @@
 
     def handle(self, body):
         match body:
-            case frames.Hello():
-                self.peer = body.instance
-                self.connection.send(hello=self.agent.hello())
-                self.connection.send(heartbeat=self.agent.heartbeat())
             case frames.Request():
                 self.handle_request(body)
             case frames.Credit():
@@ -60,12 +73,16 @@
             case members.Heartbeat():
                 self.agent.heard(self, body)
             case members.DocumentBody():
-                self.agent.configuration.offer(body)
+                self.agent.configuration.offer_frame(body)
+            case members.Pull():
+                if document := self.agent.configuration.answer(body):
+                    self.connection.send(document=document)
 
     def handle_request(self, request):
-        answer, reason = self.agent.submit(self, request)
+        self.received += 1
+        answer, refused = self.agent.submit(self, request)
         if answer is None:
-            self.send("refusal", request.number, request.attempt, reason=reason)
+            self.send("refusal", request.number, request.attempt, **refused.fields())
             return
         relay = Relay(self, request, answer)
         self.relays[request.number] = relay
--- a/packages/fescuedrum/src/fescuedrum/wire/idl/frames.thrift
+++ b/packages/fescuedrum/src/fescuedrum/wire/idl/frames.thrift
@@ -21,6 +21,23 @@
   6: optional binary nonce,
   7: optional string endpoint,
   8: optional string service_name,
+  // Oldest protocol that the sender still speaks; absent means 1.
+  9: optional i32 minimum_protocol,
+  // Instance that the sender means to reach; the proofs bind it.
+  10: optional string addressee,
+}
+
+// The agent's answer to a Hello. It names no instance: whoever asks gets it unproved.
+struct Challenge {
+  1: optional i32 protocol,
+  2: optional i32 minimum_protocol,
+  3: optional binary nonce,
+}
+
+// Shows that the sender holds a peer key, without telling it.
+struct Proof {
+  1: optional string key_id,
+  2: optional binary mac,
 }
 
 // budget_ms is the time left, never a clock reading: hosts' clocks differ.
@@ -60,6 +77,10 @@
   2: optional i32 attempt,
   3: optional i32 status,
   4: optional list<Header> headers,
+  // Time in the agent's queue.
+  30: optional i32 waited_ms,
+  // The endpoint was cold when the request started.
+  31: optional bool cold,
 }
 
 struct Chunk {
@@ -76,6 +97,10 @@
   3: optional string outcome,
   4: optional i64 length,
   5: optional string reason,
+  // With the outcome not-run: when to come back.
+  30: optional i32 retry_after_ms,
+  // The endpoint refused or cut the agent's connection.
+  31: optional bool unavailable,
 }
 
 struct Cancel {
@@ -99,7 +124,12 @@
   6: End end,
   7: Cancel cancel,
   8: Credit credit,
+  15: Challenge challenge,
+  16: Proof proof,
   20: members.Heartbeat heartbeat,
   21: members.Pull pull,
   22: members.DocumentBody document,
+  23: members.ZoneDigest digest,
+  24: members.ListingPull listing_pull,
+  25: members.Listing listing,
 }
