Serve a console of forms from any entry

Cause: operators had commands only. Change: server-rendered forms made from the document's classes, without scripts. Conclusion: the console's one output is a validated document.

--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -250,6 +250,7 @@
         operator = Account("operator", Role.OPERATOR, [salted])
         return {
             "peer_port": PEER_PORT,
+            "console_secret": self.peer_secret,
             "operators": [schema.dump(operator)],
             "seeds": [
                 {"name": seed.name, "host": seed.host, "port": PEER_PORT}
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -42,6 +42,9 @@
     seeds: list[Seed] = setting(
         list, help="Entries of the zone to start from when the platform is out."
     )
+    console_secret: str = setting(
+        "", help="Secret that signs the console's cookies; without it, no console."
+    )
     operators: list[Account] = setting(list, help="Operators who may sign in here.")
     callers_tls: TlsFiles | None = setting(
         None, help="Certificate and key shown to callers; without it, plain HTTP."
--- /dev/null
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/console/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the console: forms whose only output is one validated document."""
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/operators/routes.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/routes.py
@@ -6,6 +6,7 @@
 from fescuedrum_entry.operators.access import ACCOUNT, require_role
 from fescuedrum_entry.operators.accounts import Role
 from fescuedrum_entry.operators.changes import Changes
+from fescuedrum_entry.operators.console import routes as console
 
 
 def add_routes(application, entry):
@@ -14,6 +15,7 @@
     router.add_get("/operators/me", require_role(entry, Role.VIEWER, show_account))
     Changes(entry).add_routes(router)
     status.add_routes(application, entry)
+    console.add_routes(application, entry)
 
 
 async def show_account(request):
--- a/packages/fescuedrum/src/fescuedrum/conf/diff.py
+++ b/packages/fescuedrum/src/fescuedrum/conf/diff.py
@@ -121,7 +121,7 @@
         return ", ".join(show(item) for item in value) or "none"
     if dataclasses.is_dataclass(value):
         return describe_new(value).removeprefix(" with ") or "defaults"
-    return "none" if value is None else str(value)
+    return "none" if value in (None, "") else str(value)
 
 
 def spaced(name):
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -123,6 +123,14 @@
     remedy = "Ask an administrator for the role, or let someone who has it do this."
 
 
+class FormRefused(BadRequest):
+    """Refuse a form that was not made for the session that sends it."""
+
+    code = "form-refused"
+    status = 403
+    remedy = "Open the page again and send the form from there."
+
+
 class TooManySignIns(BadRequest):
     """Refuse an address that failed to sign in too often."""
 
