--- a/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
@@ -5,16 +5,16 @@
 
 import aiohttp
 from multidict import CIMultiDict
+from yarl import URL
 
+from fescuedrum.headers import as_text, end_to_end
 from fescuedrum.outcomes import Outcome
 from fescuedrum.wire.gen.frames.ttypes import Header
 
 logger = logging.getLogger(__name__)
 
-# They describe one connection, not the message (RFC 9110, section 7.6.1).
-HOP_HEADERS = frozenset(
-    ("connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade")
-)
+# The request goes on as it came: what the caller did not send is not added.
+SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 SERVER_ERROR = 500
 
 
@@ -40,9 +40,11 @@
                     self.answer.append(data)
             self.answer.finish(*judge_status(response.status))
         except aiohttp.ClientConnectorError as error:
+            self.answer.unavailable = True
             # No connection was made, so no byte of the request can have left.
             self.answer.finish(Outcome.NOT_RUN, f"connect: {error}")
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            self.answer.unavailable = not isinstance(error, TimeoutError)
             phase = "answer" if started else "request"
             self.answer.finish(Outcome.UNKNOWN, f"{phase} cut: {error!r}")
         except asyncio.CancelledError:
@@ -51,19 +53,18 @@
 
     def call(self):
         headers = CIMultiDict(
-            (header.name, header.value)
-            for header in self.request.headers or ()
-            if header.name.lower() not in HOP_HEADERS
+            (header.name, header.value) for header in self.request.headers or ()
         )
         timeout = aiohttp.ClientTimeout(total=self.request.budget_ms / 1000)
         return self.session.request(
             self.request.method,
-            self.base_url + self.request.path,
+            # Encoded already: `%2F` and `/` may differ to the endpoint.
+            URL(self.base_url + self.request.path, encoded=True),
             headers=headers,
             data=self.request.body or None,
             timeout=timeout,
             allow_redirects=False,
-            skip_auto_headers=("User-Agent",),
+            skip_auto_headers=SKIPPED_HEADERS,
         )
 
 
@@ -74,8 +75,4 @@
 
 
 def plain_headers(headers):
-    return [
-        Header(name, value)
-        for name, value in headers.items()
-        if name.lower() not in HOP_HEADERS
-    ]
+    return [Header(name, as_text(value)) for name, value in end_to_end(headers)]
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from fescuedrum.conf.schema import setting
+from fescuedrum.decisions.routing import RoutingPolicy
 from fescuedrum.tls import TlsFiles
 from fescuedrum.wire.handshake import PeerKey
 from fescuedrum_entry.operators.accounts import Account
@@ -21,6 +22,18 @@
     maximum_body_bytes: int = setting(
         4 * 1024 * 1024, help="Largest body taken from a caller.", minimum=1, unit="B"
     )
+    body_seconds: float = setting(
+        30.0, help="Longest time for a caller's body.", minimum=0.05, unit="s"
+    )
+    idle_seconds: float = setting(
+        75.0, help="Longest time a caller may send no request.", minimum=0.1, unit="s"
+    )
+    maximum_header_bytes: int = setting(
+        8190, help="Longest line of a caller's head.", minimum=256, unit="B"
+    )
+    maximum_header_count: int = setting(
+        100, help="Most headers taken from a caller.", minimum=8
+    )
     default_deadline_seconds: float = setting(
         30.0, help="Deadline of a request that names none.", minimum=0.001, unit="s"
     )
@@ -33,6 +46,18 @@
     poll_seconds: float = setting(
         0.5, help="Time between reads of the head row.", minimum=0.05, unit="s"
     )
+    endpoint_wait_seconds: float = setting(
+        5.0,
+        help="Longest wait for an endpoint when none may get work.",
+        minimum=0.0,
+        unit="s",
+    )
+    endpoint_wait_limit: int = setting(
+        1000, help="Calls that may wait for an endpoint at the same time.", minimum=0
+    )
+    routing_policy: RoutingPolicy = setting(
+        RoutingPolicy.ADAPTIVE, help="adaptive; others only to compare with."
+    )
     drain_seconds: float = setting(
         60.0, help="Longest wait for running requests at a stop.", minimum=0.0, unit="s"
     )
@@ -46,6 +71,12 @@
         "", help="Secret that signs the console's cookies; without it, no console."
     )
     operators: list[Account] = setting(list, help="Operators who may sign in here.")
+    trace_count: int = setting(
+        2000, help="Requests kept for operators to look up, of each kind.", minimum=1
+    )
+    trace_slow_seconds: float = setting(
+        5.0, help="Time from which a request is kept as slow.", minimum=0.0, unit="s"
+    )
     callers_tls: TlsFiles | None = setting(
         None, help="Certificate and key shown to callers; without it, plain HTTP."
     )
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 
 from fescuedrum.decisions.pacing import Backoff
-from fescuedrum.decisions.routing import Candidate
 from fescuedrum.exceptions import ProtocolError
 from fescuedrum.wire import codec
 from fescuedrum.wire.connection import FrameConnection
 from fescuedrum.wire.gen.frames import ttypes as frames
 from fescuedrum.wire.gen.members import ttypes as members
+from fescuedrum_entry.connection.attempt import AttemptTrace
 
 logger = logging.getLogger(__name__)
 
@@ -26,21 +26,38 @@
     """Tell an exchange that its connection ended; the request may have run."""
 
 
+LOST = Lost()
+
+
 class Exchange:
     """Hold one request on one connection and the frames that come for it."""
 
-    __slots__ = ("attempt", "events", "link", "number", "untold")
+    __slots__ = (
+        "attempt",
+        "candidate",
+        "events",
+        "link",
+        "number",
+        "trace",
+        "untold",
+    )
 
-    def __init__(self, link, number, attempt):
+    def __init__(self, link, number, attempt, candidate=None, trace=None):
         self.link = link
         self.number = number
         self.attempt = attempt
+        # On which the router counts this request as unanswered.
+        self.candidate = candidate
         self.events = asyncio.Queue()
+        self.trace = trace
         self.untold = 0
 
     async def receive(self):
         """Wait for the next frame of this request, or Lost."""
-        return await self.events.get()
+        body = await self.events.get()
+        if self.trace is not None:
+            self.trace.received(body)
+        return body
 
     def taken(self, size):
         """Give the agent credit for bytes that the caller has taken."""
@@ -50,7 +67,10 @@
             self.untold = 0
 
     def close(self, *, finished):
+        self.link.entry.router.ended(self.link, self.candidate)
         self.link.exchanges.pop(self.number, None)
+        if self.trace is not None:
+            self.trace.closed()
         if not finished:
             self.link.send(cancel=frames.Cancel(self.number, self.attempt))
 
@@ -94,23 +114,14 @@
         # An agent that takes what is sent too slowly gets no more until it caught up.
         return not self.connection.congested
 
-    def candidate(self):
-        load = self.last_heartbeat.load
-        return Candidate(
-            name=self.instance.name,
-            zone=self.instance.zone,
-            running=load.running or 0,
-            limit=load.limit or 1,
-            unanswered=len(self.exchanges),
-            warm=bool(load.warm),
-        )
-
     def open(self, request):
         """Send a request and return its exchange."""
         request.number = self.next_number
         self.next_number += 1
         request.window = WINDOW_BYTES
-        exchange = Exchange(self, request.number, request.attempt)
+        trace = AttemptTrace.begin(self, request)
+        candidate = self.entry.router.sent(self)
+        exchange = Exchange(self, request.number, request.attempt, candidate, trace)
         self.exchanges[request.number] = exchange
         self.send(request=request)
         return exchange
@@ -178,6 +189,7 @@
                 self.last_heartbeat = body
                 self.entry.members.heard(self.peer, body)
                 self.entry.following.heard(self, body)
+                self.entry.router.heard(self)
             case members.Pull():
                 self.entry.following.answer(self, body)
             case members.DocumentBody():
@@ -193,6 +205,8 @@
         if exchange is None or exchange.attempt != body.attempt:
             self.unexpected_frames += 1
             return
+        if isinstance(body, frames.End):
+            self.entry.router.delivered(self, body)
         exchange.events.put_nowait(body)
 
     def lose(self):
@@ -200,6 +214,7 @@
             self.entry.members.lost(self.instance.name)
         self.connection = None
         self.last_heartbeat = None
+        self.entry.router.lost(self)
         exchanges, self.exchanges = self.exchanges, {}
         for exchange in exchanges.values():
-            exchange.events.put_nowait(Lost())
+            exchange.events.put_nowait(LOST)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/operators/changes.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/changes.py
@@ -17,8 +17,9 @@
 )
 from fescuedrum.versions.apply import Applier, Proposal
 from fescuedrum.versions.audit import read_head, read_trail, verify
-from fescuedrum_entry.operators.access import ACCOUNT, error_response, require_role
+from fescuedrum_entry.operators.access import ACCOUNT, require_role
 from fescuedrum_entry.operators.accounts import Role
+from fescuedrum_entry.request.errors import error_response, new_request_id
 
 MAXIMUM_DOCUMENT_BYTES = 16 * 1024 * 1024
 DEFAULT_TRAIL_ROWS = 50
@@ -122,10 +123,13 @@
             proposal = build_proposal(data, request[ACCOUNT].name)
             accepted = await self.accept(proposal)
         except ChangeInvalid as error:
-            return error_response(error, findings=dump_findings(error.findings))
+            return error_response(
+                error, new_request_id(), findings=dump_findings(error.findings)
+            )
         except ChangeRaced as error:
             return error_response(
                 error,
+                new_request_id(),
                 head_version=error.head_version,
                 mine=error.mine,
                 theirs=error.theirs,
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from fescuedrum import __version__
+from fescuedrum.metrics import watch_loop
 from fescuedrum.platform.client import PlatformClient
 from fescuedrum.process import cancel, on_reload, stop_event
 from fescuedrum.tls import Certificates
@@ -15,11 +16,17 @@
 from fescuedrum.wire.gen.frames.ttypes import Hello
 from fescuedrum.wire.gen.members.ttypes import Heartbeat
 from fescuedrum.wire.peers import Peers
+from fescuedrum_entry.connection.callers import CallersRunner
 from fescuedrum_entry.connection.link import Link
-from fescuedrum_entry.operators import routes as operators
-from fescuedrum_entry.operators.access import SignInLimit
+from fescuedrum_entry.operators import requests, routes as operators
+from fescuedrum_entry.operators.access import SignInLimit, require_role
+from fescuedrum_entry.operators.accounts import Role
 from fescuedrum_entry.process.members import Members
-from fescuedrum_entry.request.handler import CallerHandler
+from fescuedrum_entry.process.metrics import EntryMetrics
+from fescuedrum_entry.process.router import Router
+from fescuedrum_entry.request import handler
+from fescuedrum_entry.request.selection import WaitingRoom
+from fescuedrum_entry.request.trace import TraceBook
 from fescuedrum_entry.version.following import Following
 
 logger = logging.getLogger(__name__)
@@ -39,12 +46,16 @@
         "link_tasks",
         "links",
         "members",
+        "metrics",
         "peers",
         "platform",
         "random",
+        "router",
         "running",
         "settings",
         "sign_in_limit",
+        "traces",
+        "waiting_room",
     )
 
     def __init__(self, settings, incarnation):
@@ -61,8 +72,16 @@
         self.callers_tls = Certificates()
         self.platform = None
         self.random = random.Random(incarnation)
+        self.router = Router(self, settings.routing_policy, self.random)
+        self.configuration.subscribe(self.router.refresh_all)
+        self.waiting_room = WaitingRoom(
+            self, settings.endpoint_wait_limit, settings.endpoint_wait_seconds
+        )
         self.running = 0
+        self.traces = TraceBook(settings.trace_count, settings.trace_slow_seconds)
+        self.metrics = EntryMetrics()
         self.leaving = False
+        self.metrics.watch(self)
 
     async def run(self):
         """Serve until a signal, then drain and stop."""
@@ -75,9 +94,10 @@
                 asyncio.create_task(self.following.run(self.members.read_interval)),
                 asyncio.create_task(self.members.run()),
                 asyncio.create_task(self.callers_tls.follow()),
+                asyncio.create_task(watch_loop(self.metrics.loop_delay)),
                 asyncio.create_task(self.peers.certificates.follow()),
             ]
-            runner = web.AppRunner(self.build_application(), access_log=None)
+            runner = CallersRunner(self.build_application(), self.settings)
             await runner.setup()
             await self.listen(runner)
             peer_server = await self.members.listen()
@@ -100,13 +120,14 @@
 
     def build_application(self):
         application = web.Application()
-        handle = CallerHandler(self).handle
-        application.router.add_post("/v1/chat/completions", handle)
-        application.router.add_post("/v1/completions", handle)
-        application.router.add_route("*", "/services/{service}/{rest:.*}", handle)
+        handler.add_routes(application, self)
         application.router.add_get("/healthz", self.healthz)
         application.router.add_get("/readyz", self.readyz)
+        # The names of organisations are in it, and callers reach this port.
+        metrics = require_role(self, Role.VIEWER, self.expose_metrics)
+        application.router.add_get("/metrics", metrics)
         operators.add_routes(application, self)
+        requests.add_routes(application, self)
         return application
 
     async def healthz(self, _):
@@ -121,6 +142,10 @@
         body = {"ready": ready, "version": self.configuration.version}
         return web.json_response(body, status=200 if ready else 503)
 
+    async def expose_metrics(self, _):
+        text, content_type = self.metrics.catalogue.expose()
+        return web.Response(body=text, headers={"Content-Type": content_type})
+
     async def drain(self):
         """Turn readiness down, say so, and let running requests end."""
         self.leaving = True
@@ -147,7 +172,7 @@
         for name in [*self.links]:
             if name not in agents and self.may_unlink(name):
                 self.link_tasks.pop(name).cancel()
-                del self.links[name]
+                self.router.forget(self.links.pop(name))
 
     def may_unlink(self, name):
         """Tell whether a link that is not called for may be closed now."""
@@ -156,16 +181,6 @@
         listed = {each.name for each in self.members.instances}
         return link.connection is None or (name in listed and not link.exchanges)
 
-    def candidates(self, service):
-        """Return the usable endpoints of a service outside zones taken out."""
-        return [
-            link.candidate()
-            for link in self.links.values()
-            if link.instance.service == service
-            and link.usable
-            and link.instance.zone not in self.configuration.zones_out
-        ]
-
     def served_zones(self):
         """Return the zones in which endpoints of each service are usable now."""
         served = {}
