--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -135,7 +135,7 @@
             warm=gate.warm,
             received=session.received,
             cost_rate=gate.admission.rate(gate.limit.limit),
-            delay=gate.admission.seconds_per_cost,
+            delay=gate.admission.delay,
             answers=gate.answers,
         )
         return Heartbeat(
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/gate.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/gate.py
@@ -16,10 +16,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Answered:
-    """Say that the endpoint answered, after how long and at which true cost."""
+    """Say that the endpoint answered, after how long, at which true cost."""
 
     seconds: float
     cost: float
+    size: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -102,6 +103,9 @@
             return None
         return self.admission.judge(work, cost_ahead, self.limit.limit, now)
 
+    def judge_waiting(self, work, now):
+        return None if self.admit_all else self.admission.judge_waiting(work, now)
+
     def enqueue(self, work):
         self.queue.push(work)
         if self.queue.length <= self.queue_limit:
@@ -129,11 +133,11 @@
         """Take back the place of a request that ran."""
         self.running -= 1
         match result:
-            case Answered(seconds, cost):
+            case Answered(seconds, cost, size):
                 self.answers += 1
                 self.queue.correct(work, cost)
-                self.admission.observe(seconds, cost)
-                self.limit.answered(seconds / max(cost, 1.0), now)
+                self.admission.observe(seconds, cost, size)
+                self.limit.answered(seconds / max(size, 1.0), now)
             case Failed(unavailable):
                 self.limit.failed(now, unavailable=unavailable)
             case Abandoned():
@@ -144,7 +148,7 @@
         """Start waiting requests while there are places."""
         while self.running < self.limit.limit and self.queue.length:
             work = self.queue.pop()
-            if refused := self.judge(work, 0.0, now):
+            if refused := self.judge_waiting(work, now):
                 # Started now it would end too late and take a place from another.
                 self.queue.correct(work, 0.0)
                 work.payload.refuse(refused)
@@ -160,10 +164,8 @@
 
     def sweep(self, now):
         """Refuse what waits and can't be in time any more, at once."""
-        if self.admit_all:
-            return
         for work in self.queue.works():
-            if refused := self.judge(work, 0.0, now):
+            if refused := self.judge_waiting(work, now):
                 self.give_up(work, refused)
 
     @property
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/request/ticket.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/request/ticket.py
@@ -5,7 +5,7 @@
 from fescuedrum.decisions.queueing import Work, priority_class
 from fescuedrum.outcomes import Outcome
 from fescuedrum_agent.process.gate import Abandoned, Answered, Failed
-from fescuedrum_agent.request.cost import true_cost
+from fescuedrum_agent.request.cost import estimated_size, true_cost
 
 DEFAULT_PRIORITY = 5
 CLIENT_ERROR = 400
@@ -39,6 +39,7 @@
             deadline=now + request.budget_ms / 1000,
             arrived=now,
             rank=priority_class(DEFAULT_PRIORITY if priority is None else priority),
+            size=estimated_size(request),
             payload=self,
         )
 
@@ -72,5 +73,5 @@
             return Failed(unavailable=False)
         if answer.outcome is not Outcome.ANSWERED or answer.status >= CLIENT_ERROR:
             return Abandoned()
-        cost = true_cost(self.request, answer, self.work.cost)
-        return Answered(now - self.started_at, cost)
+        cost, size = true_cost(self.request, answer, self.work)
+        return Answered(now - self.started_at, cost, size)
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/commands/standin.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/commands/standin.py
@@ -23,6 +23,9 @@
         parser.add_argument("--model", default="advice-1")
         parser.add_argument("--step-seconds", type=float, default=0.01)
         parser.add_argument("--cold-limit", type=int, default=2)
+        parser.add_argument("--sequence-seconds", type=float, default=0.0)
+        parser.add_argument("--batch", type=int, default=256)
+        parser.add_argument("--prefill-rate", type=float, default=200_000.0)
         parser.add_argument("--upstream", default="")
         parser.add_argument("--work-seconds", type=float, default=0.02)
 
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -8,7 +8,7 @@
 import socket
 import sys
 import tempfile
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import aiohttp
 
@@ -34,6 +34,12 @@
     step_seconds: float = 0.01
     cold_limit: int = 2
     warm_limit: int = 16
+    # Of an engine's step, for each sequence in the batch; and the largest batch.
+    sequence_seconds: float = 0.0
+    batch: int = 256
+    # Laid over the settings of every entry and every agent.
+    entry_settings: dict[str, object] = field(default_factory=dict)
+    agent_settings: dict[str, object] = field(default_factory=dict)
 
 
 def reserve_network():
@@ -183,6 +189,8 @@
         for index in range(shape.engines):
             options = ("--step-seconds", shape.step_seconds)
             options += ("--cold-limit", shape.cold_limit)
+            options += ("--sequence-seconds", shape.sequence_seconds)
+            options += ("--batch", shape.batch)
             engine = await self.start_standin(f"engine-{index}", "engine", *options)
             await self.start_agent(engine, "advice", self.zone(index))
         for index in range(shape.services):
@@ -207,7 +215,7 @@
             "endpoint_url": endpoint.url,
             "cold_limit": self.shape.cold_limit,
             "warm_limit": self.shape.warm_limit,
-        }
+        } | self.shape.agent_settings
         member = self.add(name, ["-m", "fescuedrum_agent.management"])
         await self.launch(member, zone, settings)
         self.agents.append(member)
@@ -228,7 +236,7 @@
         member = self.add(
             f"entry-{index}", ["-m", "fescuedrum_entry.management", "serve"]
         )
-        await self.launch(member, zone, {})
+        await self.launch(member, zone, self.shape.entry_settings)
         self.entries.append(member)
         await self.list_instance(
             Instance(member.name, "entry", zone, member.host, PORT)
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/standins/runner.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/standins/runner.py
@@ -9,10 +9,12 @@
     return web.json_response({"alive": True})
 
 
-async def serve(application, arguments):
+async def serve(application, arguments, *, cancel_on_disconnect=False):
     """Listen on the address in the arguments until SIGTERM."""
     stop = stop_event()
-    runner = web.AppRunner(application, access_log=None)
+    runner = web.AppRunner(
+        application, access_log=None, handler_cancellation=cancel_on_disconnect
+    )
     await runner.setup()
     await web.TCPSite(runner, arguments.host, arguments.port).start()
     await stop.wait()
--- a/packages/fescuedrum/src/fescuedrum/decisions/admission.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/admission.py
@@ -65,24 +65,31 @@
 class Admission:
     """Predict waits at one endpoint and refuse what can't be in time."""
 
-    __slots__ = ("cost", "random", "seconds")
+    __slots__ = ("cost", "random", "seconds", "size")
 
     def __init__(self, random):
         self.random = random
         # Sums over past answers, in which each answer fades as others follow.
         self.seconds = 0.0
         self.cost = 0.0
+        self.size = 0.0
 
-    def observe(self, seconds, cost):
+    def observe(self, seconds, cost, size):
         """Learn from an answer."""
         self.seconds += (seconds - self.seconds) * SMOOTHING
         self.cost += (cost - self.cost) * SMOOTHING
+        self.size += (size - self.size) * SMOOTHING
 
     @property
     def seconds_per_cost(self):
         """Return the time that a unit of cost takes once its request runs, or None."""
         return self.seconds / self.cost if self.cost else None
 
+    @property
+    def delay(self):
+        """Return the time that a unit of a request's size takes, or None."""
+        return self.seconds / self.size if self.size else None
+
     def rate(self, limit):
         """Return the cost served a second with all places taken (Little's law)."""
         return limit / self.seconds_per_cost if self.cost else None
@@ -93,16 +100,24 @@
 
     def run_time(self, work):
         """Predict the seconds that a request takes once it runs."""
-        return (self.seconds_per_cost or 0.0) * work.cost
+        return (self.delay or 0.0) * work.size
 
     def judge(self, work, cost_ahead, limit, now):
-        """Return Refused when the request would end after its deadline, or None."""
+        """Return Refused when a new request might end after its deadline, or None."""
         needed = self.wait(cost_ahead, limit) + self.run_time(work)
         left = work.deadline - now
         if needed <= left * (1 - MARGIN):
             return None
         return self.refuse(RefusalReason.TOO_LATE, needed - left)
 
+    def judge_waiting(self, work, now):
+        """Return Refused when a request that waited can't be in time, or None.
+
+        It was let in with a margin, which is there to be used up.
+        """
+        missing = now + self.run_time(work) - work.deadline
+        return self.refuse(RefusalReason.TOO_LATE, missing) if missing > 0 else None
+
     def refuse(self, reason, seconds):
         """Build a refusal whose callers come back spread out, not all at once."""
         spread = 1 + self.random.random() * RETRY_SPREAD
--- a/packages/fescuedrum/src/fescuedrum/decisions/limits.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/limits.py
@@ -8,14 +8,15 @@
 The limit starts at a floor and stays there until enough answers came in a row. Then
 each answer in good time raises it by one, which doubles it in each round of answers,
 up to the ceiling. Warm, it moves by additive increase and multiplicative decrease on
-delay for each unit of cost, against the best window seen. A sign of coldness takes it
-back to the floor: refused or cut connections, "unavailable", failures or very slow
-answers in a row. After a pause the old limit proves nothing, since the endpoint may
-have been restarted meanwhile, so it is climbed again (as TCP does after idling).
+delay for each unit of size, against the best window seen. A sign of coldness takes it
+back to the floor: refused or cut connections, "unavailable", failures in a row, or a
+window of very slow answers. After a pause the old limit proves nothing, since the
+endpoint may have been restarted meanwhile, so it is climbed again (as TCP does after
+idling).
 
 Grounds for the figures. SLOW: a full batch makes an engine's step about one and a
 half times as long as a small one, which is no congestion; twice is. COLD: coldness
-shows as several times the delay, and five such answers in a row are not chance.
+shows as several times the delay; the median of a window is not moved by one caller.
 BACK_OFF: a tenth a window empties an endpoint's own queue in a few windows without
 letting it run dry. FORGET: a best delay that can't be reached any more, as after a
 new model, is forgotten within some 15 windows at the floor.
@@ -26,7 +27,6 @@
 
 SLOW = 2.0
 COLD = 4.0
-COLD_STREAK = 5
 FAILURE_STREAK = 3
 BACK_OFF = 0.9
 FORGET = 1.05
@@ -57,7 +57,6 @@
         "limit",
         "phase",
         "saturated",
-        "slow_answers",
         "warm_after",
         "window",
     )
@@ -76,7 +75,6 @@
         self.limit = self.floor
         self.answers = 0
         self.failures = 0
-        self.slow_answers = 0
         self.clear_window()
 
     def clear_window(self):
@@ -97,13 +95,10 @@
             self.saturated = True
 
     def answered(self, delay, now):
-        """Learn from an answer; delay is in seconds for each unit of cost."""
+        """Learn from an answer; delay is in seconds for each unit of size."""
         self.last_at = now
         self.failures = 0
         self.answers += 1
-        if self.is_cold(delay):
-            self.collapse()
-            return
         match self.phase:
             case Phase.COLD:
                 self.leave_floor()
@@ -113,12 +108,6 @@
                 pass
         self.add_to_window(delay)
 
-    def is_cold(self, delay):
-        best = self.best_delay
-        very_slow = best is not None and delay > COLD * best
-        self.slow_answers = self.slow_answers + 1 if very_slow else 0
-        return self.slow_answers >= COLD_STREAK and self.limit > self.floor
-
     def leave_floor(self):
         if self.answers >= self.warm_after:
             self.phase = Phase.RAMP
@@ -142,8 +131,12 @@
         # Only an endpoint with little to do shows what delay it has without load; if
         # the best were forgotten under load, limit and delay would rise together.
         light = self.limit <= LIGHT * self.floor
+        cold = best is not None and delay > COLD * best
         grown = best is not None and best * (FORGET if light else 1.0)
         self.best_delay = delay if best is None else min(grown, delay)
+        if cold and not light:
+            self.collapse()
+            return
         if delay > SLOW * self.best_delay:
             self.limit = max(self.floor, int(self.limit * BACK_OFF))
             # Delay has shown where the endpoint's own ceiling lies.
--- a/packages/fescuedrum/src/fescuedrum/decisions/queueing.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/queueing.py
@@ -63,10 +63,15 @@
     deadline: float
     arrived: float = 0.0
     rank: PriorityClass = PriorityClass.NORMAL
+    # Length of the run, to which its time is proportional; the cost if 0.
+    size: float = 0.0
     payload: object = None
     waiting: bool = False
     order: tuple = ()
 
+    def __post_init__(self):
+        self.size = self.size or self.cost
+
     def charge(self, true_cost):
         """Return the difference between the true cost and the estimate."""
         return true_cost - self.cost
