--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
@@ -22,12 +22,24 @@
 class Session:
     """Own one connection: read its frames, run its requests, send their answers."""
 
-    __slots__ = ("agent", "connection", "peer", "received", "relays", "tasks")
+    __slots__ = (
+        "agent",
+        "beat_interval",
+        "connection",
+        "next_beat",
+        "peer",
+        "received",
+        "relays",
+        "tasks",
+    )
 
     def __init__(self, agent, reader, writer):
         self.agent = agent
         self.connection = FrameConnection(reader, writer)
         self.peer = None
+        # How often the entry wants heartbeats, and when the next is due.
+        self.beat_interval = 0.0
+        self.next_beat = 0.0
         # Requests seen on this connection; the entry corrects late reports by it.
         self.received = 0
         self.relays = {}
@@ -61,7 +73,10 @@
             case members.Heartbeat():
                 self.agent.heard(self, body)
             case members.DocumentBody():
-                self.agent.configuration.offer(body)
+                self.agent.configuration.offer_frame(body)
+            case members.Pull():
+                if document := self.agent.configuration.answer(body):
+                    self.connection.send(document=document)
 
     def handle_request(self, request):
         self.received += 1
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
@@ -4,15 +4,16 @@
 import logging
 from dataclasses import dataclass
 
+from fescuedrum.decisions.pacing import Backoff
 from fescuedrum.exceptions import ProtocolError
 from fescuedrum.wire import codec
 from fescuedrum.wire.connection import FrameConnection
 from fescuedrum.wire.gen.frames import ttypes as frames
 from fescuedrum.wire.gen.members import ttypes as members
+from fescuedrum_entry.connection.attempt import AttemptTrace
 
 logger = logging.getLogger(__name__)
 
-RECONNECT_SECONDS = 0.2
 CONNECT_TIMEOUT_SECONDS = 2.0
 WINDOW_BYTES = 256 * 1024
 # A frame of credit for every token would cost as much as the token itself; a quarter
@@ -25,23 +26,38 @@
     """Tell an exchange that its connection ended; the request may have run."""
 
 
+LOST = Lost()
+
+
 class Exchange:
     """Hold one request on one connection and the frames that come for it."""
 
-    __slots__ = ("attempt", "candidate", "events", "link", "number", "untold")
+    __slots__ = (
+        "attempt",
+        "candidate",
+        "events",
+        "link",
+        "number",
+        "trace",
+        "untold",
+    )
 
-    def __init__(self, link, number, attempt, candidate=None):
+    def __init__(self, link, number, attempt, candidate=None, trace=None):
         self.link = link
         self.number = number
         self.attempt = attempt
         # On which the router counts this request as unanswered.
         self.candidate = candidate
         self.events = asyncio.Queue()
+        self.trace = trace
         self.untold = 0
 
     async def receive(self):
         """Wait for the next frame of this request, or Lost."""
-        return await self.events.get()
+        body = await self.events.get()
+        if self.trace is not None:
+            self.trace.received(body)
+        return body
 
     def taken(self, size):
         """Give the agent credit for bytes that the caller has taken."""
@@ -53,6 +69,8 @@
     def close(self, *, finished):
         self.link.entry.router.ended(self.link, self.candidate)
         self.link.exchanges.pop(self.number, None)
+        if self.trace is not None:
+            self.trace.closed()
         if not finished:
             self.link.send(cancel=frames.Cancel(self.number, self.attempt))
 
@@ -69,6 +87,7 @@
         "last_heartbeat",
         "loop",
         "next_number",
+        "peer",
         "unexpected_frames",
     )
 
@@ -80,6 +99,7 @@
         self.last_heartbeat = None
         self.heard_at = 0.0
         self.next_number = 1
+        self.peer = None
         self.unexpected_frames = 0
         self.loop = asyncio.get_running_loop()
 
@@ -89,6 +109,8 @@
         beat = self.last_heartbeat
         if self.connection is None or beat is None or beat.leaving:
             return False
+        if self.instance.name in self.entry.members.damped:
+            return False
         # An agent that takes what is sent too slowly gets no more until it caught up.
         return not self.connection.congested
 
@@ -97,8 +119,9 @@
         request.number = self.next_number
         self.next_number += 1
         request.window = WINDOW_BYTES
+        trace = AttemptTrace.begin(self, request)
         candidate = self.entry.router.sent(self)
-        exchange = Exchange(self, request.number, request.attempt, candidate)
+        exchange = Exchange(self, request.number, request.attempt, candidate, trace)
         self.exchanges[request.number] = exchange
         self.send(request=request)
         return exchange
@@ -109,9 +132,10 @@
 
     async def run(self):
         """Connect, serve the connection to its end, and start again."""
+        backoff = Backoff(self.entry.random)
         while True:
             try:
-                await self.serve()
+                await self.serve(backoff)
             except (OSError, TimeoutError, ProtocolError) as error:
                 logger.info(
                     "connection ended",
@@ -119,19 +143,21 @@
                 )
             finally:
                 self.lose()
-            await asyncio.sleep(RECONNECT_SECONDS)
+            await asyncio.sleep(backoff.next_wait())
 
-    async def serve(self):
+    async def serve(self, backoff):
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
             reader, writer = await self.entry.peers.connect(
                 self.instance.host, self.instance.port
             )
         connection = FrameConnection(reader, writer)
         try:
-            await connection.handshake(self.entry.peers.entry_side(self.instance.name))
+            side = self.entry.peers.entry_side(self.instance.name)
+            self.peer = await connection.handshake(side)
         except BaseException:
             writer.transport.abort()
             raise
+        backoff.succeeded()
         watch = asyncio.create_task(self.watch(connection))
         try:
             self.heard_at = self.loop.time()
@@ -149,10 +175,10 @@
         A middlebox that forgets a connection drops its packets without a reset, so
         neither side sees an error; only missing heartbeats show it.
         """
-        settings = self.entry.settings
-        while self.loop.time() - self.heard_at < settings.silence_seconds:
+        members = self.entry.members
+        while self.loop.time() - self.heard_at < members.allowed_silence():
             connection.send(heartbeat=self.entry.heartbeat())
-            await asyncio.sleep(settings.heartbeat_seconds)
+            await asyncio.sleep(members.interval())
         logger.warning("connection silent", extra={"agent": self.instance.name})
         # A plain close would wait for the peer to take what is still buffered.
         connection.writer.transport.abort()
@@ -161,9 +187,13 @@
         match body:
             case members.Heartbeat():
                 self.last_heartbeat = body
+                self.entry.members.heard(self.peer, body)
+                self.entry.following.heard(self, body)
                 self.entry.router.heard(self)
             case members.Pull():
-                self.entry.configuration.answer_pull(self, body)
+                self.entry.following.answer(self, body)
+            case members.DocumentBody():
+                self.entry.configuration.offer_frame(body)
             case None:
                 self.unexpected_frames += 1
             case _:
@@ -180,9 +210,11 @@
         exchange.events.put_nowait(body)
 
     def lose(self):
+        if self.connection is not None:
+            self.entry.members.lost(self.instance.name)
         self.connection = None
         self.last_heartbeat = None
         self.entry.router.lost(self)
         exchanges, self.exchanges = self.exchanges, {}
         for exchange in exchanges.values():
-            exchange.events.put_nowait(Lost())
+            exchange.events.put_nowait(LOST)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -8,20 +8,26 @@
 from aiohttp import web
 
 from fescuedrum import __version__
-from fescuedrum.exceptions import StoreUnavailable
+from fescuedrum.metrics import watch_loop
 from fescuedrum.platform.client import PlatformClient
 from fescuedrum.process import cancel, on_reload, stop_event
 from fescuedrum.tls import Certificates
+from fescuedrum.versions.configuration import Configuration
 from fescuedrum.wire.gen.frames.ttypes import Hello
 from fescuedrum.wire.gen.members.ttypes import Heartbeat
 from fescuedrum.wire.peers import Peers
+from fescuedrum_entry.connection.callers import CallersRunner
 from fescuedrum_entry.connection.link import Link
-from fescuedrum_entry.operators import routes as operators
-from fescuedrum_entry.operators.access import SignInLimit
+from fescuedrum_entry.operators import requests, routes as operators
+from fescuedrum_entry.operators.access import SignInLimit, require_role
+from fescuedrum_entry.operators.accounts import Role
+from fescuedrum_entry.process.members import Members
+from fescuedrum_entry.process.metrics import EntryMetrics
 from fescuedrum_entry.process.router import Router
-from fescuedrum_entry.request.handler import CallerHandler
+from fescuedrum_entry.request import handler
 from fescuedrum_entry.request.selection import WaitingRoom
-from fescuedrum_entry.version.configuration import Configuration
+from fescuedrum_entry.request.trace import TraceBook
+from fescuedrum_entry.version.following import Following
 
 logger = logging.getLogger(__name__)
 
@@ -34,10 +40,13 @@
     __slots__ = (
         "callers_tls",
         "configuration",
+        "following",
         "incarnation",
         "leaving",
         "link_tasks",
         "links",
+        "members",
+        "metrics",
         "peers",
         "platform",
         "random",
@@ -45,6 +54,7 @@
         "running",
         "settings",
         "sign_in_limit",
+        "traces",
         "waiting_room",
     )
 
@@ -53,6 +63,9 @@
         self.sign_in_limit = SignInLimit()
         self.incarnation = incarnation
         self.configuration = Configuration()
+        self.configuration.subscribe(self.send_heartbeats)
+        self.following = None
+        self.members = Members(self)
         self.links = {}
         self.link_tasks = {}
         self.peers = Peers(settings.peer_keys, settings.peer_tls, self.hello)
@@ -60,11 +73,15 @@
         self.platform = None
         self.random = random.Random(incarnation)
         self.router = Router(self, settings.routing_policy, self.random)
+        self.configuration.subscribe(self.router.refresh_all)
         self.waiting_room = WaitingRoom(
             self, settings.endpoint_wait_limit, settings.endpoint_wait_seconds
         )
         self.running = 0
+        self.traces = TraceBook(settings.trace_count, settings.trace_slow_seconds)
+        self.metrics = EntryMetrics()
         self.leaving = False
+        self.metrics.watch(self)
 
     async def run(self):
         """Serve until a signal, then drain and stop."""
@@ -72,19 +89,23 @@
         on_reload(self.callers_tls.reload, self.peers.certificates.reload)
         async with aiohttp.ClientSession() as session:
             self.platform = PlatformClient(self.settings.platform_url, session)
-            interval = self.settings.poll_seconds
+            self.following = Following(self.configuration, self.platform)
             tasks = [
-                asyncio.create_task(self.configuration.follow(self.platform, interval)),
-                asyncio.create_task(self.follow_instances()),
+                asyncio.create_task(self.following.run(self.members.read_interval)),
+                asyncio.create_task(self.members.run()),
                 asyncio.create_task(self.callers_tls.follow()),
+                asyncio.create_task(watch_loop(self.metrics.loop_delay)),
                 asyncio.create_task(self.peers.certificates.follow()),
             ]
-            runner = web.AppRunner(self.build_application(), access_log=None)
+            runner = CallersRunner(self.build_application(), self.settings)
             await runner.setup()
             await self.listen(runner)
+            peer_server = await self.members.listen()
             logger.info("entry started", extra={"release": __version__})
             await stop.wait()
             await self.drain()
+            if peer_server is not None:
+                peer_server.close()
             await runner.cleanup()
             await cancel([*tasks, *self.link_tasks.values()])
         logger.info("entry stopped")
@@ -99,53 +120,79 @@
 
     def build_application(self):
         application = web.Application()
-        handle = CallerHandler(self).handle
-        application.router.add_post("/v1/chat/completions", handle)
-        application.router.add_post("/v1/completions", handle)
-        application.router.add_route("*", "/services/{service}/{rest:.*}", handle)
+        handler.add_routes(application, self)
         application.router.add_get("/healthz", self.healthz)
         application.router.add_get("/readyz", self.readyz)
+        # The names of organisations are in it, and callers reach this port.
+        metrics = require_role(self, Role.VIEWER, self.expose_metrics)
+        application.router.add_get("/metrics", metrics)
         operators.add_routes(application, self)
+        requests.add_routes(application, self)
         return application
 
     async def healthz(self, _):
         return web.json_response({"alive": True})
 
     async def readyz(self, _):
-        ready = not self.leaving and self.configuration.document is not None
+        configuration = self.configuration
+        # Callers that come to a zone taken out would cross to another for nothing.
+        zone_out = configuration.zone_is_out(self.settings.zone)
+        loaded = configuration.document is not None
+        ready = loaded and not self.leaving and not zone_out
         body = {"ready": ready, "version": self.configuration.version}
         return web.json_response(body, status=200 if ready else 503)
 
+    async def expose_metrics(self, _):
+        text, content_type = self.metrics.catalogue.expose()
+        return web.Response(body=text, headers={"Content-Type": content_type})
+
     async def drain(self):
-        """Turn readiness down and let running requests end."""
+        """Turn readiness down, say so, and let running requests end."""
         self.leaving = True
+        self.send_heartbeats()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.drain_seconds
         while self.running and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
-    async def follow_instances(self):
-        """Read the instance list and keep a link to each agent on it."""
-        while True:
-            try:
-                self.update_links(await self.platform.list_instances())
-            except StoreUnavailable as error:
-                logger.info("instances not read", extra={"error": str(error)})
-            await asyncio.sleep(self.settings.poll_seconds)
+    def send_heartbeats(self):
+        """Tell every agent and entry at once, as of a new version."""
+        self.members.send_heartbeats()
+        for link in self.links.values():
+            link.send(heartbeat=self.heartbeat())
 
     def update_links(self, instances):
-        agents = {each.name: each for each in instances if each.role == "agent"}
+        """Keep a link to each of the agents given."""
+        agents = {each.name: each for each in instances}
         for name, instance in agents.items():
             if name not in self.links:
                 link = Link(self, instance)
                 self.links[name] = link
                 self.link_tasks[name] = asyncio.create_task(link.run())
-        # The list lags: an instance gone from it keeps its link while it answers.
         for name in [*self.links]:
-            if name not in agents and self.links[name].connection is None:
+            if name not in agents and self.may_unlink(name):
                 self.link_tasks.pop(name).cancel()
                 self.router.forget(self.links.pop(name))
 
+    def may_unlink(self, name):
+        """Tell whether a link that is not called for may be closed now."""
+        link = self.links[name]
+        # The list lags: an instance gone from it keeps its link while it answers.
+        listed = {each.name for each in self.members.instances}
+        return link.connection is None or (name in listed and not link.exchanges)
+
+    def served_zones(self):
+        """Return the zones in which endpoints of each service are usable now."""
+        served = {}
+        for link in self.links.values():
+            if link.usable:
+                served.setdefault(link.instance.service, set()).add(link.instance.zone)
+        return served
+
+    def describe_members(self):
+        """Return what is known of each process that this entry is linked to."""
+        return self.members.describe()
+
     def hello(self):
         return Hello(
             instance=self.settings.name,
@@ -160,6 +207,6 @@
             incarnation=self.incarnation,
             zone=self.settings.zone,
             version=self.configuration.version,
-            document_hash=self.configuration.document_hash,
             leaving=self.leaving,
+            wanted_interval_ms=int(self.members.interval() * 1000),
         )
