Merge tokens of a quick stream into one frame, none held over 5 ms

Cause: each token of a quick stream was a frame, a queue entry and a write of its own at the entry: about 28 us, so one core forwarded 35,000 to 36,000 a second.

Change: at the agent, what follows a chunk of the same stream within 5 ms leaves with it; bodies in bulk and tokens at the usual rate are not held.

Measured in the same setting, two runs each, one engine and streams of 200 tokens at 0.5 ms: 27.5 and 28.5 us of the entry a token before, 14.5 and 11.5 us after, that is 69,000 and 87,000 tokens for each second of a core.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
@@ -3,6 +3,12 @@
 import asyncio
 
 CHUNK_BYTES = 64 * 1024
+# Tokens of one stream that follow each other more quickly than this leave together:
+# each frame and each write to the caller costs the entry the same whatever is in it.
+# A reader can't tell 5 ms, and tokens at the usual 30 ms are never held.
+MERGE_SECONDS = 0.005
+# What gathers no further: a body in bulk must not be slowed to a chunk each 5 ms.
+MERGE_BYTES = 4 * 1024
 
 
 class Relay:
@@ -12,7 +18,16 @@
     answer and not the others on the connection.
     """
 
-    __slots__ = ("answer", "attempt", "credit", "credited", "number", "session")
+    __slots__ = (
+        "answer",
+        "attempt",
+        "credit",
+        "credited",
+        "free_at",
+        "loop",
+        "number",
+        "session",
+    )
 
     def __init__(self, session, request, answer):
         self.session = session
@@ -21,6 +36,9 @@
         self.credit = request.window
         self.credited = asyncio.Event()
         self.answer = answer
+        self.loop = asyncio.get_running_loop()
+        # Until this time what comes is held, so that it leaves together.
+        self.free_at = 0.0
 
     def grant(self, window):
         self.credit += window
@@ -58,6 +76,7 @@
             while self.credit <= 0:
                 self.credited.clear()
                 await self.credited.wait()
+            await self.gather(offset)
             # Credit bounds one request; this bounds the sum of all on the connection.
             await self.session.connection.wait_for_room()
             size = min(self.credit, CHUNK_BYTES)
@@ -65,7 +84,15 @@
             self.send("chunk", offset=offset, data=data)
             offset += len(data)
             self.credit -= len(data)
+            self.free_at = self.loop.time() + MERGE_SECONDS
         return offset
 
+    async def gather(self, offset):
+        """Wait for more of a stream if the last chunk left a moment ago."""
+        wait = self.free_at - self.loop.time()
+        waiting = len(self.answer.body) - offset
+        if wait > 0 and waiting < MERGE_BYTES and not self.answer.done:
+            await asyncio.sleep(wait)
+
     def send(self, kind, **fields):
         self.session.send(kind, self.number, self.attempt, **fields)
