--- /dev/null
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/metrics.py
@@ -0,0 +1,106 @@
+"""Declare the agent's metrics and count what it tells entries."""
+
+from fescuedrum.metrics import (
+    LOOP_DELAY_BUCKETS,
+    OUTCOME,
+    Catalogue,
+    Label,
+)
+from fescuedrum.outcomes import Outcome
+
+REASON = Label("reason", "refusal reasons of this release")
+
+
+class AgentMetrics:
+    """Own the agent's metrics."""
+
+    __slots__ = ("answers", "catalogue", "loop_delay", "refusals", "seconds", "waits")
+
+    def __init__(self):
+        catalogue = self.catalogue = Catalogue()
+        self.answers = catalogue.counter(
+            "fescuedrum_agent_answers_total",
+            "Answers told to entries, repeats of a key included.",
+            OUTCOME,
+        )
+        self.refusals = catalogue.counter(
+            "fescuedrum_agent_refusals_total",
+            "Requests that were refused and not run.",
+            REASON,
+        )
+        self.seconds = catalogue.histogram(
+            "fescuedrum_agent_execution_seconds",
+            "Time from a request's start at the endpoint to the end of its answer.",
+            OUTCOME,
+        )
+        self.waits = catalogue.histogram(
+            "fescuedrum_agent_queue_seconds",
+            "Time that requests which ran had waited here for their place.",
+        )
+        self.loop_delay = catalogue.histogram(
+            "fescuedrum_loop_delay_seconds",
+            "Lateness of the process's event loop; all requests wait for it.",
+            buckets=LOOP_DELAY_BUCKETS,
+        )
+
+    def watch(self, agent):
+        """Declare the gauges that are read from the agent's parts."""
+        reading = self.catalogue.reading
+        reading(
+            "fescuedrum_agent_running",
+            "Requests that the endpoint runs now.",
+            lambda: agent.gate.running,
+        )
+        reading(
+            "fescuedrum_agent_queued",
+            "Requests that wait here for a place at the endpoint.",
+            lambda: agent.gate.queue.length,
+        )
+        reading(
+            "fescuedrum_agent_limit",
+            "Requests that the endpoint may run at once.",
+            lambda: agent.gate.limit.limit,
+        )
+        reading(
+            "fescuedrum_agent_warm",
+            "1 while the endpoint is known to be warm.",
+            lambda: agent.gate.warm,
+        )
+        reading(
+            "fescuedrum_agent_sessions",
+            "Entries that are connected and proved.",
+            lambda: len(agent.sessions),
+        )
+        reading(
+            "fescuedrum_agent_ledger_keys",
+            "Keys whose answers are kept.",
+            lambda: len(agent.ledger.answers),
+        )
+        reading(
+            "fescuedrum_unsent_bytes",
+            "Bytes that entries have not taken yet.",
+            lambda: sum(session.connection.unsent_bytes for session in agent.sessions),
+        )
+        reading(
+            "fescuedrum_configuration_version",
+            "Version of the configuration that is in force here.",
+            lambda: agent.configuration.version,
+        )
+        reading(
+            "fescuedrum_leaving",
+            "1 while the process drains for its stop.",
+            lambda: agent.gate.leaving,
+        )
+
+    def ran(self, ticket, now):
+        """Count a request that the endpoint ran to its end."""
+        outcome = ticket.answer.outcome or Outcome.UNKNOWN
+        self.seconds.labels(outcome.value).observe(now - ticket.started_at)
+        self.waits.observe(ticket.started_at - ticket.work.arrived)
+
+    def told(self, kind, fields):
+        """Count a frame that is sent to an entry."""
+        if kind == "refusal":
+            self.refusals.labels(fields["reason"]).inc()
+        elif kind == "end":
+            self.answers.labels(fields["outcome"]).inc()
