Watch that no organisation is served worse than its peers

Cause: averages look well while one organisation's work goes to what serves it worse; nothing compared organisations with each other.

Change: decisions/fairness compares each organisation with its peers on the same service, class, size and way of answering, one bit for each request and measure (wait, first token, total, refusals, cold endpoints, repeats), by a sequential test whose threshold grows with the number of comparisons and in which one interval counts for a bounded amount, since requests of one interval share its bursts. Who asks for more than its share is compared with those who do the same. Prompts' prefixes and models reach routing. A changed configuration reaches the router at once.

Conclusion: found within at least seven intervals (70 s by default) by design; a shorter word would raise false findings in bursts.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -46,6 +46,12 @@
     poll_seconds: float = setting(
         0.5, help="Time between reads of the head row.", minimum=0.05, unit="s"
     )
+    fairness_seconds: float = setting(
+        10.0,
+        help="Time between judgements of the fairness watch.",
+        minimum=0.1,
+        unit="s",
+    )
     endpoint_wait_seconds: float = setting(
         5.0,
         help="Longest wait for an endpoint when none may get work.",
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/attempt.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/attempt.py
@@ -12,13 +12,16 @@
 class AttemptTrace:
     """Follow one attempt from its sending to its end."""
 
-    __slots__ = ("agent", "loop", "metrics", "result", "trace")
+    __slots__ = ("agent", "loop", "metrics", "result", "sent_at", "trace", "zone")
 
     def __init__(self, link, trace):
         self.agent = link.instance.name
         self.loop = link.loop
         self.metrics = link.entry.metrics
         self.trace = trace
+        self.zone = link.instance.zone
+        # Seconds from the request's head to the sending of this attempt.
+        self.sent_at = self.loop.time() - trace.began if trace else 0.0
         self.result = None
 
     @classmethod
@@ -44,7 +47,7 @@
             case frames.Chunk():
                 return
             case frames.ResponseHead():
-                self.note(Step.HEAD, status=body.status)
+                self.take_head(body)
             case frames.Refusal():
                 self.result = RESULT_REFUSED
                 self.metrics.refused(body.reason)
@@ -61,6 +64,16 @@
                 self.result = RESULT_LOST
                 self.note(Step.LOST)
 
+    def take_head(self, head):
+        waited_ms = head.waited_ms or 0
+        cold = bool(head.cold)
+        self.note(Step.HEAD, status=head.status, waited_ms=waited_ms, cold=cold)
+        if self.trace is not None:
+            self.trace.waited = self.sent_at + waited_ms / 1000
+            self.trace.cold = cold
+            self.trace.zone = self.zone
+            self.trace.endpoint = self.agent
+
     def closed(self):
         """Note the end of the attempt; one without a result was given up here."""
         if self.result is None:
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -18,9 +18,10 @@
 from fescuedrum.wire.peers import Peers
 from fescuedrum_entry.connection.callers import CallersRunner
 from fescuedrum_entry.connection.link import Link
-from fescuedrum_entry.operators import requests, routes as operators
+from fescuedrum_entry.operators import fairness, requests, routes as operators
 from fescuedrum_entry.operators.access import SignInLimit, require_role
 from fescuedrum_entry.operators.accounts import Role
+from fescuedrum_entry.process.fairness import FairnessKeeper
 from fescuedrum_entry.process.members import Members
 from fescuedrum_entry.process.metrics import EntryMetrics
 from fescuedrum_entry.process.router import Router
@@ -40,6 +41,7 @@
     __slots__ = (
         "callers_tls",
         "configuration",
+        "fairness",
         "following",
         "incarnation",
         "leaving",
@@ -77,6 +79,9 @@
         self.waiting_room = WaitingRoom(
             self, settings.endpoint_wait_limit, settings.endpoint_wait_seconds
         )
+        self.fairness = FairnessKeeper(self, settings.fairness_seconds)
+        self.configuration.subscribe(self.router.refresh_all)
+        self.configuration.subscribe(self.fairness.configuration_changed)
         self.running = 0
         self.traces = TraceBook(settings.trace_count, settings.trace_slow_seconds)
         self.metrics = EntryMetrics()
@@ -93,6 +98,7 @@
             tasks = [
                 asyncio.create_task(self.following.run(self.members.read_interval)),
                 asyncio.create_task(self.members.run()),
+                asyncio.create_task(self.fairness.run()),
                 asyncio.create_task(self.callers_tls.follow()),
                 asyncio.create_task(watch_loop(self.metrics.loop_delay)),
                 asyncio.create_task(self.peers.certificates.follow()),
@@ -128,6 +134,7 @@
         application.router.add_get("/metrics", metrics)
         operators.add_routes(application, self)
         requests.add_routes(application, self)
+        fairness.add_routes(application, self)
         return application
 
     async def healthz(self, _):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/metrics.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/metrics.py
@@ -25,6 +25,8 @@
         "late",
         "leaving",
         "queue-full",
+        "shed",
+        "too-late",
         "withdrawn",
         "zone-out",
     )
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/call.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/call.py
@@ -35,3 +35,4 @@
     model: str = ""
     # Start of the prompt; requests that share it run faster at one endpoint.
     prefix: str = ""
+    streamed: bool = False
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/completion.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/completion.py
@@ -12,6 +12,7 @@
 
 BYTES_PER_TOKEN = 4
 DEFAULT_GENERATED_TOKENS = 64
+PREFIX_CHARACTERS = 256
 MAXIMUM_TOKENS = 1_000_000
 MAXIMUM_CHOICES = 128
 
@@ -24,6 +25,8 @@
     streamed: bool
     # Estimated tokens to read and to generate.
     cost: float
+    # Start of a long prompt; empty for one too short to be worth a cache's hit.
+    prefix: str = ""
 
 
 def parse_completion(body, *, chat):
@@ -42,7 +45,24 @@
     check_number(data, "temperature", 0, 2)
     check_number(data, "top_p", 0, 1)
     generated = read_generated(data) * read_whole(data, "n", MAXIMUM_CHOICES, 1)
-    return Completion(model, bool(streamed), len(body) / BYTES_PER_TOKEN + generated)
+    cost = len(body) / BYTES_PER_TOKEN + generated
+    return Completion(model, bool(streamed), cost, prefix_of(data))
+
+
+def prefix_of(data):
+    """Return the start that prompts of one kind share, if there is enough of it.
+
+    Where a conversation's first message is the application's long instructions, it is
+    those that an engine has cached, and not the words of one caller behind them.
+    """
+    match data:
+        case {"prompt": str(text)}:
+            pass
+        case {"messages": [{"content": str(text)}, *_]}:
+            pass
+        case _:
+            return ""
+    return text[:PREFIX_CHARACTERS] if len(text) >= PREFIX_CHARACTERS else ""
 
 
 def decode(body):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
@@ -65,6 +65,7 @@
             trace.end(loop_time(), Outcome.UNKNOWN, CODE_LEFT)
         self.entry.traces.finish(trace)
         self.entry.metrics.ended(trace)
+        self.entry.fairness.ended(trace)
 
     async def answer(self, http_request, trace):
         entry = self.entry
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/parse.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/parse.py
@@ -17,7 +17,7 @@
 )
 from fescuedrum.headers import end_to_end, is_text
 from fescuedrum_entry.request.call import Call, Repetition
-from fescuedrum_entry.request.completion import parse_completion
+from fescuedrum_entry.request.completion import Completion, parse_completion
 
 KEY_HEADER = "Idempotency-Key"
 DEADLINE_HEADER = "Fescuedrum-Deadline-Ms"
@@ -54,10 +54,10 @@
     priority = read_priority(http_request)
     service = find_plain(http_request, configuration)
     body = await read_body(http_request, settings)
-    cost = PLAIN_COST
+    asked = Completion(model="", streamed=False, cost=PLAIN_COST)
     path = raw_path(http_request)
     if service is None:
-        service, cost = find_engine(http_request, configuration, body)
+        service, asked = find_engine(http_request, configuration, body)
     else:
         path = path_below(path)
     repetition, key = classify(http_request, service)
@@ -73,7 +73,10 @@
         key=key,
         deadline=deadline,
         priority=priority,
-        cost=cost,
+        cost=asked.cost,
+        model=asked.model,
+        prefix=asked.prefix,
+        streamed=asked.streamed,
     )
 
 
@@ -170,7 +173,7 @@
 
 
 def find_engine(http_request, configuration, body):
-    """Return (service, cost) of a completion request."""
+    """Return the service and the Completion of a request."""
     if http_request.headers.get("Content-Encoding", "identity") != "identity":
         raise BadRequest("The body is compressed.", field="Content-Encoding")
     chat = http_request.path == CHAT_PATH
@@ -178,7 +181,7 @@
     service = configuration.services_by_model.get(completion.model)
     if service is None:
         raise UnknownService(f"There is no model {completion.model!r}.", field="model")
-    return service, completion.cost
+    return service, completion
 
 
 def classify(http_request, service):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/trace.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/trace.py
@@ -59,6 +59,13 @@
     first_byte: float | None = None
     seconds: float | None = None
     attempts: int = 0
+    cost: float = 0.0
+    streamed: bool = False
+    # Of the attempt that was answered: its queue, in seconds, and its endpoint.
+    waited: float = 0.0
+    cold: bool = False
+    zone: str = ""
+    endpoint: str = ""
     # Whether the request runs on after its caller left.
     detached: bool = False
     events: list[Event] = field(default_factory=list)
@@ -72,6 +79,8 @@
         self.priority = call.priority
         self.budget = call.deadline - self.began
         self.version = version
+        self.cost = call.cost
+        self.streamed = call.streamed
         self.note(Step.PARSED, now, body_bytes=len(call.body), cost=call.cost)
 
     def note(self, step, now, **details):
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/decisions/fairness.py
@@ -0,0 +1,473 @@
+"""Find out when one organisation is served worse than its peers.
+
+Load pattern: an organisation's work goes, by a rule, a placement or a fault, to what
+serves it worse: a slow zone, cold endpoints, a queue that passes it over. Averages over
+all look well, nobody is refused outright, and the organisation leaves before anyone
+has noticed. This once happened; so each organisation is compared with its peers.
+
+What is compared. Each request counts as one bit for each measure: was it worse than
+what is usual among the peers for the same service, class and size of request? "Usual"
+is the peers' upper quartile in the same interval, each peer organisation counting
+alike. On equal demand an organisation that is treated alike is above that line as often
+as its peers, whatever the load is and however the measure is distributed. Whoever asks
+for more than its share is meant to wait and to be refused; so waits and refusals are
+compared only among those who ask for about the same multiple of their share.
+
+Chance. For each organisation and measure a sequential probability-ratio test adds, from
+interval to interval, the log-likelihood of the bits under "worse by HARM" against
+"alike", never below zero, and a finding is raised at a threshold that grows with the
+number of comparisons. So the rate of false findings holds over all organisations and
+measures, however often one looks.
+
+Grounds for the figures. HARM: above the line twice as often as the peers is what an
+organisation notices; less is found later. The threshold log(comparisons / LEVEL) is
+Wald's bound. INTERVAL_EVIDENCE: requests of one interval share its bursts and are not
+independent, so that one interval counts for at most this much, and a finding needs
+seven bad intervals however many requests they hold. A finding clears when the evidence
+has run back to zero or CLEAR_INTERVALS in a row were alike. PEER_SAMPLE keeps the work
+for one organisation the same at any number of requests.
+"""
+
+import bisect
+import enum
+import math
+from dataclasses import dataclass, field
+
+HARM = 2.0
+LEVEL = 1e-4
+LINE = 0.75
+CLEAR_INTERVALS = 5
+MINIMUM_PEERS = 30
+MINIMUM_REQUESTS = 5
+MAXIMUM_BIT_RATE = 0.95
+INTERVAL_EVIDENCE = 2.0
+ALIKE_EXCESS = 1.25
+MOST_OF = 0.6
+PEER_SAMPLE = 200
+SIZE_STEPS = (8, 32, 128, 512, 2048, 8192)
+# A yes or no has no quartile: yes is worse.
+BETWEEN_NO_AND_YES = 0.5
+
+
+class Measure(enum.StrEnum):
+    """Name what is compared, and so what a finding is about."""
+
+    WAIT = "wait"
+    FIRST_TOKEN = "first-token"
+    TOTAL = "total"
+    REFUSED = "refused"
+    COLD = "cold"
+    REPEATED = "repeated"
+
+
+class Decision(enum.StrEnum):
+    """Name the decision through which an organisation came to be treated worse."""
+
+    QUEUE = "queue"
+    ROUTING = "routing"
+    ADMISSION = "admission"
+    ENDPOINT = "endpoint"
+
+
+BINARY = frozenset((Measure.REFUSED, Measure.COLD, Measure.REPEATED))
+OF_DEMAND = frozenset((Measure.WAIT, Measure.REFUSED))
+DECISIONS = {
+    Measure.WAIT: Decision.QUEUE,
+    Measure.FIRST_TOKEN: Decision.ENDPOINT,
+    Measure.TOTAL: Decision.ENDPOINT,
+    Measure.REFUSED: Decision.ADMISSION,
+    Measure.COLD: Decision.ROUTING,
+    Measure.REPEATED: Decision.ROUTING,
+}
+
+
+@dataclass(slots=True, frozen=True)
+class Observation:
+    """Hold what one request received; times in seconds."""
+
+    organisation: str
+    service: str
+    rank: int
+    # Cost asked for, and received when it was answered.
+    cost: float
+    answered: bool
+    refused: bool = False
+    wait: float = 0.0
+    first_token: float = 0.0
+    total: float = 0.0
+    cold: bool = False
+    repeated: bool = False
+    # Zone and name of the endpoint that answered.
+    zone: str = ""
+    endpoint: str = ""
+    streamed: bool = False
+
+    @property
+    def group(self):
+        """Return what makes requests comparable."""
+        size = bisect.bisect(SIZE_STEPS, self.cost)
+        return (self.service, self.rank, size, self.streamed)
+
+
+@dataclass(slots=True)
+class Account:
+    """Hold what an organisation was entitled to and received."""
+
+    weight: float = 1.0
+    requests: int = 0
+    answered: int = 0
+    refused: int = 0
+    cold: int = 0
+    repeated: int = 0
+    asked: float = 0.0
+    received: float = 0.0
+    entitled: float = 0.0
+    wait: float = 0.0
+    first_token: float = 0.0
+    by_class: dict[int, int] = field(default_factory=dict)
+    by_zone: dict[str, int] = field(default_factory=dict)
+
+    def add(self, observation):
+        self.requests += 1
+        self.asked += observation.cost
+        self.refused += observation.refused
+        self.cold += observation.cold
+        self.repeated += observation.repeated
+        self.by_class[observation.rank] = self.by_class.get(observation.rank, 0) + 1
+        if observation.answered:
+            self.answered += 1
+            self.received += observation.cost
+            self.wait += observation.wait
+            self.first_token += observation.first_token
+            zone = observation.zone
+            self.by_zone[zone] = self.by_zone.get(zone, 0) + 1
+
+
+@dataclass(slots=True, frozen=True)
+class Finding:
+    """Say who is served worse, in what, by how much and through which decision."""
+
+    id: str
+    organisation: str
+    measure: Measure
+    # Mean of the organisation and of its peers: seconds, or shares of requests.
+    own: float
+    peers: float
+    decision: Decision
+    # What most of the worse answers have in common, where there is such.
+    common: str
+    since: float
+
+    def __str__(self):
+        where = f", mostly at {self.common}" if self.common else ""
+        return (
+            f"{self.id}: {self.organisation} is served worse in {self.measure.value}: "
+            f"{self.own:.3g} against {self.peers:.3g} of its peers, through "
+            f"{self.decision.value}{where}."
+        )
+
+
+@dataclass(slots=True)
+class Evidence:
+    """Hold the sequential test of one organisation and measure."""
+
+    weight: float = 0.0
+    alike_intervals: int = 0
+    finding: Finding | None = None
+
+
+class FairnessWatch:
+    """Compare organisations from interval to interval; now is loop time in seconds."""
+
+    __slots__ = ("accounts", "evidence", "observations")
+
+    def __init__(self):
+        self.accounts = {}
+        self.evidence = {}
+        self.observations = []
+
+    def observe(self, observation):
+        """Take what a request received."""
+        account = self.accounts.setdefault(observation.organisation, Account())
+        account.add(observation)
+        self.observations.append(observation)
+
+    def set_weights(self, weights):
+        """Take the organisations' weights; forget those that are gone."""
+        for name, weight in weights.items():
+            self.accounts.setdefault(name, Account()).weight = weight
+        for name in set(self.accounts) - set(weights):
+            del self.accounts[name]
+
+    def findings(self):
+        """Return what stands now, the strongest first."""
+        raised = [each for each in self.evidence.values() if each.finding]
+        raised.sort(key=lambda each: -each.weight)
+        return [each.finding for each in raised]
+
+    def close_interval(self):
+        """Return what was observed since the last call, ready to be judged."""
+        observations, self.observations = self.observations, []
+        interval = Interval(observations, self.accounts)
+        for name, cost in interval.entitled.items():
+            if name in self.accounts:
+                self.accounts[name].entitled += cost
+        return interval
+
+    def judge(self, organisation, interval, now):
+        """Judge one organisation's interval; return newly raised findings."""
+        judged = [
+            self.judge_measure(organisation, measure, interval, now)
+            for measure in Measure
+        ]
+        return [finding for finding in judged if finding]
+
+    def judge_measure(self, organisation, measure, interval, now):
+        comparison = interval.compare(organisation, measure)
+        if comparison is None:
+            return None
+        evidence = self.evidence.setdefault((organisation, measure), Evidence())
+        added = min(comparison.log_ratio, INTERVAL_EVIDENCE)
+        # Evidence of hours must not keep a finding for hours after its cause ended.
+        most = 2 * self.threshold()
+        evidence.weight = min(max(0.0, evidence.weight + added), most)
+        self.count_alike(evidence, comparison)
+        if evidence.finding is None and evidence.weight >= self.threshold():
+            evidence.finding = build_finding(organisation, measure, comparison, now)
+            return evidence.finding
+        return None
+
+    def count_alike(self, evidence, comparison):
+        alike = comparison.log_ratio <= 0
+        evidence.alike_intervals = evidence.alike_intervals + 1 if alike else 0
+        if evidence.weight == 0.0 or evidence.alike_intervals >= CLEAR_INTERVALS:
+            evidence.weight = 0.0
+            evidence.finding = None
+
+    def threshold(self):
+        """Return the evidence at which chance is excluded over all comparisons."""
+        comparisons = max(len(self.accounts), 1) * len(Measure)
+        return math.log(comparisons / LEVEL)
+
+
+def build_finding(organisation, measure, comparison, now):
+    return Finding(
+        id=f"fairness.{measure.value}",
+        organisation=organisation,
+        measure=measure,
+        own=comparison.own,
+        peers=comparison.peers,
+        decision=decide_cause(measure, comparison.common),
+        common=comparison.common,
+        since=now,
+    )
+
+
+def decide_cause(measure, common):
+    """Return the decision to look at: answers that gather at one place point to it."""
+    slow = measure in (Measure.FIRST_TOKEN, Measure.TOTAL)
+    return Decision.ROUTING if slow and common else DECISIONS[measure]
+
+
+@dataclass(slots=True, frozen=True)
+class Comparison:
+    """Hold one organisation's interval beside its peers'."""
+
+    log_ratio: float
+    own: float
+    peers: float
+    common: str
+
+
+class Interval:
+    """Hold the observations of one interval, grouped for comparison."""
+
+    __slots__ = ("asked", "entitled", "excess", "groups", "samples")
+
+    def __init__(self, observations, accounts):
+        # Group to organisation to its observations.
+        self.groups = {}
+        self.samples = {}
+        self.asked = {}
+        for each in observations:
+            group = self.groups.setdefault(each.group, {})
+            group.setdefault(each.organisation, []).append(each)
+            asked = self.asked.get(each.organisation, 0.0)
+            self.asked[each.organisation] = asked + each.cost
+        self.entitled = self.find_entitled(observations, accounts)
+        self.excess = {
+            name: max(1.0, cost / max(self.entitled[name], 1e-9))
+            for name, cost in self.asked.items()
+        }
+
+    @property
+    def organisations(self):
+        return list(self.asked)
+
+    def find_entitled(self, observations, accounts):
+        """Return the cost each was entitled to; with nothing refused, what it asked."""
+        if not any(each.refused for each in observations):
+            return dict(self.asked)
+        served = sum(each.cost for each in observations if each.answered)
+        weights = {
+            name: accounts[name].weight for name in self.asked if name in accounts
+        }
+        return water_fill(self.asked, weights, served)
+
+    def compare(self, organisation, measure):
+        """Compare an organisation with its peers; None without enough to compare."""
+        tally = Tally(measure)
+        of_demand = measure in OF_DEMAND
+        for key, group in self.groups.items():
+            mine = group.get(organisation, ())
+            if len(mine) >= MINIMUM_REQUESTS:
+                tally.add(mine, self.peers(organisation, of_demand, key))
+        return tally.comparison()
+
+    def peers(self, organisation, of_demand, key):
+        """Return a sample of the peers' observations, drawn once for all measures."""
+        sample = (organisation, of_demand, key)
+        if sample not in self.samples:
+            self.samples[sample] = self.draw_peers(organisation, of_demand, key)
+        return self.samples[sample]
+
+    def draw_peers(self, organisation, of_demand, key):
+        """Return as many observations of each peer."""
+        group = self.groups[key]
+        names = [
+            name
+            for name in group
+            if name != organisation
+            and not (of_demand and self.differ_in_demand(organisation, name))
+        ]
+        each = -(-PEER_SAMPLE // max(len(names), 1))
+        return [
+            observation for name in names for observation in spread(group[name], each)
+        ]
+
+    def differ_in_demand(self, first, second):
+        ratio = self.excess[first] / self.excess[second]
+        return not 1 / ALIKE_EXCESS <= ratio <= ALIKE_EXCESS
+
+
+def spread(values, count):
+    """Return about this many of the values, spread over all of them."""
+    return values[:: len(values) // count + 1]
+
+
+class Tally:
+    """Sum the log-likelihood of an organisation's bits over groups."""
+
+    __slots__ = (
+        "count",
+        "log_ratio",
+        "measure",
+        "own",
+        "peers",
+        "peers_count",
+        "worse",
+    )
+
+    def __init__(self, measure):
+        self.measure = measure
+        self.log_ratio = 0.0
+        self.count = 0
+        self.own = 0.0
+        self.peers = 0.0
+        self.peers_count = 0
+        self.worse = []
+
+    def add(self, mine, peers):
+        """Add one group's observations."""
+        pairs = [(each, value_of(each, self.measure)) for each in mine]
+        pairs = [(each, value) for each, value in pairs if value is not None]
+        values = [value_of(each, self.measure) for each in peers]
+        values = sorted(value for value in values if value is not None)
+        if len(values) < MINIMUM_PEERS or len(pairs) < MINIMUM_REQUESTS:
+            return
+        line = self.line(values)
+        worse = [each for each, value in pairs if value > line]
+        self.add_bits(len(worse), len(pairs), values, line)
+        self.count += len(pairs)
+        self.own += sum(value for _, value in pairs)
+        self.peers += sum(values)
+        self.peers_count += len(values)
+        self.worse += worse
+
+    def line(self, values):
+        if self.measure in BINARY:
+            return BETWEEN_NO_AND_YES
+        return values[int(len(values) * LINE)]
+
+    def add_bits(self, worse, count, values, line):
+        above = len(values) - bisect.bisect_right(values, line)
+        # One more than was seen: a few peers must not make a rare bit look impossible.
+        usual = min((above + 1) / (len(values) + 1), MAXIMUM_BIT_RATE / HARM)
+        harmed = usual * HARM
+        self.log_ratio += worse * math.log(harmed / usual)
+        self.log_ratio += (count - worse) * math.log((1 - harmed) / (1 - usual))
+
+    def comparison(self):
+        if not self.count:
+            return None
+        return Comparison(
+            self.log_ratio,
+            self.own / self.count,
+            self.peers / self.peers_count,
+            common_place(self.worse),
+        )
+
+
+def value_of(observation, measure):
+    """Return what is compared: higher is worse; None where it says nothing."""
+    match measure:
+        case Measure.REFUSED:
+            return float(observation.refused)
+        case Measure.REPEATED:
+            return float(observation.repeated)
+    if not observation.answered:
+        return None
+    match measure:
+        case Measure.WAIT:
+            return observation.wait
+        case Measure.FIRST_TOKEN:
+            return observation.first_token - observation.wait
+        case Measure.TOTAL:
+            return observation.total - observation.wait
+        case Measure.COLD:
+            return float(observation.cold)
+
+
+def common_place(worse):
+    """Return the zone or endpoint of most of the worse answers, or an empty text."""
+    for kind in ("endpoint", "zone"):
+        counts = {}
+        for each in worse:
+            place = getattr(each, kind)
+            counts[place] = counts.get(place, 0) + 1
+        name = max(counts, key=counts.get, default="")
+        if name and counts[name] > MOST_OF * len(worse):
+            return f"{kind} {name}"
+    return ""
+
+
+def water_fill(asked, weights, capacity):
+    """Share a capacity by weight; nobody gets more than asked, the rest goes on."""
+    granted = {}
+    left = dict(asked)
+    while left:
+        total = sum(weights.get(name, 1.0) for name in left)
+        level = capacity / total if total else 0.0
+        fits = {
+            name: cost
+            for name, cost in left.items()
+            if cost <= level * weights.get(name, 1.0)
+        }
+        if not fits:
+            granted |= {name: level * weights.get(name, 1.0) for name in left}
+            break
+        for name, cost in fits.items():
+            granted[name] = cost
+            capacity -= cost
+            del left[name]
+    return granted
