Refuse new work until the configuration is known, and start cold after a zone returns

Change: an agent's gate stays closed until a document is in force, and goes back to its cold floor when its zone comes back in. An experiment measures how long an accepted change takes to be in force in every process, from the processes' own log lines.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -9,7 +9,7 @@
 
 from fescuedrum import __version__
 from fescuedrum.decisions.admission import Admission, RefusalReason, Refused
-from fescuedrum.decisions.limits import EndpointLimit
+from fescuedrum.decisions.limits import EndpointLimit, Phase
 from fescuedrum.decisions.queueing import build_queue
 from fescuedrum.exceptions import ProtocolError
 from fescuedrum.process import cancel, on_reload, stop_event
@@ -51,6 +51,8 @@
         self.settings = settings
         self.incarnation = incarnation
         self.gate = build_gate(settings, random.Random(incarnation))
+        # The zone may be out: until the configuration tells, nothing is run.
+        self.gate.close(zone_out=True)
         self.ledger = Ledger(settings.ledger_bytes)
         self.configuration = Configuration()
         self.configuration.subscribe(self.configuration_changed)
@@ -172,7 +174,11 @@
             session.connection.send(pull=Pull())
 
     def configuration_changed(self):
+        was_out = self.gate.zone_out
         self.gate.close(zone_out=self.configuration.zone_is_out(self.settings.zone))
+        if was_out and not self.gate.zone_out:
+            # Whatever was done to the zone, nothing shows that the endpoint is warm.
+            self.gate.limit.reset(Phase.COLD)
         organisations = self.configuration.document.organisations
         self.gate.queue.set_weights({each.name: each.weight for each in organisations})
         self.send_heartbeats()
--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/experiments/spread.py
@@ -0,0 +1,103 @@
+"""Measure how long an accepted change takes to be in force everywhere."""
+
+import asyncio
+import random
+import uuid
+
+from fescuedrum_bench.experiments.base import Experiment, Figure
+from fescuedrum_bench.logfiles import moments_accepted, moments_in_force
+from fescuedrum_bench.site import Site, SiteShape
+
+STORY = (
+    "Three zones with six entries, twelve engines and three plain services. Changes go "
+    "through entries chosen at random, one after the other; the time from the log line "
+    "of acceptance to the last process's log line of the version in force is taken. "
+    "The second part has the platform answer each call 100 ms late. A version that a "
+    "process skipped because a newer one reached it first counts from the newer one."
+)
+SHAPE = SiteShape(zones=3, entries=6, engines=12, services=3)
+CHANGES = 100
+PAUSE_SECONDS = 0.05
+SETTLE_SECONDS = 3.0
+SLOW_PLATFORM_SECONDS = 0.1
+TARGET_SECONDS = 1.0
+
+
+async def run(scale, seed):
+    """Apply changes to a healthy site and to one with a slow platform."""
+    chooser = random.Random(seed)
+    count = max(int(CHANGES * scale), 10)
+    async with Site(SHAPE, ["club"]) as site:
+        await asyncio.sleep(SETTLE_SECONDS)
+        healthy = await measure(site, chooser, count)
+        await site.set_faults(delay_seconds=SLOW_PLATFORM_SECONDS)
+        slow = await measure(site, chooser, max(count // 4, 10))
+    series = {"healthy": curve(healthy), "slow platform": curve(slow)}
+    return Experiment(
+        "spread",
+        STORY,
+        [
+            Figure("accepted to in force, median", percentile(healthy, 0.5), "s"),
+            Figure(
+                "accepted to in force, p99",
+                percentile(healthy, 0.99),
+                "s",
+                at_most=TARGET_SECONDS,
+            ),
+            Figure(
+                "the same with a slow platform, p99",
+                percentile(slow, 0.99),
+                "s",
+                at_most=TARGET_SECONDS,
+            ),
+        ],
+        series=series,
+        axes=("share of changes", "seconds"),
+    )
+
+
+async def measure(site, chooser, count):
+    """Apply changes and return the seconds that each took to be in force."""
+    versions = []
+    for _ in range(count):
+        versions.append(await change_weight(site, chooser))
+        await asyncio.sleep(PAUSE_SECONDS)
+    await asyncio.sleep(SETTLE_SECONDS)
+    accepted = moments_accepted(site.entries)
+    processes = [moments_in_force(each) for each in [*site.entries, *site.agents]]
+    return [
+        max(reached(moments, version) for moments in processes) - accepted[version]
+        for version in versions
+    ]
+
+
+def reached(moments, version):
+    """Return when a process had a version or a newer one in force."""
+    return min(moment for number, moment in moments.items() if number >= version)
+
+
+async def change_weight(site, chooser):
+    """Apply one change through an entry chosen at random; return its version."""
+    entry = chooser.choice(site.entries)
+    _, shown = await site.operate(entry, "configuration")
+    document = shown["document"]
+    organisation = document["organisations"][0]
+    organisation["weight"] = organisation.get("weight", 1.0) + 1
+    data = {
+        "base_version": shown["version"],
+        "document": document,
+        "change": uuid.uuid4().hex,
+    }
+    status, answer = await site.operate(entry, "apply", data)
+    assert status == 200, answer
+    return answer["version"]
+
+
+def percentile(values, share):
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
+
+
+def curve(values):
+    ordered = sorted(values)
+    return [(index / len(ordered), value) for index, value in enumerate(ordered)]
