--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -280,6 +280,10 @@
         self.members[name] = member
         return member
 
+    def members_of(self, kind):
+        """Return the endpoints of a kind, in the order of their start."""
+        return [each for each in self.endpoints if each.name.startswith(kind)]
+
     async def list_instance(self, instance):
         url = f"{self.platform.url}/instances/{instance.name}"
         async with self.session.put(url, json=schema.dump(instance)) as response:
