--- a/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 
 from fescuedrum.conf.schema import setting
+from fescuedrum.decisions.queueing import QueuePolicy
+from fescuedrum.tls import TlsFiles
+from fescuedrum.wire.handshake import PeerKey
 
 
 @dataclass(slots=True)
@@ -22,6 +25,15 @@
     warm_after: int = setting(
         10, help="Answers after which a cold endpoint is warm.", minimum=1
     )
+    queue_limit: int = setting(
+        256, help="Requests that may wait for the endpoint.", minimum=0
+    )
+    queue_policy: QueuePolicy = setting(
+        QueuePolicy.FAIR, help="fair; fifo only to compare with."
+    )
+    admission: bool = setting(
+        True, help="Refuse at once what can't be in time; false only to compare with."
+    )
     heartbeat_seconds: float = setting(
         0.5, help="Time between heartbeats.", minimum=0.05, unit="s"
     )
@@ -31,4 +43,10 @@
     ledger_bytes: int = setting(
         64 * 1024 * 1024, help="Memory for kept answers.", minimum=1024, unit="B"
     )
+    peer_keys: list[PeerKey] = setting(
+        list, help="Keys that entries and agents prove; the first is used to prove."
+    )
+    peer_tls: TlsFiles | None = setting(
+        None, help="Certificate, key and authority for entry-agent connections."
+    )
     log_level: str = setting("INFO", help="Lowest level that is logged.")
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
@@ -31,7 +31,13 @@
         while answer.status is None and not answer.done:
             await answer.changed.wait()
         if answer.status is not None:
-            self.send("head", status=answer.status, headers=answer.headers)
+            self.send(
+                "head",
+                status=answer.status,
+                headers=answer.headers,
+                waited_ms=answer.waited_ms,
+                cold=answer.cold,
+            )
         offset = 0
         while True:
             offset = await self.send_available(offset)
@@ -39,7 +45,12 @@
                 break
             await answer.changed.wait()
         self.send(
-            "end", outcome=answer.outcome.value, length=offset, reason=answer.reason
+            "end",
+            outcome=answer.outcome.value,
+            length=offset,
+            reason=answer.reason,
+            retry_after_ms=answer.retry_after_ms,
+            unavailable=answer.unavailable,
         )
 
     async def send_available(self, offset):
@@ -47,6 +58,8 @@
             while self.credit <= 0:
                 self.credited.clear()
                 await self.credited.wait()
+            # Credit bounds one request; this bounds the sum of all on the connection.
+            await self.session.connection.wait_for_room()
             size = min(self.credit, CHUNK_BYTES)
             data = bytes(self.answer.body[offset : offset + size])
             self.send("chunk", offset=offset, data=data)
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -2,24 +2,31 @@
 
 import asyncio
 import logging
+import random
+from functools import partial
 
 import aiohttp
 
 from fescuedrum import __version__
-from fescuedrum.outcomes import Outcome
-from fescuedrum.process import cancel, stop_event
+from fescuedrum.decisions.admission import Admission, RefusalReason, Refused
+from fescuedrum.decisions.limits import EndpointLimit
+from fescuedrum.decisions.queueing import build_queue
+from fescuedrum.exceptions import ProtocolError
+from fescuedrum.process import cancel, on_reload, stop_event
+from fescuedrum.versions.configuration import Configuration
+from fescuedrum.versions.pulling import Pulls
 from fescuedrum.wire.gen.frames.ttypes import Hello
 from fescuedrum.wire.gen.members.ttypes import Heartbeat, LoadReport, Pull
+from fescuedrum.wire.peers import Peers
 from fescuedrum_agent.connection.session import Session
 from fescuedrum_agent.process.gate import Gate
 from fescuedrum_agent.request.answer import Answer
 from fescuedrum_agent.request.execution import Execution
 from fescuedrum_agent.request.ledger import Ledger
-from fescuedrum_agent.version.configuration import Configuration
+from fescuedrum_agent.request.ticket import Ticket
 
 logger = logging.getLogger(__name__)
 
-PROTOCOL = 1
 DRAIN_POLL_SECONDS = 0.05
 
 
@@ -28,41 +35,48 @@
 
     __slots__ = (
         "configuration",
-        "executions",
         "gate",
         "incarnation",
         "ledger",
+        "peers",
+        "pulls",
         "sequence",
         "session",
         "sessions",
         "settings",
+        "tickets",
     )
 
     def __init__(self, settings, incarnation):
         self.settings = settings
         self.incarnation = incarnation
-        self.gate = Gate(settings.cold_limit, settings.warm_limit, settings.warm_after)
+        self.gate = build_gate(settings, random.Random(incarnation))
         self.ledger = Ledger(settings.ledger_bytes)
-        self.configuration = Configuration(self.configuration_changed)
+        self.configuration = Configuration()
+        self.configuration.subscribe(self.configuration_changed)
+        self.pulls = Pulls()
         self.sessions = set()
-        self.executions = {}
+        self.tickets = {}
+        self.peers = Peers(settings.peer_keys, settings.peer_tls, self.hello)
         self.session = None
         self.sequence = 0
 
     async def run(self):
         """Serve until a signal, then drain and stop."""
         stop = stop_event()
+        on_reload(self.peers.certificates.reload)
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
         )
-        server = await asyncio.start_server(
+        server = await self.peers.listen(
             self.serve_connection, self.settings.host, self.settings.port
         )
+        reload = asyncio.create_task(self.peers.certificates.follow())
         logger.info("agent started", extra={"release": __version__})
         beat = asyncio.create_task(self.beat())
         await stop.wait()
         await self.drain()
-        await cancel([beat])
+        await cancel([beat, reload])
         server.close()
         for session in list(self.sessions):
             session.connection.close()
@@ -71,15 +85,21 @@
 
     async def serve_connection(self, reader, writer):
         session = Session(self, reader, writer)
-        self.sessions.add(session)
         try:
             await session.run()
+        except ProtocolError as error:
+            logger.warning("entry refused", extra={"error": str(error)})
         finally:
             self.sessions.discard(session)
 
+    def greet(self, session):
+        """Take up a session whose peer has proved itself."""
+        self.sessions.add(session)
+        session.connection.send(heartbeat=self.heartbeat(session))
+
     async def drain(self):
         """Refuse new work, tell every entry, and let running requests end."""
-        self.gate.leaving = True
+        self.gate.close(leaving=True)
         self.send_heartbeats()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.drain_seconds
@@ -87,21 +107,32 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     def busy(self):
-        return self.gate.running or any(session.relays for session in self.sessions)
+        return bool(self.tickets) or any(session.relays for session in self.sessions)
 
     async def beat(self):
         while True:
-            self.send_heartbeats()
+            self.gate.sweep(asyncio.get_running_loop().time())
+            self.send_due_heartbeats()
             await asyncio.sleep(self.settings.heartbeat_seconds)
 
-    def send_heartbeats(self):
+    def send_due_heartbeats(self):
+        """Send heartbeats to the entries whose wanted interval has passed."""
+        now = asyncio.get_running_loop().time()
+        # A timer may fire a little early; half a tick is the nearest one.
+        early = self.settings.heartbeat_seconds / 2
+        due = [each for each in self.sessions if now >= each.next_beat - early]
+        for session in due:
+            session.next_beat = now + session.beat_interval
+        self.send_heartbeats(due)
+
+    def send_heartbeats(self, sessions=None):
+        """Tell all entries, or those given."""
         self.sequence += 1
-        for session in self.sessions:
-            session.connection.send(heartbeat=self.heartbeat())
+        for session in self.sessions if sessions is None else sessions:
+            session.connection.send(heartbeat=self.heartbeat(session))
 
     def hello(self):
         return Hello(
-            protocol=PROTOCOL,
             instance=self.settings.name,
             incarnation=self.incarnation,
             role="agent",
@@ -110,16 +141,23 @@
             service_name=self.settings.service,
         )
 
-    def heartbeat(self):
+    def heartbeat(self, session):
+        gate = self.gate
         load = LoadReport(
-            running=self.gate.running, limit=self.gate.limit, warm=self.gate.warm
+            running=gate.running,
+            waiting=gate.queue.length,
+            limit=gate.limit.limit,
+            warm=gate.warm,
+            received=session.received,
+            cost_rate=gate.admission.rate(gate.limit.limit),
+            delay=gate.admission.seconds_per_cost,
+            answers=gate.answers,
         )
         return Heartbeat(
             instance=self.settings.name,
             incarnation=self.incarnation,
             zone=self.settings.zone,
             version=self.configuration.version,
-            document_hash=self.configuration.document_hash,
             leaving=self.gate.leaving,
             load=load,
             sequence=self.sequence,
@@ -127,41 +165,60 @@
 
     def heard(self, session, heartbeat):
         """Pull the document from an entry that runs a newer version."""
-        if heartbeat.version > self.configuration.version:
-            session.connection.send(pull=Pull(heartbeat.document_hash))
-
-    def configuration_changed(self, document):
-        self.gate.zone_out = self.configuration.zone_is_out(self.settings.zone)
-        logger.info("version in force", extra={"version": self.configuration.version})
+        session.beat_interval = (heartbeat.wanted_interval_ms or 0) / 1000
+        announced, in_force = heartbeat.version or 0, self.configuration.version
+        now = asyncio.get_running_loop().time()
+        if self.pulls.should_ask(announced, in_force, now):
+            session.connection.send(pull=Pull())
+
+    def configuration_changed(self):
+        self.gate.close(zone_out=self.configuration.zone_is_out(self.settings.zone))
+        organisations = self.configuration.document.organisations
+        self.gate.queue.set_weights({each.name: each.weight for each in organisations})
         self.send_heartbeats()
 
     def submit(self, session, request):
-        """Start a request or find its answer: (answer, None) or (None, reason)."""
+        """Take a request or find its answer: (answer, None) or (None, Refused)."""
         if request.key and (answer := self.ledger.find(request.key)):
             return answer, None
         if request.attach_only:
-            return None, "key-unknown"
-        if reason := self.gate.refusal():
-            return None, reason
+            return None, Refused(RefusalReason.KEY_UNKNOWN, 0.0)
         answer = Answer()
+        execution = Execution(self.session, self.settings.endpoint_url, request, answer)
+        now = asyncio.get_running_loop().time()
+        place = (session, request.number)
+        ticket = Ticket(request, answer, execution, partial(self.finished, place), now)
+        if refused := self.gate.offer(ticket.work, now):
+            return None, refused
         if request.key:
             self.ledger.add(request.key, answer)
-        self.gate.enter()
-        execution = Execution(self.session, self.settings.endpoint_url, request, answer)
-        task = asyncio.create_task(execution.run())
-        self.executions[(session, request.number)] = (task, request)
-        task.add_done_callback(lambda _: self.finished(session, request, answer))
+        self.tickets[place] = ticket
         return answer, None
 
-    def finished(self, session, request, answer):
-        self.executions.pop((session, request.number), None)
-        self.gate.exit(answered=answer.outcome is Outcome.ANSWERED)
-        if answer.outcome is not Outcome.ANSWERED:
-            self.gate.collapse()
+    def finished(self, place, ticket):
+        """Settle a request that ended, or that waited and was given up."""
+        self.tickets.pop(place, None)
+        if not ticket.ran:
+            self.ledger.forget(ticket.request.key, ticket.answer)
+            return
+        now = asyncio.get_running_loop().time()
+        self.gate.finish(ticket.work, ticket.result(now), now)
 
     def cancel(self, session, number):
         """Free the endpoint's work for a caller who left, if it may be cut."""
-        task, request = self.executions.get((session, number), (None, None))
+        ticket = self.tickets.get((session, number))
+        if ticket is None:
+            return
+        if self.gate.withdraw(ticket.work):
+            ticket.refuse(Refused(RefusalReason.WITHDRAWN, 0.0))
         # A non-idempotent request runs on: its effect can't be taken back.
-        if task is not None and request.idempotent:
-            task.cancel()
+        elif ticket.request.idempotent:
+            ticket.task.cancel()
+
+
+def build_gate(settings, chooser):
+    limit = EndpointLimit(settings.cold_limit, settings.warm_limit, settings.warm_after)
+    queue = build_queue(settings.queue_policy)
+    gate = Gate(limit, queue, Admission(chooser), settings.queue_limit)
+    gate.admit_all = not settings.admission
+    return gate
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
@@ -4,18 +4,21 @@
 import logging
 from dataclasses import dataclass
 
-from fescuedrum.decisions.routing import Candidate
+from fescuedrum.decisions.pacing import Backoff
 from fescuedrum.exceptions import ProtocolError
 from fescuedrum.wire import codec
 from fescuedrum.wire.connection import FrameConnection
 from fescuedrum.wire.gen.frames import ttypes as frames
 from fescuedrum.wire.gen.members import ttypes as members
+from fescuedrum_entry.connection.attempt import AttemptTrace
 
 logger = logging.getLogger(__name__)
 
-RECONNECT_SECONDS = 0.2
 CONNECT_TIMEOUT_SECONDS = 2.0
 WINDOW_BYTES = 256 * 1024
+# A frame of credit for every token would cost as much as the token itself; a quarter
+# of the window keeps the agent sending while the credit is on its way.
+CREDIT_BYTES = WINDOW_BYTES // 4
 
 
 @dataclass(slots=True, frozen=True)
@@ -23,27 +26,51 @@
     """Tell an exchange that its connection ended; the request may have run."""
 
 
+LOST = Lost()
+
+
 class Exchange:
     """Hold one request on one connection and the frames that come for it."""
 
-    __slots__ = ("attempt", "events", "link", "number")
+    __slots__ = (
+        "attempt",
+        "candidate",
+        "events",
+        "link",
+        "number",
+        "trace",
+        "untold",
+    )
 
-    def __init__(self, link, number, attempt):
+    def __init__(self, link, number, attempt, candidate=None, trace=None):
         self.link = link
         self.number = number
         self.attempt = attempt
+        # On which the router counts this request as unanswered.
+        self.candidate = candidate
         self.events = asyncio.Queue()
+        self.trace = trace
+        self.untold = 0
 
     async def receive(self):
         """Wait for the next frame of this request, or Lost."""
-        return await self.events.get()
+        body = await self.events.get()
+        if self.trace is not None:
+            self.trace.received(body)
+        return body
 
     def taken(self, size):
         """Give the agent credit for bytes that the caller has taken."""
-        self.link.send(credit=frames.Credit(self.number, self.attempt, size))
+        self.untold += size
+        if self.untold >= CREDIT_BYTES:
+            self.link.send(credit=frames.Credit(self.number, self.attempt, self.untold))
+            self.untold = 0
 
     def close(self, *, finished):
+        self.link.entry.router.ended(self.link, self.candidate)
         self.link.exchanges.pop(self.number, None)
+        if self.trace is not None:
+            self.trace.closed()
         if not finished:
             self.link.send(cancel=frames.Cancel(self.number, self.attempt))
 
@@ -60,6 +87,7 @@
         "last_heartbeat",
         "loop",
         "next_number",
+        "peer",
         "unexpected_frames",
     )
 
@@ -71,6 +99,7 @@
         self.last_heartbeat = None
         self.heard_at = 0.0
         self.next_number = 1
+        self.peer = None
         self.unexpected_frames = 0
         self.loop = asyncio.get_running_loop()
 
@@ -78,25 +107,21 @@
     def usable(self):
         """Tell whether new work may go to this agent."""
         beat = self.last_heartbeat
-        return self.connection is not None and beat is not None and not beat.leaving
-
-    def candidate(self):
-        load = self.last_heartbeat.load
-        return Candidate(
-            name=self.instance.name,
-            zone=self.instance.zone,
-            running=load.running or 0,
-            limit=load.limit or 1,
-            unanswered=len(self.exchanges),
-            warm=bool(load.warm),
-        )
+        if self.connection is None or beat is None or beat.leaving:
+            return False
+        if self.instance.name in self.entry.members.damped:
+            return False
+        # An agent that takes what is sent too slowly gets no more until it caught up.
+        return not self.connection.congested
 
     def open(self, request):
         """Send a request and return its exchange."""
         request.number = self.next_number
         self.next_number += 1
         request.window = WINDOW_BYTES
-        exchange = Exchange(self, request.number, request.attempt)
+        trace = AttemptTrace.begin(self, request)
+        candidate = self.entry.router.sent(self)
+        exchange = Exchange(self, request.number, request.attempt, candidate, trace)
         self.exchanges[request.number] = exchange
         self.send(request=request)
         return exchange
@@ -107,9 +132,10 @@
 
     async def run(self):
         """Connect, serve the connection to its end, and start again."""
+        backoff = Backoff(self.entry.random)
         while True:
             try:
-                await self.serve()
+                await self.serve(backoff)
             except (OSError, TimeoutError, ProtocolError) as error:
                 logger.info(
                     "connection ended",
@@ -117,17 +143,23 @@
                 )
             finally:
                 self.lose()
-            await asyncio.sleep(RECONNECT_SECONDS)
+            await asyncio.sleep(backoff.next_wait())
 
-    async def serve(self):
+    async def serve(self, backoff):
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-            reader, writer = await asyncio.open_connection(
+            reader, writer = await self.entry.peers.connect(
                 self.instance.host, self.instance.port
             )
         connection = FrameConnection(reader, writer)
+        try:
+            side = self.entry.peers.entry_side(self.instance.name)
+            self.peer = await connection.handshake(side)
+        except BaseException:
+            writer.transport.abort()
+            raise
+        backoff.succeeded()
         watch = asyncio.create_task(self.watch(connection))
         try:
-            connection.send(hello=self.entry.hello())
             self.heard_at = self.loop.time()
             while (frame := await connection.receive()) is not None:
                 self.heard_at = self.loop.time()
@@ -143,10 +175,10 @@
         A middlebox that forgets a connection drops its packets without a reset, so
         neither side sees an error; only missing heartbeats show it.
         """
-        settings = self.entry.settings
-        while self.loop.time() - self.heard_at < settings.silence_seconds:
+        members = self.entry.members
+        while self.loop.time() - self.heard_at < members.allowed_silence():
             connection.send(heartbeat=self.entry.heartbeat())
-            await asyncio.sleep(settings.heartbeat_seconds)
+            await asyncio.sleep(members.interval())
         logger.warning("connection silent", extra={"agent": self.instance.name})
         # A plain close would wait for the peer to take what is still buffered.
         connection.writer.transport.abort()
@@ -155,10 +187,13 @@
         match body:
             case members.Heartbeat():
                 self.last_heartbeat = body
+                self.entry.members.heard(self.peer, body)
+                self.entry.following.heard(self, body)
+                self.entry.router.heard(self)
             case members.Pull():
-                self.entry.configuration.answer_pull(self, body)
-            case frames.Hello():
-                pass
+                self.entry.following.answer(self, body)
+            case members.DocumentBody():
+                self.entry.configuration.offer_frame(body)
             case None:
                 self.unexpected_frames += 1
             case _:
@@ -170,11 +205,16 @@
         if exchange is None or exchange.attempt != body.attempt:
             self.unexpected_frames += 1
             return
+        if isinstance(body, frames.End):
+            self.entry.router.delivered(self, body)
         exchange.events.put_nowait(body)
 
     def lose(self):
+        if self.connection is not None:
+            self.entry.members.lost(self.instance.name)
         self.connection = None
         self.last_heartbeat = None
+        self.entry.router.lost(self)
         exchanges, self.exchanges = self.exchanges, {}
         for exchange in exchanges.values():
-            exchange.events.put_nowait(Lost())
+            exchange.events.put_nowait(LOST)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/dispatch.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/dispatch.py
@@ -4,18 +4,17 @@
 import uuid
 from dataclasses import dataclass
 
-from fescuedrum.decisions import routing
 from fescuedrum.exceptions import (
     DeadlinePassed,
     OutcomeUnknown,
     Overloaded,
-    Unavailable,
 )
 from fescuedrum.outcomes import Outcome
 from fescuedrum.wire.gen.frames import ttypes as frames
 from fescuedrum_entry.connection.link import Lost
 from fescuedrum_entry.request import claims
 from fescuedrum_entry.request.call import Repetition
+from fescuedrum_entry.request.selection import Selection
 
 MAXIMUM_REPEATS = 3
 RETRY_SECONDS = 0.02
@@ -26,6 +25,8 @@
     """Say that an attempt provably did not run."""
 
     reason: str
+    # When the agent said to come back; None when it said nothing of it.
+    retry_after_ms: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -43,7 +44,7 @@
 class Dispatcher:
     """Own one call from its admission to its outcome."""
 
-    __slots__ = ("attempt", "call", "entry", "loop", "reply", "token", "tried")
+    __slots__ = ("attempt", "call", "entry", "loop", "reply", "selection", "token")
 
     def __init__(self, entry, call, reply):
         self.entry = entry
@@ -51,7 +52,7 @@
         self.reply = reply
         self.attempt = 0
         self.token = uuid.uuid4().hex
-        self.tried = set()
+        self.selection = Selection(entry, call)
         self.loop = asyncio.get_running_loop()
 
     async def run(self):
@@ -60,13 +61,14 @@
             return await self.run_keyed()
         repeats = 0
         while True:
-            link = await self.wait_for_link()
+            link = await self.selection.next_link()
             result = await self.send(link)
-            self.tried.add(link.instance.name)
+            self.selection.mark_tried(link)
             match result:
                 case Done():
                     return None
-                case NotRun(reason):
+                case NotRun(reason, retry_after_ms):
+                    self.selection.refused(link, reason, retry_after_ms)
                     await self.pause(Overloaded(f"No endpoint took it: {reason}."))
                 case Uncertain() if self.may_repeat():
                     repeats += 1
@@ -86,7 +88,7 @@
         return idempotent and not self.reply.started
 
     async def run_keyed(self):
-        link = await self.wait_for_link()
+        link = await self.selection.next_link()
         name = link.instance.name
         table = self.entry.platform
         claim = await claims.claim(table, self.call, name, self.token, self.loop)
@@ -116,20 +118,6 @@
                 case Uncertain(reason):
                     raise OutcomeUnknown(reason)
 
-    async def wait_for_link(self):
-        while True:
-            candidates = self.entry.candidates(self.call.service)
-            fresh = [each for each in candidates if each.name not in self.tried]
-            chosen = routing.choose(
-                fresh or candidates, self.entry.settings.zone, self.entry.random
-            )
-            if chosen is not None and chosen.load < 1:
-                return self.entry.links[chosen.name]
-            if self.loop.time() + RETRY_SECONDS >= self.call.deadline:
-                detail = "No endpoint was free before the deadline."
-                raise Unavailable(detail, retry_after=1)
-            await asyncio.sleep(RETRY_SECONDS)
-
     async def send(self, link, *, token=None, attach_only=False):
         """Make one attempt; relay its answer to the reply."""
         self.attempt += 1
@@ -172,8 +160,8 @@
         length = 0
         while True:
             match await exchange.receive():
-                case frames.Refusal(reason=reason):
-                    return NotRun(reason)
+                case frames.Refusal() as refusal:
+                    return NotRun(refusal.reason, refusal.retry_after_ms)
                 case Lost():
                     return Uncertain("The connection to the agent ended.")
                 case frames.ResponseHead() as head:
@@ -189,7 +177,7 @@
 
     async def settle(self, end, length):
         if end.outcome == Outcome.NOT_RUN:
-            return NotRun(end.reason)
+            return NotRun(end.reason, end.retry_after_ms)
         if end.outcome == Outcome.FAILED and self.may_repeat():
             return Uncertain(end.reason)
         if end.outcome == Outcome.UNKNOWN or end.length != length:
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -11,10 +11,15 @@
     outcome = Outcome.UNKNOWN
     remedy = "Report the request's id to the operators."
 
-    def __init__(self, detail="", *, retry_after=None):
+    # Whether the caller's connection can't be read any further.
+    closes = False
+
+    def __init__(self, detail="", *, retry_after=None, field=None):
         super().__init__(f"{detail} {self.remedy}".strip())
         self.detail = detail
         self.retry_after = retry_after
+        # Field of the body, or header, that is at fault.
+        self.field = field
 
 
 class BadRequest(FescuedrumError):  # noqa: N818 - the HTTP term
@@ -48,6 +53,49 @@
     code = "body-too-large"
     status = 413
     remedy = "Send a smaller body."
+    closes = True
+
+
+class BodyTooSlow(BadRequest):
+    """Refuse a body that does not come within the entry's limit of time."""
+
+    code = "body-too-slow"
+    status = 408
+    remedy = "Send the whole body without a pause."
+    closes = True
+
+
+class HeadersTooLarge(BadRequest):
+    """Refuse a head with too many headers, or one too long."""
+
+    code = "headers-too-large"
+    status = 431
+    remedy = "Send fewer or shorter headers."
+    closes = True
+
+
+class UnknownRoute(BadRequest):
+    """Refuse a path that is none of the callers' interface."""
+
+    code = "unknown-route"
+    status = 404
+    remedy = "Use /v1/completions, /v1/chat/completions, /v1/models or /services/NAME/."
+
+
+class UnknownRequest(BadRequest):
+    """Tell an operator that an entry holds no trace of a request."""
+
+    code = "unknown-request"
+    status = 404
+    remedy = "Ask the other entries; each keeps its own recent requests only."
+
+
+class MethodNotAllowed(BadRequest):
+    """Refuse a method that a path does not offer."""
+
+    code = "method-not-allowed"
+    status = 405
+    remedy = "Use the method that the interface's page gives for this path."
 
 
 class Overloaded(FescuedrumError):  # noqa: N818 - the field's term
@@ -105,3 +153,75 @@
 
     code = "protocol"
     remedy = "Check that both processes run a supported release."
+
+
+class NotSignedIn(BadRequest):
+    """Refuse an operator without a valid token."""
+
+    code = "not-signed-in"
+    status = 401
+    remedy = "Sign in, or send 'Authorization: Bearer <token>' with a valid token."
+
+
+class NotAllowed(BadRequest):
+    """Refuse an operator whose role does not include the action."""
+
+    code = "not-allowed"
+    status = 403
+    remedy = "Ask an administrator for the role, or let someone who has it do this."
+
+
+class TooManySignIns(BadRequest):
+    """Refuse an address that failed to sign in too often."""
+
+    code = "too-many-sign-ins"
+    status = 429
+    remedy = "Wait for the time in Retry-After, then sign in with a valid token."
+
+
+class ChangeInvalid(BadRequest):
+    """Refuse a change whose document has faults; nothing was accepted."""
+
+    code = "change-invalid"
+    status = 422
+    remedy = "Mend what the findings name and apply again."
+
+    def __init__(self, detail="", *, findings):
+        super().__init__(detail)
+        self.findings = findings
+
+
+class ChangeRaced(BadRequest):
+    """Refuse a change that began from a version no longer newest."""
+
+    code = "change-raced"
+    status = 409
+    remedy = "Look at both changes, merge them and apply again."
+
+    def __init__(self, detail="", *, head_version, mine, theirs):
+        super().__init__(detail)
+        self.head_version = head_version
+        self.mine = mine
+        self.theirs = theirs
+
+
+class ChangeUnsettled(FescuedrumError):  # noqa: N818 - tells a state, not a fault
+    """Report that the store gave no answer: the change may be accepted or not."""
+
+    code = "change-unsettled"
+    status = 503
+    remedy = "Apply it again with the same id: it takes effect once at most."
+
+
+class PeerRefusedError(ProtocolError):
+    """Refuse a peer that does not prove a key, or is not the one that was meant."""
+
+    code = "peer-refused"
+    remedy = "Give both processes a common key in peer_keys and check their addresses."
+
+
+class IncompatiblePeerError(ProtocolError):
+    """Refuse a peer whose protocols and ours have none in common."""
+
+    code = "incompatible-peer"
+    remedy = "Upgrade the older process to a release that speaks a common protocol."
--- a/packages/fescuedrum/src/fescuedrum/process.py
+++ b/packages/fescuedrum/src/fescuedrum/process.py
@@ -14,6 +14,8 @@
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
 EXIT_FINDINGS = 3
+EXIT_RACED = 4
+EXIT_UNSETTLED = 5
 
 
 def load_settings(cls, path):
@@ -35,6 +37,16 @@
     return event
 
 
+def on_reload(*callbacks):
+    """Call each callback on SIGHUP."""
+
+    def reload():
+        for callback in callbacks:
+            callback()
+
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+
+
 async def cancel(tasks):
     """Cancel tasks and wait for their end."""
     for task in tasks:
--- /dev/null
+++ b/tests/unit/test_versions.py
@@ -0,0 +1,163 @@
+"""Check that versions only rise, that no change is lost and that gaps show."""
+
+import copy
+
+import pytest
+from hypothesis import given, settings, strategies as st
+from support.builders import build_document
+from support.clock import run_paused
+from support.tables import MemoryTable
+
+from fescuedrum.conf import document as documents
+from fescuedrum.exceptions import ChangeInvalid, ChangeRaced, ChangeUnsettled
+from fescuedrum.versions.apply import Applier, Proposal
+from fescuedrum.versions.audit import read_head, read_trail, verify
+from fescuedrum.versions.configuration import Configuration
+from fescuedrum.versions.pulling import PATIENCE_SECONDS, Pulls
+from fescuedrum.versions.records import audit_key
+from fescuedrum.wire.gen.members.ttypes import Pull
+
+
+def build_version(number):
+    zones = [documents.Zone(f"zone-{index}") for index in range(number)]
+    body = documents.canonical(build_document(zones=zones))
+    return number, documents.document_hash(body), body
+
+
+def build_proposal(base_version, weight, change="c", **changes):
+    document = build_document()
+    document.organisations[0].weight = float(weight)
+    return Proposal(base_version, document, change, "ada", "now", **changes)
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.lists(st.integers(1, 8), max_size=30), st.data())
+def test_versions_never_fall_under_any_order_or_repetition(numbers, data):
+    """Frames of peers that lag, stale reads and repeats come in any order."""
+    receiver, source = Configuration(), Configuration()
+    in_force = []
+    receiver.subscribe(lambda: in_force.append(receiver.version))
+    for number in numbers:
+        version, digest, body = build_version(number)
+        if data.draw(st.booleans()):
+            source.offer(version, digest, body)
+            receiver.offer_frame(source.answer(Pull(source.document_hash)))
+        else:
+            receiver.offer(version, digest, body)
+    assert in_force == sorted(set(in_force))
+    assert receiver.version == max(numbers, default=0)
+
+
+def test_a_document_that_is_damaged_or_not_understood_changes_nothing():
+    configuration = Configuration()
+    configuration.offer(*build_version(2))
+    version, digest, body = build_version(3)
+    assert not configuration.offer(version, digest, body + b" ")
+    odd = b'{"colour": 1}'
+    assert not configuration.offer(4, documents.document_hash(odd), odd)
+    assert configuration.version == 2
+    assert configuration.offer(version, digest, body)
+
+
+def test_one_peer_is_asked_for_a_version_and_another_when_it_stays_silent():
+    pulls = Pulls()
+    assert pulls.should_ask(3, 2, 10.0)
+    assert not pulls.should_ask(3, 2, 10.1)
+    assert pulls.should_ask(4, 2, 10.1)
+    assert pulls.should_ask(4, 2, 10.1 + PATIENCE_SECONDS)
+    assert not pulls.should_ask(2, 2, 20.0)
+
+
+def test_a_race_shows_both_sides_and_changes_nothing():
+    async def story():
+        table = MemoryTable()
+        applier = Applier(table)
+        await applier.apply(build_proposal(0, 1, "first"))
+        await applier.apply(build_proposal(1, 2, "theirs"))
+        with pytest.raises(ChangeRaced) as caught:
+            await applier.apply(build_proposal(1, 3, "mine"))
+        return caught.value, (await read_head(table))[0]
+
+    error, head = run_paused(story())
+    assert (error.head_version, head.version) == (2, 2)
+    assert error.mine == ["organisation club: weight changed from 1.0 to 3.0"]
+    assert error.theirs == ["organisation club: weight changed from 1.0 to 2.0"]
+
+
+def test_a_lost_answer_is_settled_by_reading_back():
+    """The console says "failed", the operator applies again, and the zone flips twice.
+
+    The table took the write and its answer got lost. The applier must find its own
+    audit row; and the same change asked for again must be recognised.
+    """
+
+    async def story():
+        table = MemoryTable()
+        applier = Applier(table)
+        table.lost_answers = 1
+        first = await applier.apply(build_proposal(0, 1, "mine"))
+        again = await applier.apply(build_proposal(0, 1, "mine"))
+        return first, again
+
+    first, again = run_paused(story())
+    assert first == again
+    assert first.version == 1
+
+
+def test_a_store_that_stays_down_leaves_the_change_unsettled_not_accepted():
+    async def story():
+        table = MemoryTable()
+        applier = Applier(table)
+        put_object = table.put_object
+
+        async def put_and_fail(name, body):
+            await put_object(name, body)
+            table.down = True
+
+        table.put_object = put_and_fail
+        with pytest.raises(ChangeUnsettled):
+            await applier.apply(build_proposal(0, 1, "mine"))
+        table.down = False
+        table.put_object = put_object
+        return await applier.apply(build_proposal(0, 1, "mine"))
+
+    assert run_paused(story()).version == 1
+
+
+def test_a_change_with_faults_or_without_change_is_refused_with_findings():
+    async def story():
+        applier = Applier(MemoryTable())
+        await applier.apply(build_proposal(0, 1))
+        faulty = build_proposal(1, 2)
+        faulty.document.zones.append(copy.deepcopy(faulty.document.zones[0]))
+        ids = []
+        for proposal in (faulty, build_proposal(1, 1)):
+            with pytest.raises(ChangeInvalid) as caught:
+                await applier.apply(proposal)
+            ids.append([finding.id for finding in caught.value.findings])
+        return ids
+
+    assert run_paused(story()) == [["document.E002"], ["change.E003"]]
+
+
+def test_the_trail_shows_a_missing_and_a_changed_row():
+    async def story():
+        table = MemoryTable()
+        applier = Applier(table)
+        for number in range(120):
+            await applier.apply(build_proposal(number, number + 1, f"c{number}"))
+        head, _ = await read_head(table)
+        trail = await read_trail(table, head.version, 1000)
+        assert [record.version for record in trail] == list(range(120, 0, -1))
+        assert verify(trail, head, whole=True) == []
+        del table.rows[audit_key(50)]
+        value, version = table.rows[audit_key(110)]
+        table.rows[audit_key(110)] = (value | {"who": "nobody"}, version)
+        trail = await read_trail(table, head.version, 1000)
+        return verify(trail, head, whole=True)
+
+    findings = run_paused(story())
+    assert [(each.id, each.path) for each in findings] == [
+        ("audit.E002", "version 110"),
+        ("audit.E001", "version 50"),
+    ]
