Serve callers on while the balancer notices that an entry leaves

Cause: an entry with nothing running closed its listener at once on SIGTERM, while the balancer went on sending until its next health check.

Change: notice_seconds (5 s) between turning /readyz down and closing; a test sends bookings as a balancer would through a planned stop, and one reads the newest certificate over a callers' TLS listener.

--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -259,6 +259,8 @@
         operator = Account("operator", Role.OPERATOR, [salted])
         return {
             "peer_port": PEER_PORT,
+            # No balancer stands before a small site.
+            "notice_seconds": 0.0,
             "console_secret": self.peer_secret,
             "operators": [schema.dump(operator)],
             "seeds": [
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -65,6 +65,12 @@
     routing_policy: RoutingPolicy = setting(
         RoutingPolicy.ADAPTIVE, help="adaptive; others only to compare with."
     )
+    notice_seconds: float = setting(
+        5.0,
+        help="Time at a stop for the balancer to see /readyz; callers are served on.",
+        minimum=0.0,
+        unit="s",
+    )
     drain_seconds: float = setting(
         60.0, help="Longest wait for running requests at a stop.", minimum=0.0, unit="s"
     )
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -156,9 +156,14 @@
         return web.Response(body=text, headers={"Content-Type": content_type})
 
     async def drain(self):
-        """Turn readiness down, say so, and let running requests end."""
+        """Turn readiness down, say so, and let running requests end.
+
+        The balancer goes on sending until it has asked /readyz again. A process that
+        closed its listener at once would cut those callers off.
+        """
         self.leaving = True
         self.send_heartbeats()
+        await asyncio.sleep(self.settings.notice_seconds)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.drain_seconds
         while self.running and loop.time() < deadline:
--- a/tests/integration/test_requests.py
+++ b/tests/integration/test_requests.py
@@ -10,6 +10,40 @@
 BODY = {"model": "advice-1", "prompt": "x", "max_tokens": 4}
 
 
+async def book_behind_a_balancer(site, entry, caller):
+    """Send bookings one after the other until /readyz turns down; return records."""
+    records = []
+    while await site.answers(f"{entry.url}/readyz"):
+        records.append(await caller.book(f"order-{len(records)}"))
+    return records
+
+
+async def test_a_planned_stop_of_an_entry_cuts_no_request():
+    """Operators replace an entry instance while receptionists order.
+
+    The balancer notices only at its next check, so orders still come in for a moment;
+    each must get its whole answer, and what runs must come to its end.
+    """
+    shape = SiteShape(
+        entries=1, engines=0, services=1, entry_settings={"notice_seconds": 1.0}
+    )
+    async with Site(shape, ["club"]) as site:
+        (entry,) = site.entries
+        caller = Caller(site.session, entry.url, "club", site.keys["club"])
+        await caller.book("first")
+        sending = [
+            asyncio.create_task(book_behind_a_balancer(site, entry, caller))
+            for caller in [caller] * 4
+        ]
+        await asyncio.sleep(0.3)
+        begun = asyncio.create_task(caller.book("last"))
+        entry.process.terminate()
+        records = sum(await asyncio.gather(*sending), [await begun])
+        assert await entry.process.wait() == 0
+    assert len(records) > 4
+    assert all(record.whole and record.status == 201 for record in records)
+
+
 def show(site, capsys, *arguments):
     token = site.directory / "token"
     token.write_text(site.operator_token)
--- a/tests/unit/test_tls.py
+++ b/tests/unit/test_tls.py
@@ -5,10 +5,12 @@
 import ssl
 
 import pytest
+from support.callers import build_entry
 from support.peers import Authority
 
 from fescuedrum.tls import TlsFiles
 from fescuedrum.wire.peers import Peers
+from fescuedrum_entry.connection.callers import CallersRunner
 
 
 async def listen(files):
@@ -77,3 +79,26 @@
     with pytest.raises(ssl.SSLCertVerificationError):
         await exchange(Peers([], authority.issue("entry"), None), port)
     server.close()
+
+
+async def test_callers_reach_an_entry_over_tls_with_the_newest_certificate(tmp_path):
+    """The callers' certificate is renewed while their connections stay open."""
+    authority = Authority(tmp_path)
+    files = authority.issue("entry")
+    entry = build_entry(callers_tls=files)
+    entry.settings.port = 0
+    runner = CallersRunner(entry.build_application(), entry.settings)
+    await runner.setup()
+    await entry.listen(runner)
+    port = runner.addresses[0][1]
+    context = ssl.create_default_context(cafile=str(authority.path))
+    serials = []
+    for _ in range(2):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, ssl=context)
+        serials.append(writer.get_extra_info("peercert")["serialNumber"])
+        writer.write(b"GET /healthz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        assert b"200 OK" in await reader.read()
+        authority.issue("entry")
+        entry.callers_tls.refresh()
+    await runner.cleanup()
+    assert serials[0] != serials[1]
