Spend less of the entry's time on each request

Cause: a middleware chain is built for each request, each time series was looked up under a lock, and a body that came with its head was waited for with a timer.

Change: errors are shaped around the application, time series are kept, a body that is there is read at once.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/callers.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/callers.py
@@ -69,7 +69,8 @@
             # which a caller would see as status 500.
             if not is_text(request.headers.get("Expect", "")):
                 return errors.error_response(BadRequest(), errors.new_request_id())
-            return await serve(request)
+            # Not a middleware: the library builds its chain for each request.
+            return await errors.shape_errors(request, serve)
 
         return CallerServer(
             handle,
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/metrics.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/metrics.py
@@ -24,6 +24,7 @@
     __slots__ = (
         "attempts",
         "catalogue",
+        "children",
         "first_byte",
         "loop_delay",
         "organisations",
@@ -34,6 +35,7 @@
 
     def __init__(self):
         catalogue = self.catalogue = Catalogue()
+        self.children = {}
         self.requests = catalogue.counter(
             "fescuedrum_requests_total",
             "Callers' requests that came to an end.",
@@ -113,16 +115,24 @@
     def ended(self, trace):
         """Count a request by its finished trace."""
         service = trace.service or NO_SERVICE
-        self.requests.labels(service, trace.outcome, trace.code).inc()
+        self.child(self.requests, service, trace.outcome, trace.code).inc()
         if trace.organisation:
-            self.organisations.labels(trace.organisation, trace.outcome).inc()
+            self.child(self.organisations, trace.organisation, trace.outcome).inc()
         if trace.service:
-            self.seconds.labels(service).observe(trace.seconds)
+            self.child(self.seconds, service).observe(trace.seconds)
             if trace.first_byte is not None:
-                self.first_byte.labels(service).observe(trace.first_byte)
+                self.child(self.first_byte, service).observe(trace.first_byte)
+
+    def child(self, metric, *labels):
+        """Return one time series; the library's own look-up takes a lock each time."""
+        key = (metric, labels)
+        found = self.children.get(key)
+        if found is None:
+            found = self.children[key] = metric.labels(*labels)
+        return found
 
     def refused(self, reason):
-        self.refusals.labels(bounded(reason, REFUSAL_REASONS)).inc()
+        self.child(self.refusals, bounded(reason, REFUSAL_REASONS)).inc()
 
     def attempt_ended(self, result):
-        self.attempts.labels(result).inc()
+        self.child(self.attempts, result).inc()
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/errors.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/errors.py
@@ -71,11 +71,10 @@
     return ERROR_KINDS.get(status, BadRequest)()
 
 
-@web.middleware
-async def shape_errors(http_request, handler):
+async def shape_errors(http_request, serve):
     """Give the library's own refusals on the callers' routes the common shape."""
     try:
-        return await handler(http_request)
+        return await serve(http_request)
     except web.HTTPException as error:
         if error.status not in CLIENT_ERRORS or not is_callers(http_request):
             raise
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
@@ -10,11 +10,7 @@
 from fescuedrum.outcomes import Outcome
 from fescuedrum_entry.request.call import Repetition
 from fescuedrum_entry.request.dispatch import Dispatcher
-from fescuedrum_entry.request.errors import (
-    error_response,
-    new_request_id,
-    shape_errors,
-)
+from fescuedrum_entry.request.errors import error_response, new_request_id
 from fescuedrum_entry.request.parse import authenticate, check_head, parse_call
 from fescuedrum_entry.request.reply import Reply
 
@@ -27,7 +23,6 @@
     """Add the callers' interface to the entry's application."""
     handler = CallerHandler(entry)
     router = application.router
-    application.middlewares.append(shape_errors)
     router.add_post("/v1/chat/completions", handler.handle)
     router.add_post("/v1/completions", handler.handle)
     router.add_get("/v1/models", handler.list_models)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/parse.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/parse.py
@@ -142,6 +142,9 @@
     if not http_request.body_exists:
         return b""
     try:
+        if http_request.content.is_eof():
+            # It came with the head, so there is nothing to wait for.
+            return await read_within(http_request.content, maximum)
         async with asyncio.timeout(settings.body_seconds):
             return await read_within(http_request.content, maximum)
     except TimeoutError as error:
--- a/packages/fescuedrum/src/fescuedrum/headers.py
+++ b/packages/fescuedrum/src/fescuedrum/headers.py
@@ -37,6 +37,8 @@
 
 def is_text(value):
     """Tell whether a header's value was valid UTF-8 and so can go on as it came."""
+    if value.isascii():
+        return True
     try:
         value.encode()
     except UnicodeEncodeError:
