Prove peer keys and TLS on a site of real processes

Cause: handshake and TLS were tested between two ends in one process only.

Change: a site whose processes all speak TLS with one name in their certificates; a stranger that sends an agent an order, bluntly and with a guessed key; a process without the key at an agent's address.

Result: requests cross the site; the stranger's booking is not run and it learns no name; the entry sends the pretender nothing after its proof.

--- /dev/null
+++ b/tests/integration/test_peers.py
@@ -0,0 +1,97 @@
+"""Check that the processes of a site prove themselves to each other, over TLS."""
+
+import asyncio
+
+import pytest
+from support.peers import Authority, build_agent_side, build_entry_side, build_key
+
+from fescuedrum.conf import schema
+from fescuedrum.exceptions import PeerRefusedError
+from fescuedrum.wire import codec
+from fescuedrum.wire.connection import FrameConnection
+from fescuedrum.wire.gen.frames import ttypes as frames
+from fescuedrum.wire.handshake import Keyring
+from fescuedrum_bench.callers import Caller
+from fescuedrum_bench.site import PORT, Site, SiteShape
+
+
+async def test_requests_cross_a_site_whose_processes_speak_tls(tmp_path):
+    """A fleet in which one name stands in the certificates of all processes."""
+    files = schema.dump(Authority(tmp_path).issue("peers", dns="peers.test"))
+    settings = {"peer_tls": files}
+    shape = SiteShape(
+        zones=2,
+        engines=1,
+        services=1,
+        entry_settings=settings,
+        agent_settings=settings,
+    )
+    async with Site(shape, ["club"]) as site:
+        callers = [
+            Caller(site.session, entry.url, "club", site.keys["club"])
+            for entry in site.entries
+        ]
+        records = [await caller.book("order-1") for caller in callers]
+        records += [await caller.stream("advice") for caller in callers]
+        # Without TLS there is no handshake to begin with.
+        stranger = await open_connection(site.agents[0])
+        stranger.send(hello=frames.Hello(role="entry", nonce=b"n" * 32))
+        assert b"agent" not in await stranger.reader.read()
+        stranger.close()
+    assert all(record.whole for record in records)
+
+
+async def test_a_stranger_can_give_an_agent_no_order():
+    """Somebody on the network connects to an agent and sends a booking of its own.
+
+    The agent must neither run it nor tell anything about itself.
+    """
+    shape = SiteShape(entries=1, engines=0, services=1)
+    order = frames.Request(
+        number=1, attempt=1, method="POST", path="/bookings", budget_ms=1000, window=1
+    )
+    async with Site(shape, ["club"]) as site:
+        agent = site.agents[0]
+        blunt = await open_connection(agent)
+        blunt.send(request=order)
+        assert await blunt.receive() is None
+        guesser = await open_connection(agent)
+        side = build_entry_side(Keyring([build_key("guess")]), agent.name)
+        guesser.send_all(side.open())
+        challenge = codec.body_of(await guesser.receive())
+        assert isinstance(challenge, frames.Challenge)
+        guesser.send_all(side.receive(challenge))
+        guesser.send(request=order)
+        assert await guesser.receive() is None
+        executions = await site.fetch_json(f"{site.endpoints[0].url}/executions")
+    assert executions == {}
+
+
+async def open_connection(member):
+    return FrameConnection(*await asyncio.open_connection(member.host, PORT))
+
+
+async def test_an_entry_gives_no_request_to_a_process_without_the_key():
+    """Somebody takes an agent's address over and waits for bookings to come."""
+    async with asyncio.timeout(20):
+        seen = []
+
+        async def pretend(reader, writer):
+            connection = FrameConnection(reader, writer)
+            side = build_agent_side(Keyring([build_key("guess")]))
+            while (frame := await connection.receive()) is not None:
+                body = codec.body_of(frame)
+                seen.append(body)
+                # It can't check the entry's proof, so it goes on whatever it was.
+                side.keyring = Keyring([])
+                answers = side.receive(body) if len(seen) < 3 else []
+                connection.send_all(answers)
+
+        server = await asyncio.start_server(pretend, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        near = FrameConnection(*await asyncio.open_connection("127.0.0.1", port))
+        with pytest.raises(PeerRefusedError, match="proved no key"):
+            await near.handshake(build_entry_side(Keyring([build_key("site")])))
+        near.close()
+        server.close()
+    assert {type(body) for body in seen} == {frames.Hello, frames.Proof}
--- a/tests/support/peers.py
+++ b/tests/support/peers.py
@@ -79,12 +79,13 @@
             builder = builder.add_extension(x509.SubjectAlternativeName(names), False)
         return builder.sign(self.key, hashes.SHA256())
 
-    def issue(self, name, host="127.0.0.1"):
+    def issue(self, name, host="127.0.0.1", dns=""):
         """Write a certificate and its key; return the TlsFiles that name them."""
         key = ec.generate_private_key(ec.SECP256R1())
         subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
         address = x509.IPAddress(ipaddress.ip_address(host))
-        certificate = self.build(subject, key, names=[address])
+        names = [address, *([x509.DNSName(dns)] if dns else [])]
+        certificate = self.build(subject, key, names=names)
         paths = [self.directory / f"{name}{end}" for end in (".pem", ".key")]
         paths[0].write_bytes(pem(certificate))
         paths[1].write_bytes(
@@ -94,7 +95,7 @@
                 serialization.NoEncryption(),
             )
         )
-        return TlsFiles(*map(str, paths), authority=str(self.path))
+        return TlsFiles(*map(str, paths), str(self.path), dns)
 
 
 def pem(certificate):
