Reset broken streams over HTTP/1.0 and log refusals quietly

Cause: an HTTP/1.0 body ends with its connection, so a broken stream looked whole to an old balancer; under overload each refusal wrote a log line; a body limit above a frame's would have ended in status 500.

Change: a reset ends a broken stream over HTTP/1.0; refusals are logged at debug, other ends at warning; the body limit is bounded by what a frame holds.

Conclusion: refusals are seen in metrics and traces.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -21,7 +21,11 @@
     port: int = setting(help="Port for callers.", minimum=1, maximum=65535)
     platform_url: str = setting(help="Base URL of the platform's services.")
     maximum_body_bytes: int = setting(
-        4 * 1024 * 1024, help="Largest body taken from a caller.", minimum=1, unit="B"
+        4 * 1024 * 1024,
+        help="Largest body taken from a caller; a frame must hold it and its head.",
+        minimum=1,
+        maximum=7 * 1024 * 1024,
+        unit="B",
     )
     body_seconds: float = setting(
         30.0, help="Longest time for a caller's body.", minimum=0.05, unit="s"
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
@@ -134,7 +134,11 @@
     async def fail(self, reply, trace, error):
         """Tell the caller of an error in the way that is still open."""
         trace.fail(loop_time(), error)
-        logger.info("request not answered", extra={"code": error.code})
+        # Refusals come by the thousand when the service is full, and a line for each
+        # would cost as much as the refusal; metrics and traces tell of them.
+        refused = error.outcome is Outcome.NOT_RUN
+        level = logging.DEBUG if refused else logging.WARNING
+        logger.log(level, "request not answered", extra={"code": error.code})
         if not reply.started:
             raise error
         await reply.break_off(error)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/reply.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/reply.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import json
+import socket
+import struct
 
 from aiohttp import web
+from aiohttp.http import HttpVersion11
 
 from fescuedrum.outcomes import OUTCOME_HEADER, REQUEST_ID_HEADER, Outcome
 from fescuedrum_entry.request.errors import error_body
@@ -22,6 +25,8 @@
         REQUEST_ID_HEADER.lower(),
     )
 )
+# On, and no time: closing sends a reset in place of a proper end.
+LINGER_NONE = struct.pack("ii", 1, 0)
 BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -133,7 +138,20 @@
             except (TimeoutError, ConnectionError):
                 transport.abort()
                 return
+        if self.http_request.version < HttpVersion11:
+            reset(transport)
+            return
         transport.close()
         # A caller that takes nothing would hold the closing connection for good.
         loop = asyncio.get_running_loop()
         loop.call_later(CLOSING_SECONDS, transport.abort)
+
+
+def reset(transport):
+    """Reset a connection on which a proper end would tell that the body is whole.
+
+    HTTP/1.0 has no chunks: the body ends with the connection, whatever the reason.
+    """
+    sock = transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+    transport.abort()
--- a/tests/unit/test_callers.py
+++ b/tests/unit/test_callers.py
@@ -232,6 +232,17 @@
     assert not body.endswith(b"0\r\n\r\n")
 
 
+async def test_a_broken_stream_over_http_1_0_ends_in_a_reset(monkeypatch):
+    """An old balancer speaks HTTP/1.0, in which a closed connection ends a body."""
+    headers = [("Content-Type", "text/event-stream")]
+    script = Script(200, headers, [b"data: one\n\n"], OutcomeUnknown("It was cut."))
+    head = f"POST /v1/completions HTTP/1.0\r\nHost: h\r\n{AUTHORISED}\r\n"
+    head += f"Content-Length: {len(COMPLETION)}\r\n\r\n"
+    async with serving(monkeypatch, script) as port:
+        with pytest.raises(ConnectionResetError):
+            await send_raw(port, head.encode() + COMPLETION)
+
+
 async def test_a_whole_stream_is_ended_properly(monkeypatch):
     script = Script(200, [("Content-Type", "text/event-stream")], [b"data: 1\n\n"])
     async with serving(monkeypatch, script) as port:
