Give a closing connection five seconds to send the rest

Cause: closing waited for a peer to take what was sent; one gone silent never does, and its buffer of up to 32 MiB stayed.

Change: the transport is aborted five seconds after the close.

Result: a test closes towards a peer that reads nothing and sees the buffer freed.

Conclusion: silent peers cost no memory after their retirement.

--- a/packages/fescuedrum/src/fescuedrum/wire/connection.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/connection.py
@@ -12,6 +12,7 @@
 HANDSHAKE_SECONDS = 5.0
 # Above the high mark senders wait; the peer's kernel and ours hold some more.
 HIGH_WATER_BYTES = 1024 * 1024
+CLOSE_SECONDS = 5.0
 # Frames that can't wait (heartbeats, credit) still add up when a peer takes nothing.
 MAXIMUM_UNSENT_BYTES = 32 * 1024 * 1024
 
@@ -131,5 +132,9 @@
         del buffer[:position]
 
     def close(self):
+        """Close when the peer has taken what was sent, or has had its time to."""
         self.flush()
         self.writer.close()
+        # A silent peer takes nothing, so the transport would wait for good and keep
+        # its buffer, and the process could not end.
+        self.loop.call_later(CLOSE_SECONDS, self.writer.transport.abort)
--- a/tests/unit/test_connection.py
+++ b/tests/unit/test_connection.py
@@ -8,7 +8,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from fescuedrum.outcomes import Outcome
-from fescuedrum.wire import codec
+from fescuedrum.wire import codec, connection
 from fescuedrum.wire.connection import HIGH_WATER_BYTES
 from fescuedrum.wire.gen.frames import ttypes as frames
 from fescuedrum_agent.connection.relay import Relay
@@ -68,6 +68,23 @@
         task.cancel()
 
 
+async def test_closing_does_not_wait_for_a_silent_peer_for_good(monkeypatch):
+    """Something between two zones lost the connection; neither end hears of it.
+
+    What is unsent can't leave any more, and the closed connection would keep it.
+    """
+    monkeypatch.setattr(connection, "CLOSE_SECONDS", 0.05)
+    async with connected() as (near, _):
+        while near.unsent_bytes < HIGH_WATER_BYTES:
+            near.send(chunk=frames.Chunk(1, 1, 0, b"x" * 65_536))
+            near.flush()
+        near.close()
+        assert near.unsent_bytes
+        async with asyncio.timeout(20):
+            while near.unsent_bytes:
+                await asyncio.sleep(0.05)
+
+
 class Peer:
     """Stand for a session that has only its connection."""
 
