Reload certificates by SIGHUP on a running site

Cause: the signal's way to the contexts was not tested in a real process.

Change: the TLS site renews its certificate, signals every process and books again.

Result: an agent shows the new serial number; bookings go on.

--- a/tests/integration/test_peers.py
+++ b/tests/integration/test_peers.py
@@ -1,12 +1,14 @@
 """Check that the processes of a site prove themselves to each other, over TLS."""
 
 import asyncio
+import signal
 
 import pytest
 from support.peers import Authority, build_agent_side, build_entry_side, build_key
 
 from fescuedrum.conf import schema
 from fescuedrum.exceptions import PeerRefusedError
+from fescuedrum.tls import Certificates
 from fescuedrum.wire import codec
 from fescuedrum.wire.connection import FrameConnection
 from fescuedrum.wire.gen.frames import ttypes as frames
@@ -17,8 +19,9 @@
 
 async def test_requests_cross_a_site_whose_processes_speak_tls(tmp_path):
     """A fleet in which one name stands in the certificates of all processes."""
-    files = schema.dump(Authority(tmp_path).issue("peers", dns="peers.test"))
-    settings = {"peer_tls": files}
+    authority = Authority(tmp_path)
+    files = authority.issue("peers", dns="peers.test")
+    settings = {"peer_tls": schema.dump(files)}
     shape = SiteShape(
         zones=2,
         engines=1,
@@ -38,9 +41,28 @@
         stranger.send(hello=frames.Hello(role="entry", nonce=b"n" * 32))
         assert b"agent" not in await stranger.reader.read()
         stranger.close()
+        first = await shown_certificate(site.agents[0], files)
+        authority.issue("peers", dns="peers.test")
+        for member in [*site.entries, *site.agents]:
+            member.process.send_signal(signal.SIGHUP)
+        async with asyncio.timeout(20):
+            while await shown_certificate(site.agents[0], files) == first:
+                await asyncio.sleep(0.05)
+        records += [await caller.book("order-2") for caller in callers]
     assert all(record.whole for record in records)
 
 
+async def shown_certificate(member, files):
+    """Return the serial number of the certificate that a process shows now."""
+    context = Certificates().client_context(files)
+    _, writer = await asyncio.open_connection(
+        member.host, PORT, ssl=context, server_hostname=files.server_name
+    )
+    serial = writer.get_extra_info("peercert")["serialNumber"]
+    writer.transport.abort()
+    return serial
+
+
 async def test_a_stranger_can_give_an_agent_no_order():
     """Somebody on the network connects to an agent and sends a booking of its own.
 
