--- a/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
@@ -43,6 +43,18 @@
     ledger_bytes: int = setting(
         64 * 1024 * 1024, help="Memory for kept answers.", minimum=1024, unit="B"
     )
+    ledger_keys: int = setting(
+        100_000, help="Keys that the agent remembers at most.", minimum=1
+    )
+    session_silence_seconds: float = setting(
+        10.0,
+        help="Silence after which an entry's connection is closed.",
+        minimum=0.1,
+        unit="s",
+    )
+    fault_step: str = setting(
+        "", help="Protocol step at which the process kills itself; for tests only."
+    )
     peer_keys: list[PeerKey] = setting(
         list, help="Keys that entries and agents prove; the first is used to prove."
     )
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from fescuedrum.faults import ProtocolStep
+
 CHUNK_BYTES = 64 * 1024
 
 
@@ -12,7 +14,15 @@
     answer and not the others on the connection.
     """
 
-    __slots__ = ("answer", "attempt", "credit", "credited", "number", "session")
+    __slots__ = (
+        "answer",
+        "attempt",
+        "credit",
+        "credited",
+        "number",
+        "offset",
+        "session",
+    )
 
     def __init__(self, session, request, answer):
         self.session = session
@@ -21,6 +31,8 @@
         self.credit = request.window
         self.credited = asyncio.Event()
         self.answer = answer
+        # An entry that lost its connection midway asks for the rest only.
+        self.offset = request.resume_offset or 0
 
     def grant(self, window):
         self.credit += window
@@ -38,7 +50,8 @@
                 waited_ms=answer.waited_ms,
                 cold=answer.cold,
             )
-        offset = 0
+        self.session.agent.faults.reach(ProtocolStep.AGENT_HEAD)
+        offset = self.offset
         while True:
             offset = await self.send_available(offset)
             if answer.done and offset == len(answer.body):
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+from fescuedrum.claims.frames import RequestNumbers
 from fescuedrum.wire import codec
 from fescuedrum.wire.connection import FrameConnection
 from fescuedrum.wire.gen.frames import ttypes as frames
@@ -15,6 +16,7 @@
     "head": frames.ResponseHead,
     "chunk": frames.Chunk,
     "end": frames.End,
+    "fence_reply": frames.FenceReply,
     "refusal": frames.Refusal,
 }
 
@@ -26,7 +28,10 @@
         "agent",
         "beat_interval",
         "connection",
+        "heard_at",
+        "loop",
         "next_beat",
+        "numbers",
         "peer",
         "received",
         "relays",
@@ -36,6 +41,9 @@
     def __init__(self, agent, reader, writer):
         self.agent = agent
         self.connection = FrameConnection(reader, writer)
+        self.loop = asyncio.get_running_loop()
+        self.heard_at = self.loop.time()
+        self.numbers = RequestNumbers()
         self.peer = None
         # How often the entry wants heartbeats, and when the next is due.
         self.beat_interval = 0.0
@@ -51,12 +59,22 @@
             self.peer = (await self.connection.handshake(side)).instance
             self.agent.greet(self)
             while (frame := await self.connection.receive()) is not None:
+                if self.silent_for_long():
+                    break
                 self.handle(codec.body_of(frame))
         finally:
             for task in self.tasks:
                 task.cancel()
             self.connection.close()
 
+    def silent_for_long(self):
+        """Note that something came; tell whether it came after too long a silence."""
+        now = self.loop.time()
+        silence = now - self.heard_at
+        self.heard_at = now
+        # The same bound as in the agent's beat, for frames that come before it looks.
+        return silence > self.agent.allowed_silence(self)
+
     def send(self, kind, number, attempt, **fields):
         body = BODIES[kind](number=number, attempt=attempt, **fields)
         self.connection.send(**{kind: body})
@@ -70,6 +88,10 @@
                     relay.grant(body.window)
             case frames.Cancel():
                 self.agent.cancel(self, body.number)
+            case frames.Fence():
+                self.spawn(self.answer_fence(body))
+            case frames.Recorded():
+                self.agent.keyed.note_recorded(body, self.loop.time())
             case members.Heartbeat():
                 self.agent.heard(self, body)
             case members.DocumentBody():
@@ -78,7 +100,13 @@
                 if document := self.agent.configuration.answer(body):
                     self.connection.send(document=document)
 
+    async def answer_fence(self, fence):
+        verdict = await self.agent.keyed.fence(fence)
+        self.send("fence_reply", fence.number, fence.attempt, verdict=verdict.value)
+
     def handle_request(self, request):
+        if not self.numbers.accept(request.number):
+            return
         self.received += 1
         answer, refused = self.agent.submit(self, request)
         if answer is None:
@@ -86,12 +114,17 @@
             return
         relay = Relay(self, request, answer)
         self.relays[request.number] = relay
-        task = asyncio.create_task(relay.run())
+        task = self.spawn(relay.run())
+        task.add_done_callback(lambda _: self.relays.pop(request.number, None))
+
+    def spawn(self, coroutine):
+        """Run a task that ends with this connection at the latest."""
+        task = asyncio.create_task(coroutine)
         self.tasks.add(task)
-        task.add_done_callback(lambda done: self.forget(request.number, done))
+        task.add_done_callback(self.forget)
+        return task
 
-    def forget(self, number, task):
-        self.relays.pop(number, None)
+    def forget(self, task):
         self.tasks.discard(task)
         if not task.cancelled() and task.exception():
-            logger.error("relay failed", exc_info=task.exception())
+            logger.error("session's task failed", exc_info=task.exception())
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -12,6 +12,7 @@
 from fescuedrum.decisions.limits import EndpointLimit
 from fescuedrum.decisions.queueing import build_queue
 from fescuedrum.exceptions import ProtocolError
+from fescuedrum.faults import FaultPoint, ProtocolStep
 from fescuedrum.process import cancel, on_reload, stop_event
 from fescuedrum.versions.configuration import Configuration
 from fescuedrum.versions.pulling import Pulls
@@ -22,12 +23,14 @@
 from fescuedrum_agent.process.gate import Gate
 from fescuedrum_agent.request.answer import Answer
 from fescuedrum_agent.request.execution import Execution
-from fescuedrum_agent.request.ledger import Ledger
+from fescuedrum_agent.request.keyed import KeyedRequests
 from fescuedrum_agent.request.ticket import Ticket
 
 logger = logging.getLogger(__name__)
 
 DRAIN_POLL_SECONDS = 0.05
+# A large fleet's entries send heartbeats more seldom; so many may be missed.
+SILENT_BEATS = 4
 
 
 class Agent:
@@ -35,9 +38,10 @@
 
     __slots__ = (
         "configuration",
+        "faults",
         "gate",
         "incarnation",
-        "ledger",
+        "keyed",
         "peers",
         "pulls",
         "sequence",
@@ -51,7 +55,8 @@
         self.settings = settings
         self.incarnation = incarnation
         self.gate = build_gate(settings, random.Random(incarnation))
-        self.ledger = Ledger(settings.ledger_bytes)
+        self.faults = FaultPoint(settings.fault_step)
+        self.keyed = KeyedRequests(settings, incarnation, self.faults)
         self.configuration = Configuration()
         self.configuration.subscribe(self.configuration_changed)
         self.pulls = Pulls()
@@ -111,10 +116,28 @@
 
     async def beat(self):
         while True:
-            self.gate.sweep(asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            self.gate.sweep(now)
+            self.keyed.sweep(now)
+            self.close_silent_sessions(now)
             self.send_due_heartbeats()
             await asyncio.sleep(self.settings.heartbeat_seconds)
 
+    def close_silent_sessions(self, now):
+        """Close connections on which nothing has come for too long.
+
+        An entry that was paused must not go on where it stopped: what it was about
+        to send may have been fenced and forgotten. It finds its connection closed.
+        """
+        for session in list(self.sessions):
+            if now - session.heard_at > self.allowed_silence(session):
+                logger.warning("entry silent", extra={"entry": session.peer})
+                session.connection.writer.transport.abort()
+
+    def allowed_silence(self, session):
+        limit = self.settings.session_silence_seconds
+        return max(limit, SILENT_BEATS * session.beat_interval)
+
     def send_due_heartbeats(self):
         """Send heartbeats to the entries whose wanted interval has passed."""
         now = asyncio.get_running_loop().time()
@@ -179,30 +202,35 @@
 
     def submit(self, session, request):
         """Take a request or find its answer: (answer, None) or (None, Refused)."""
-        if request.key and (answer := self.ledger.find(request.key)):
-            return answer, None
-        if request.attach_only:
-            return None, Refused(RefusalReason.KEY_UNKNOWN, 0.0)
+        now = asyncio.get_running_loop().time()
+        if request.key:
+            self.faults.reach(ProtocolStep.AGENT_RECEIVED)
+            found, reason = self.keyed.find(request)
+            if found is not None or reason is not None:
+                return found, reason and Refused(reason, 0.0)
         answer = Answer()
         execution = Execution(self.session, self.settings.endpoint_url, request, answer)
-        now = asyncio.get_running_loop().time()
         place = (session, request.number)
         ticket = Ticket(request, answer, execution, partial(self.finished, place), now)
+        # Noted before the gate: it may start the request, or refuse it, at once.
+        self.tickets[place] = ticket
+        if request.key:
+            self.keyed.start(request, answer, now)
         if refused := self.gate.offer(ticket.work, now):
+            del self.tickets[place]
+            if request.key:
+                self.keyed.withdraw(request)
             return None, refused
-        if request.key:
-            self.ledger.add(request.key, answer)
-        self.tickets[place] = ticket
         return answer, None
 
     def finished(self, place, ticket):
         """Settle a request that ended, or that waited and was given up."""
         self.tickets.pop(place, None)
-        if not ticket.ran:
-            self.ledger.forget(ticket.request.key, ticket.answer)
-            return
         now = asyncio.get_running_loop().time()
-        self.gate.finish(ticket.work, ticket.result(now), now)
+        if ticket.request.key:
+            self.keyed.finish(ticket.request, ticket.answer, now)
+        if ticket.ran:
+            self.gate.finish(ticket.work, ticket.result(now), now)
 
     def cancel(self, session, number):
         """Free the endpoint's work for a caller who left, if it may be cut."""
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -104,6 +104,7 @@
         "document",
         "endpoints",
         "entries",
+        "fault_steps",
         "guard",
         "keys",
         "members",
@@ -128,6 +129,8 @@
         self.entries = []
         self.agents = []
         self.endpoints = []
+        # Protocol step at which a member, by name, kills itself.
+        self.fault_steps = {}
         self.platform = None
         self.session = None
         self.version = 0
@@ -267,10 +270,20 @@
             "platform_url": self.platform.url,
             "peer_keys": [{"id": "site", "secret": self.peer_secret}],
         }
+        if step := self.fault_steps.get(member.name):
+            settings = settings | {"fault_step": step}
         path.write_text(json.dumps(common | settings))
         member.command += ["--settings", str(path)]
         await member.start()
 
+    async def restart(self, member):
+        """Start a member that is dead again, without its fault."""
+        path = self.directory / f"{member.name}.json"
+        settings = json.loads(path.read_text())
+        settings.pop("fault_step", None)
+        path.write_text(json.dumps(settings))
+        await member.start()
+
     def add(self, name, arguments):
         host = f"{self.prefix}.{self.next_host}"
         self.next_host += 1
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -68,6 +68,18 @@
         list, help="Entries of the zone to start from when the platform is out."
     )
     operators: list[Account] = setting(list, help="Operators who may sign in here.")
+    claim_group_seconds: float = setting(
+        0.005, help="Least time between writes of claims.", minimum=0.0, unit="s"
+    )
+    fence_patience_seconds: float = setting(
+        0.25,
+        help="Wait at an agent for a claimed request before it is fenced.",
+        minimum=0.0,
+        unit="s",
+    )
+    fault_step: str = setting(
+        "", help="Protocol step at which the process kills itself; for tests only."
+    )
     trace_count: int = setting(
         2000, help="Requests kept for operators to look up, of each kind.", minimum=1
     )
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
@@ -126,6 +126,21 @@
         self.send(request=request)
         return exchange
 
+    def ask(self, fence):
+        """Send a question about a key and return its exchange."""
+        fence.number = self.next_number
+        self.next_number += 1
+        fence.attempt = 1
+        exchange = Exchange(self, fence.number, fence.attempt)
+        self.exchanges[fence.number] = exchange
+        self.send(fence=fence)
+        return exchange
+
+    @property
+    def incarnation(self):
+        """Return the life that the agent at the other end is in, or None."""
+        return self.peer.incarnation if self.connection is not None else None
+
     def send(self, **body):
         if self.connection is not None:
             self.connection.send(**body)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from fescuedrum import __version__
+from fescuedrum.faults import FaultPoint
 from fescuedrum.metrics import watch_loop
 from fescuedrum.platform.client import PlatformClient
 from fescuedrum.process import cancel, on_reload, stop_event
@@ -21,6 +22,7 @@
 from fescuedrum_entry.operators import requests, routes as operators
 from fescuedrum_entry.operators.access import SignInLimit, require_role
 from fescuedrum_entry.operators.accounts import Role
+from fescuedrum_entry.process.claims import ClaimWriter
 from fescuedrum_entry.process.members import Members
 from fescuedrum_entry.process.metrics import EntryMetrics
 from fescuedrum_entry.process.router import Router
@@ -38,8 +40,11 @@
     """Own the links, the configuration and the HTTP server of one entry process."""
 
     __slots__ = (
+        "background",
         "callers_tls",
+        "claims",
         "configuration",
+        "faults",
         "following",
         "incarnation",
         "leaving",
@@ -77,6 +82,9 @@
         self.waiting_room = WaitingRoom(
             self, settings.endpoint_wait_limit, settings.endpoint_wait_seconds
         )
+        self.claims = None
+        self.faults = FaultPoint(settings.fault_step)
+        self.background = set()
         self.running = 0
         self.traces = TraceBook(settings.trace_count, settings.trace_slow_seconds)
         self.metrics = EntryMetrics()
@@ -89,6 +97,7 @@
         on_reload(self.callers_tls.reload, self.peers.certificates.reload)
         async with aiohttp.ClientSession() as session:
             self.platform = PlatformClient(self.settings.platform_url, session)
+            self.claims = ClaimWriter(self.platform, self.settings.claim_group_seconds)
             self.following = Following(self.configuration, self.platform)
             tasks = [
                 asyncio.create_task(self.following.run(self.members.read_interval)),
@@ -152,9 +161,15 @@
         self.send_heartbeats()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.drain_seconds
-        while self.running and loop.time() < deadline:
+        while (self.running or self.background) and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    def spawn(self, coroutine):
+        """Run work that outlives its request and holds up a stop."""
+        task = asyncio.create_task(coroutine)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
     def send_heartbeats(self):
         """Tell every agent and entry at once, as of a new version."""
         self.members.send_heartbeats()
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/dispatch.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/dispatch.py
@@ -1,19 +1,20 @@
 """Carry a call to an endpoint and say truthfully what became of it."""
 
 import asyncio
-import uuid
 from dataclasses import dataclass
 
 from fescuedrum.exceptions import (
-    DeadlinePassed,
+    AnswerTooLate,
+    FescuedrumError,
     OutcomeUnknown,
     Overloaded,
 )
 from fescuedrum.outcomes import Outcome
 from fescuedrum.wire.gen.frames import ttypes as frames
 from fescuedrum_entry.connection.link import Lost
-from fescuedrum_entry.request import claims
 from fescuedrum_entry.request.call import Repetition
+from fescuedrum_entry.request.keyed import KeyedRun
+from fescuedrum_entry.request.requests import build_request
 from fescuedrum_entry.request.selection import Selection
 
 MAXIMUM_REPEATS = 3
@@ -44,29 +45,48 @@
 class Dispatcher:
     """Own one call from its admission to its outcome."""
 
-    __slots__ = ("attempt", "call", "entry", "loop", "reply", "selection", "token")
+    __slots__ = (
+        "attempt",
+        "call",
+        "entry",
+        "loop",
+        "may_have_run",
+        "reply",
+        "selection",
+    )
 
     def __init__(self, entry, call, reply):
         self.entry = entry
         self.call = call
         self.reply = reply
         self.attempt = 0
-        self.token = uuid.uuid4().hex
+        self.may_have_run = False
         self.selection = Selection(entry, call)
         self.loop = asyncio.get_running_loop()
 
     async def run(self):
         """Fill the reply with a whole answer or raise a FescuedrumError."""
-        if self.call.repetition is Repetition.KEYED:
-            return await self.run_keyed()
+        if self.call.repetition is not Repetition.IDEMPOTENT:
+            run = KeyedRun(self.entry, self.call, self.reply, self.selection)
+            return await run.run()
+        try:
+            return await self.run_idempotent()
+        except FescuedrumError as error:
+            # A later attempt that was refused says nothing of an earlier one.
+            if self.may_have_run and error.outcome is Outcome.NOT_RUN:
+                raise AnswerTooLate(error.detail) from error
+            raise
+
+    async def run_idempotent(self):
         repeats = 0
         while True:
             link = await self.selection.next_link()
             result = await self.send(link)
             self.selection.mark_tried(link)
+            self.may_have_run |= isinstance(result, Uncertain)
             match result:
                 case Done():
-                    return None
+                    return
                 case NotRun(reason, retry_after_ms):
                     self.selection.refused(link, reason, retry_after_ms)
                     await self.pause(Overloaded(f"No endpoint took it: {reason}."))
@@ -84,44 +104,13 @@
         await asyncio.sleep(RETRY_SECONDS)
 
     def may_repeat(self):
-        idempotent = self.call.repetition is Repetition.IDEMPOTENT
-        return idempotent and not self.reply.started
-
-    async def run_keyed(self):
-        link = await self.selection.next_link()
-        name = link.instance.name
-        table = self.entry.platform
-        claim = await claims.claim(table, self.call, name, self.token, self.loop)
-        if not claim.mine:
-            link = self.entry.links.get(claim.agent)
-        await self.run_claimed(link, claim)
-
-    async def run_claimed(self, link, claim):
-        """Run a claimed key at the agent that its claim names, or read its answer.
-
-        Only that agent may run it, so its refusal is no reason to go elsewhere.
-        """
-        while True:
-            if link is None or not link.usable:
-                result = Uncertain(f"Agent {claim.agent} can't be asked.")
-            else:
-                result = await self.send(
-                    link, token=claim.token, attach_only=not claim.mine
-                )
-            match result:
-                case Done():
-                    return
-                case NotRun(reason):
-                    await self.pause(
-                        OutcomeUnknown(f"It waits at its agent: {reason}.")
-                    )
-                case Uncertain(reason):
-                    raise OutcomeUnknown(reason)
+        return not self.reply.started
 
-    async def send(self, link, *, token=None, attach_only=False):
+    async def send(self, link):
         """Make one attempt; relay its answer to the reply."""
         self.attempt += 1
-        exchange = link.open(self.build_request(token or self.token, attach_only))
+        request = build_request(self.call, self.attempt, self.loop.time())
+        exchange = link.open(request)
         finished = False
         try:
             async with asyncio.timeout_at(self.call.deadline):
@@ -129,33 +118,10 @@
             finished = not isinstance(result, Uncertain)
             return result
         except TimeoutError as error:
-            if self.call.repetition is Repetition.IDEMPOTENT:
-                raise DeadlinePassed("The deadline passed.") from error
-            return Uncertain("The deadline passed while the request was running.")
+            raise AnswerTooLate("The deadline passed.") from error
         finally:
             exchange.close(finished=finished)
 
-    def build_request(self, token, attach_only):
-        call = self.call
-        budget = max(1, int((call.deadline - self.loop.time()) * 1000))
-        return frames.Request(
-            attempt=self.attempt,
-            request_id=call.request_id,
-            organisation=call.organisation,
-            service_name=call.service,
-            method=call.method,
-            path=call.path,
-            headers=[frames.Header(name, value) for name, value in call.headers],
-            body=call.body,
-            budget_ms=budget,
-            idempotent=call.repetition is Repetition.IDEMPOTENT,
-            key=f"{call.organisation}/{call.key}" if call.key else None,
-            token=token,
-            priority=call.priority,
-            cost=call.cost,
-            attach_only=attach_only,
-        )
-
     async def relay(self, exchange):
         length = 0
         while True:
--- /dev/null
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/requests.py
@@ -0,0 +1,22 @@
+"""Build the frame that carries a call to an agent."""
+
+from fescuedrum.wire.gen.frames import ttypes as frames
+from fescuedrum_entry.request.call import Repetition
+
+
+def build_request(call, attempt, now):
+    """Return the request; the time left goes with it, never a clock reading."""
+    return frames.Request(
+        attempt=attempt,
+        request_id=call.request_id,
+        organisation=call.organisation,
+        service_name=call.service,
+        method=call.method,
+        path=call.path,
+        headers=[frames.Header(name, value) for name, value in call.headers],
+        body=call.body,
+        budget_ms=max(1, int((call.deadline - now) * 1000)),
+        idempotent=call.repetition is Repetition.IDEMPOTENT,
+        priority=call.priority,
+        cost=call.cost,
+    )
--- a/packages/fescuedrum/src/fescuedrum/claims/ledger.py
+++ b/packages/fescuedrum/src/fescuedrum/claims/ledger.py
@@ -124,6 +124,18 @@
         self.touch(record, now)
         return record
 
+    def withdraw(self, key):
+        """Take back a start that the gate refused in the same moment.
+
+        An earlier fence stays; the refused attempt itself needs none, because the
+        only copy of its frame was taken.
+        """
+        record = self.records[key]
+        record.state = RecordState.FENCED
+        record.answer = None
+        if not record.fenced:
+            del self.records[key]
+
     def fence(self, key, attempt, incarnation, now):
         """Promise that no attempt up to this one starts, or say that one has."""
         if incarnation != self.incarnation:
--- a/packages/fescuedrum/src/fescuedrum/decisions/admission.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/admission.py
@@ -41,10 +41,24 @@
     WITHDRAWN = "withdrawn"
     # The ledger holds nothing under the key that was asked for.
     KEY_UNKNOWN = "key-unknown"
+    # An entry was promised that this attempt of the key never runs.
+    FENCED = "fenced"
+    # The claim names an earlier life of the agent.
+    OTHER_INCARNATION = "other-incarnation"
+    # There is no memory left to remember another key.
+    LEDGER_FULL = "ledger-full"
 
 
 # Reasons for which another endpoint may well take the request.
-TRY_ELSEWHERE = frozenset((RefusalReason.LEAVING, RefusalReason.ZONE_OUT))
+TRY_ELSEWHERE = frozenset(
+    (
+        RefusalReason.LEAVING,
+        RefusalReason.ZONE_OUT,
+        RefusalReason.FENCED,
+        RefusalReason.OTHER_INCARNATION,
+        RefusalReason.LEDGER_FULL,
+    )
+)
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -131,6 +131,39 @@
     remedy = "Repeat it with the same Idempotency-Key to learn what became of it."
 
 
+class AnswerTooLate(OutcomeUnknown):
+    """Tell the caller that an idempotent request was running at its deadline."""
+
+    code = "answer-too-late"
+    status = 504
+    remedy = "Send the request again with a later deadline; it may be repeated."
+
+
+class OutcomeUnknownUnkeyed(OutcomeUnknown):
+    """Tell the caller that a request without a key may have run."""
+
+    code = "unknown-unkeyed"
+    remedy = "Look at the endpoint's own records; send an Idempotency-Key next time."
+
+
+class KeyNotChecked(Overloaded):
+    """Refuse a keyed request whose key the platform's table could not show."""
+
+    code = "key-not-checked"
+    remedy = (
+        "This sending was not run; an earlier one under the key keeps the outcome it "
+        "was told. Repeat it with the same Idempotency-Key."
+    )
+
+
+class KeyReused(BadRequest):
+    """Refuse a key that stands for a request with another method, path or body."""
+
+    code = "key-reused"
+    status = 409
+    remedy = "Use a new Idempotency-Key for a new request, or send the first one again."
+
+
 class EndpointFailed(FescuedrumError):  # noqa: N818 - the field's term
     """Tell the caller that the endpoint ran the request and failed."""
 
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/faults.py
@@ -0,0 +1,37 @@
+"""Stop a process dead at a named step of the protocol, for tests of crashes."""
+
+import enum
+import os
+import signal
+
+
+class ProtocolStep(enum.StrEnum):
+    """Name every step between which a crash makes a difference."""
+
+    ENTRY_BEFORE_CLAIM = "entry-before-claim"
+    ENTRY_CLAIMED = "entry-claimed"
+    ENTRY_DISPATCHED = "entry-dispatched"
+    ENTRY_ANSWERED = "entry-answered"
+    ENTRY_REPLIED = "entry-replied"
+    ENTRY_RECORDED = "entry-recorded"
+    ENTRY_BEFORE_FENCE = "entry-before-fence"
+    ENTRY_FENCED = "entry-fenced"
+    AGENT_RECEIVED = "agent-received"
+    AGENT_STARTED = "agent-started"
+    AGENT_HEAD = "agent-head"
+    AGENT_ENDED = "agent-ended"
+    AGENT_FENCED = "agent-fenced"
+    AGENT_RECORDED = "agent-recorded"
+
+
+class FaultPoint:
+    """Kill this process when it reaches the step that its settings name."""
+
+    __slots__ = ("step",)
+
+    def __init__(self, step):
+        self.step = ProtocolStep(step) if step else None
+
+    def reach(self, step):
+        if step is self.step:
+            os.kill(os.getpid(), signal.SIGKILL)
--- a/packages/fescuedrum/src/fescuedrum/wire/gen/frames/ttypes.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/gen/frames/ttypes.py
@@ -467,6 +467,8 @@
      - version
      - window
      - attach_only
+     - key_attempt
+     - incarnation
 
     """
 
@@ -490,10 +492,12 @@
         'version',
         'window',
         'attach_only',
+        'key_attempt',
+        'incarnation',
     )
 
 
-    def __init__(self, number=None, attempt=None, request_id=None, organisation=None, service_name=None, method=None, path=None, headers=None, body=None, budget_ms=None, idempotent=None, key=None, token=None, priority=None, cost=None, resume_offset=None, version=None, window=None, attach_only=None,):
+    def __init__(self, number=None, attempt=None, request_id=None, organisation=None, service_name=None, method=None, path=None, headers=None, body=None, budget_ms=None, idempotent=None, key=None, token=None, priority=None, cost=None, resume_offset=None, version=None, window=None, attach_only=None, key_attempt=None, incarnation=None,):
         self.number = number
         self.attempt = attempt
         self.request_id = request_id
@@ -513,6 +517,8 @@
         self.version = version
         self.window = window
         self.attach_only = attach_only
+        self.key_attempt = key_attempt
+        self.incarnation = incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -624,6 +630,16 @@
                     self.attach_only = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I32:
+                    self.key_attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -713,6 +729,314 @@
             oprot.writeFieldBegin('attach_only', TType.BOOL, 19)
             oprot.writeBool(self.attach_only)
             oprot.writeFieldEnd()
+        if self.key_attempt is not None:
+            oprot.writeFieldBegin('key_attempt', TType.I32, 20)
+            oprot.writeI32(self.key_attempt)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 21)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Fence(object):
+    """
+    Attributes:
+     - number
+     - attempt
+     - key
+     - key_attempt
+     - incarnation
+     - patience_ms
+
+    """
+
+    __slots__ = (
+        'number',
+        'attempt',
+        'key',
+        'key_attempt',
+        'incarnation',
+        'patience_ms',
+    )
+
+
+    def __init__(self, number=None, attempt=None, key=None, key_attempt=None, incarnation=None, patience_ms=None,):
+        self.number = number
+        self.attempt = attempt
+        self.key = key
+        self.key_attempt = key_attempt
+        self.incarnation = incarnation
+        self.patience_ms = patience_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.key_attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.patience_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Fence')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 2)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 3)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.key_attempt is not None:
+            oprot.writeFieldBegin('key_attempt', TType.I32, 4)
+            oprot.writeI32(self.key_attempt)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 5)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.patience_ms is not None:
+            oprot.writeFieldBegin('patience_ms', TType.I32, 6)
+            oprot.writeI32(self.patience_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FenceReply(object):
+    """
+    Attributes:
+     - number
+     - attempt
+     - verdict
+
+    """
+
+    __slots__ = (
+        'number',
+        'attempt',
+        'verdict',
+    )
+
+
+    def __init__(self, number=None, attempt=None, verdict=None,):
+        self.number = number
+        self.attempt = attempt
+        self.verdict = verdict
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.verdict = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FenceReply')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 2)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.verdict is not None:
+            oprot.writeFieldBegin('verdict', TType.STRING, 3)
+            oprot.writeString(self.verdict.encode('utf-8') if sys.version_info[0] == 2 else self.verdict)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Recorded(object):
+    """
+    Attributes:
+     - key
+     - keep_answer
+
+    """
+
+    __slots__ = (
+        'key',
+        'keep_answer',
+    )
+
+
+    def __init__(self, key=None, keep_answer=None,):
+        self.key = key
+        self.keep_answer = keep_answer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.keep_answer = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Recorded')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.keep_answer is not None:
+            oprot.writeFieldBegin('keep_answer', TType.BOOL, 2)
+            oprot.writeBool(self.keep_answer)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1406,6 +1730,9 @@
      - end
      - cancel
      - credit
+     - fence
+     - fence_reply
+     - recorded
      - challenge
      - proof
      - heartbeat
@@ -1426,6 +1753,9 @@
         'end',
         'cancel',
         'credit',
+        'fence',
+        'fence_reply',
+        'recorded',
         'challenge',
         'proof',
         'heartbeat',
@@ -1437,7 +1767,7 @@
     )
 
 
-    def __init__(self, hello=None, request=None, refusal=None, head=None, chunk=None, end=None, cancel=None, credit=None, challenge=None, proof=None, heartbeat=None, pull=None, document=None, digest=None, listing_pull=None, listing=None,):
+    def __init__(self, hello=None, request=None, refusal=None, head=None, chunk=None, end=None, cancel=None, credit=None, fence=None, fence_reply=None, recorded=None, challenge=None, proof=None, heartbeat=None, pull=None, document=None, digest=None, listing_pull=None, listing=None,):
         self.hello = hello
         self.request = request
         self.refusal = refusal
@@ -1446,6 +1776,9 @@
         self.end = end
         self.cancel = cancel
         self.credit = credit
+        self.fence = fence
+        self.fence_reply = fence_reply
+        self.recorded = recorded
         self.challenge = challenge
         self.proof = proof
         self.heartbeat = heartbeat
@@ -1512,6 +1845,24 @@
                     self.credit.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.fence = Fence()
+                    self.fence.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.fence_reply = FenceReply()
+                    self.fence_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.recorded = Recorded()
+                    self.recorded.read(iprot)
+                else:
+                    iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.STRUCT:
                     self.challenge = Challenge()
@@ -1602,6 +1953,18 @@
             oprot.writeFieldBegin('credit', TType.STRUCT, 8)
             self.credit.write(oprot)
             oprot.writeFieldEnd()
+        if self.fence is not None:
+            oprot.writeFieldBegin('fence', TType.STRUCT, 10)
+            self.fence.write(oprot)
+            oprot.writeFieldEnd()
+        if self.fence_reply is not None:
+            oprot.writeFieldBegin('fence_reply', TType.STRUCT, 11)
+            self.fence_reply.write(oprot)
+            oprot.writeFieldEnd()
+        if self.recorded is not None:
+            oprot.writeFieldBegin('recorded', TType.STRUCT, 12)
+            self.recorded.write(oprot)
+            oprot.writeFieldEnd()
         if self.challenge is not None:
             oprot.writeFieldBegin('challenge', TType.STRUCT, 15)
             self.challenge.write(oprot)
@@ -1712,6 +2075,31 @@
     (17, TType.I64, 'version', None, None, ),  # 17
     (18, TType.I32, 'window', None, None, ),  # 18
     (19, TType.BOOL, 'attach_only', None, None, ),  # 19
+    (20, TType.I32, 'key_attempt', None, None, ),  # 20
+    (21, TType.I64, 'incarnation', None, None, ),  # 21
+)
+all_structs.append(Fence)
+Fence.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
+    (3, TType.STRING, 'key', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'key_attempt', None, None, ),  # 4
+    (5, TType.I64, 'incarnation', None, None, ),  # 5
+    (6, TType.I32, 'patience_ms', None, None, ),  # 6
+)
+all_structs.append(FenceReply)
+FenceReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
+    (3, TType.STRING, 'verdict', 'UTF8', None, ),  # 3
+)
+all_structs.append(Recorded)
+Recorded.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'keep_answer', None, None, ),  # 2
 )
 all_structs.append(Refusal)
 Refusal.thrift_spec = (
@@ -1824,9 +2212,9 @@
     (7, TType.STRUCT, 'cancel', [Cancel, None], None, ),  # 7
     (8, TType.STRUCT, 'credit', [Credit, None], None, ),  # 8
     None,  # 9
-    None,  # 10
-    None,  # 11
-    None,  # 12
+    (10, TType.STRUCT, 'fence', [Fence, None], None, ),  # 10
+    (11, TType.STRUCT, 'fence_reply', [FenceReply, None], None, ),  # 11
+    (12, TType.STRUCT, 'recorded', [Recorded, None], None, ),  # 12
     None,  # 13
     None,  # 14
     (15, TType.STRUCT, 'challenge', [Challenge, None], None, ),  # 15
--- a/packages/fescuedrum/src/fescuedrum/wire/idl/frames.thrift
+++ b/packages/fescuedrum/src/fescuedrum/wire/idl/frames.thrift
@@ -62,6 +62,32 @@
   18: optional i32 window,
   // Answer from what the ledger holds under the key; start nothing.
   19: optional bool attach_only,
+  // Attempt of the key, and the life of the agent that its claim names.
+  20: optional i32 key_attempt,
+  21: optional i64 incarnation,
+}
+
+// Ask what became of a key's attempts up to a number; forbid those not seen yet.
+struct Fence {
+  1: optional i64 number,
+  2: optional i32 attempt,
+  3: optional string key,
+  4: optional i32 key_attempt,
+  5: optional i64 incarnation,
+  // How long to wait for a request that may still be on its way.
+  6: optional i32 patience_ms,
+}
+
+struct FenceReply {
+  1: optional i64 number,
+  2: optional i32 attempt,
+  3: optional string verdict,
+}
+
+// The end of a key is in its row; with keep_answer its bytes are only here.
+struct Recorded {
+  1: optional string key,
+  2: optional bool keep_answer,
 }
 
 // Says that the request was not run and, at this agent, will not be.
@@ -124,6 +150,9 @@
   6: End end,
   7: Cancel cancel,
   8: Credit credit,
+  10: Fence fence,
+  11: FenceReply fence_reply,
+  12: Recorded recorded,
   15: Challenge challenge,
   16: Proof proof,
   20: members.Heartbeat heartbeat,
--- a/tests/support/claims_model.py
+++ b/tests/support/claims_model.py
@@ -127,7 +127,7 @@
         if entry.step is None:
             return [("begin", (index,), 0)]
         found = [("crash", (index,), 1)]
-        if not entry.deadline_told and not isinstance(entry.step, WriteRow | ReadRow):
+        if not entry.deadline_told:
             found.append(("deadline", (index,), 1))
         match entry.step:
             case ChooseAgent() if entry.attempts < self.attempts:
@@ -211,7 +211,11 @@
         self.entries[index].crashed = True
 
     def deadline(self, index):
-        self.entries[index].deadline_told = True
+        entry = self.entries[index]
+        entry.deadline_told = True
+        if isinstance(entry.step, WriteRow):
+            # The wait for the table ends; the write itself may still take effect.
+            self.late_writes.append(entry.step)
         self.tell(index, DeadlineNear())
 
     def choose(self, index, name, incarnation):
