--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -67,6 +67,9 @@
     seeds: list[Seed] = setting(
         list, help="Entries of the zone to start from when the platform is out."
     )
+    console_secret: str = setting(
+        "", help="Secret that signs the console's cookies; without it, no console."
+    )
     operators: list[Account] = setting(list, help="Operators who may sign in here.")
     claim_group_seconds: float = setting(
         0.005, help="Least time between writes of claims.", minimum=0.0, unit="s"
