--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-from fescuedrum.faults import ProtocolStep
-
 CHUNK_BYTES = 64 * 1024
 
 
@@ -50,7 +48,6 @@
                 waited_ms=answer.waited_ms,
                 cold=answer.cold,
             )
-        self.session.agent.faults.reach(ProtocolStep.AGENT_HEAD)
         offset = self.offset
         while True:
             offset = await self.send_available(offset)
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
@@ -4,6 +4,7 @@
 import logging
 
 from fescuedrum.claims.frames import RequestNumbers
+from fescuedrum.faults import ProtocolStep
 from fescuedrum.wire import codec
 from fescuedrum.wire.connection import FrameConnection
 from fescuedrum.wire.gen.frames import ttypes as frames
@@ -78,6 +79,8 @@
     def send(self, kind, number, attempt, **fields):
         body = BODIES[kind](number=number, attempt=attempt, **fields)
         self.connection.send(**{kind: body})
+        if kind == "head":
+            self.agent.faults.reach(ProtocolStep.AGENT_HEAD)
 
     def handle(self, body):
         match body:
