--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
@@ -66,6 +66,7 @@
         finally:
             for task in self.tasks:
                 task.cancel()
+            self.agent.abandon(self)
             self.connection.close()
 
     def silent_for_long(self):
@@ -77,6 +78,7 @@
         return silence > self.agent.allowed_silence(self)
 
     def send(self, kind, number, attempt, **fields):
+        self.agent.metrics.told(kind, fields)
         body = BODIES[kind](number=number, attempt=attempt, **fields)
         self.connection.send(**{kind: body})
         if kind == "head":
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -9,10 +9,12 @@
 
 from fescuedrum import __version__
 from fescuedrum.decisions.admission import Admission, RefusalReason, Refused
-from fescuedrum.decisions.limits import EndpointLimit
+from fescuedrum.decisions.limits import EndpointLimit, Phase
 from fescuedrum.decisions.queueing import build_queue
 from fescuedrum.exceptions import ProtocolError
 from fescuedrum.faults import FaultPoint, ProtocolStep
+from fescuedrum.logs import live_fields
+from fescuedrum.metrics import watch_loop
 from fescuedrum.process import cancel, on_reload, stop_event
 from fescuedrum.versions.configuration import Configuration
 from fescuedrum.versions.pulling import Pulls
@@ -21,6 +23,8 @@
 from fescuedrum.wire.peers import Peers
 from fescuedrum_agent.connection.session import Session
 from fescuedrum_agent.process.gate import Gate
+from fescuedrum_agent.process.metrics import AgentMetrics
+from fescuedrum_agent.process.operations import Operations
 from fescuedrum_agent.request.answer import Answer
 from fescuedrum_agent.request.execution import Execution
 from fescuedrum_agent.request.keyed import KeyedRequests
@@ -42,6 +46,7 @@
         "gate",
         "incarnation",
         "keyed",
+        "metrics",
         "peers",
         "pulls",
         "sequence",
@@ -57,6 +62,8 @@
         self.gate = build_gate(settings, random.Random(incarnation))
         self.faults = FaultPoint(settings.fault_step)
         self.keyed = KeyedRequests(settings, incarnation, self.faults)
+        # The zone may be out: until the configuration tells, nothing is run.
+        self.gate.close(zone_out=True)
         self.configuration = Configuration()
         self.configuration.subscribe(self.configuration_changed)
         self.pulls = Pulls()
@@ -65,6 +72,9 @@
         self.peers = Peers(settings.peer_keys, settings.peer_tls, self.hello)
         self.session = None
         self.sequence = 0
+        self.metrics = AgentMetrics()
+        self.metrics.watch(self)
+        live_fields["version"] = lambda: self.configuration.version
 
     async def run(self):
         """Serve until a signal, then drain and stop."""
@@ -77,15 +87,19 @@
             self.serve_connection, self.settings.host, self.settings.port
         )
         reload = asyncio.create_task(self.peers.certificates.follow())
+        operations = Operations(self)
+        await operations.start()
         logger.info("agent started", extra={"release": __version__})
         beat = asyncio.create_task(self.beat())
+        lag = asyncio.create_task(watch_loop(self.metrics.loop_delay))
         await stop.wait()
         await self.drain()
-        await cancel([beat, reload])
+        await cancel([beat, lag, reload])
         server.close()
         for session in list(self.sessions):
             session.connection.close()
         await self.session.close()
+        await operations.stop()
         logger.info("agent stopped")
 
     async def serve_connection(self, reader, writer):
@@ -195,7 +209,11 @@
             session.connection.send(pull=Pull())
 
     def configuration_changed(self):
+        was_out = self.gate.zone_out
         self.gate.close(zone_out=self.configuration.zone_is_out(self.settings.zone))
+        if was_out and not self.gate.zone_out:
+            # Whatever was done to the zone, nothing shows that the endpoint is warm.
+            self.gate.limit.reset(Phase.COLD)
         organisations = self.configuration.document.organisations
         self.gate.queue.set_weights({each.name: each.weight for each in organisations})
         self.send_heartbeats()
@@ -230,8 +248,15 @@
         if ticket.request.key:
             self.keyed.finish(ticket.request, ticket.answer, now)
         if ticket.ran:
+            self.metrics.ran(ticket, now)
             self.gate.finish(ticket.work, ticket.result(now), now)
 
+    def abandon(self, session):
+        """Free what an entry that is gone had asked for and nobody else can ask for."""
+        for place in list(self.tickets):
+            if place[0] is session and self.tickets[place].request.idempotent:
+                self.cancel(*place)
+
     def cancel(self, session, number):
         """Free the endpoint's work for a caller who left, if it may be cut."""
         ticket = self.tickets.get((session, number))
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -9,6 +9,7 @@
 
 from fescuedrum import __version__
 from fescuedrum.faults import FaultPoint
+from fescuedrum.logs import live_fields
 from fescuedrum.metrics import watch_loop
 from fescuedrum.platform.client import PlatformClient
 from fescuedrum.process import cancel, on_reload, stop_event
@@ -19,10 +20,11 @@
 from fescuedrum.wire.peers import Peers
 from fescuedrum_entry.connection.callers import CallersRunner
 from fescuedrum_entry.connection.link import Link
-from fescuedrum_entry.operators import requests, routes as operators
+from fescuedrum_entry.operators import fairness, requests, routes as operators
 from fescuedrum_entry.operators.access import SignInLimit, require_role
 from fescuedrum_entry.operators.accounts import Role
 from fescuedrum_entry.process.claims import ClaimWriter
+from fescuedrum_entry.process.fairness import FairnessKeeper
 from fescuedrum_entry.process.members import Members
 from fescuedrum_entry.process.metrics import EntryMetrics
 from fescuedrum_entry.process.router import Router
@@ -44,6 +46,7 @@
         "callers_tls",
         "claims",
         "configuration",
+        "fairness",
         "faults",
         "following",
         "incarnation",
@@ -85,11 +88,14 @@
         self.claims = None
         self.faults = FaultPoint(settings.fault_step)
         self.background = set()
+        self.fairness = FairnessKeeper(self, settings.fairness_seconds)
+        self.configuration.subscribe(self.fairness.configuration_changed)
         self.running = 0
         self.traces = TraceBook(settings.trace_count, settings.trace_slow_seconds)
         self.metrics = EntryMetrics()
         self.leaving = False
         self.metrics.watch(self)
+        live_fields["version"] = lambda: self.configuration.version
 
     async def run(self):
         """Serve until a signal, then drain and stop."""
@@ -102,6 +108,7 @@
             tasks = [
                 asyncio.create_task(self.following.run(self.members.read_interval)),
                 asyncio.create_task(self.members.run()),
+                asyncio.create_task(self.fairness.run()),
                 asyncio.create_task(self.callers_tls.follow()),
                 asyncio.create_task(watch_loop(self.metrics.loop_delay)),
                 asyncio.create_task(self.peers.certificates.follow()),
@@ -137,6 +144,7 @@
         application.router.add_get("/metrics", metrics)
         operators.add_routes(application, self)
         requests.add_routes(application, self)
+        fairness.add_routes(application, self)
         return application
 
     async def healthz(self, _):
--- a/tests/integration/test_crashes.py
+++ b/tests/integration/test_crashes.py
@@ -12,7 +12,8 @@
 from fescuedrum_bench.site import Site, SiteShape
 
 ORDERS = 6
-TRIES = 60
+# The entries are gone for a second or two; an agent's crash is told at once.
+TRIES = {"entry": 60, "agent": 12}
 # Steps that only a repeat of a key reaches: its first sending must fail before them.
 REPEAT_STEPS = {
     ProtocolStep.ENTRY_BEFORE_FENCE,
@@ -21,9 +22,9 @@
 }
 
 
-async def insist(callers, reference, records):
+async def insist(callers, reference, records, tries):
     """Send a booking until its caller has an answer, each time by the next entry."""
-    for attempt in range(TRIES):
+    for attempt in range(tries):
         record = await callers[attempt % len(callers)].book(reference)
         records.append(record)
         if record.outcome == Outcome.ANSWERED:
@@ -45,6 +46,7 @@
     what ran, not report as not run what did, and book what never started.
     """
     victim = "agent-service-0" if step.startswith("agent") else "entry-0"
+    tries = TRIES[step.partition("-")[0]]
     site = Site(SiteShape(zones=1, engines=0), ["club"])
     site.fault_steps[victim] = step
     entries = ["entry-0", "entry-1"]
@@ -62,7 +64,7 @@
             for name in entries
         ]
         await asyncio.gather(
-            *(insist(callers, f"o-{index}", records) for index in range(ORDERS))
+            *(insist(callers, f"o-{i}", records, tries) for i in range(ORDERS))
         )
         # Nothing is proved unless the step was reached.
         async with asyncio.timeout(5):
