--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
@@ -12,7 +12,15 @@
     answer and not the others on the connection.
     """
 
-    __slots__ = ("answer", "attempt", "credit", "credited", "number", "session")
+    __slots__ = (
+        "answer",
+        "attempt",
+        "credit",
+        "credited",
+        "number",
+        "offset",
+        "session",
+    )
 
     def __init__(self, session, request, answer):
         self.session = session
@@ -21,6 +29,8 @@
         self.credit = request.window
         self.credited = asyncio.Event()
         self.answer = answer
+        # An entry that lost its connection midway asks for the rest only.
+        self.offset = request.resume_offset or 0
 
     def grant(self, window):
         self.credit += window
@@ -38,7 +48,7 @@
                 waited_ms=answer.waited_ms,
                 cold=answer.cold,
             )
-        offset = 0
+        offset = self.offset
         while True:
             offset = await self.send_available(offset)
             if answer.done and offset == len(answer.body):
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/metrics.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/metrics.py
@@ -74,7 +74,7 @@
         reading(
             "fescuedrum_agent_ledger_keys",
             "Keys whose answers are kept.",
-            lambda: len(agent.ledger.answers),
+            lambda: len(agent.keyed.ledger.records),
         )
         reading(
             "fescuedrum_unsent_bytes",
