Keep control traffic within its budget whatever the number of members

Cause: at 58 links heartbeats alone were reckoned at 29 KB a second, and an entry that reads the instance list built all its lines anew twice a second. Change: heartbeats no longer repeat who sends them; their interval grows so that an entry sends 64 a second at most; digests slow down with the number of zones; a list that did not change is not built again, and connections are chosen anew only after a change.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
@@ -25,6 +25,7 @@
     __slots__ = (
         "agent",
         "beat_interval",
+        "beats",
         "connection",
         "next_beat",
         "peer",
@@ -40,6 +41,8 @@
         # How often the entry wants heartbeats, and when the next is due.
         self.beat_interval = 0.0
         self.next_beat = 0.0
+        # Heartbeats received.
+        self.beats = 0
         # Requests seen on this connection; the entry corrects late reports by it.
         self.received = 0
         self.relays = {}
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -156,9 +156,6 @@
             answers=gate.answers,
         )
         return Heartbeat(
-            instance=self.settings.name,
-            incarnation=self.incarnation,
-            zone=self.settings.zone,
             version=self.configuration.version,
             leaving=self.gate.leaving,
             load=load,
@@ -167,6 +164,7 @@
 
     def heard(self, session, heartbeat):
         """Pull the document from an entry that runs a newer version."""
+        session.beats += 1
         session.beat_interval = (heartbeat.wanted_interval_ms or 0) / 1000
         announced, in_force = heartbeat.version or 0, self.configuration.version
         now = asyncio.get_running_loop().time()
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/links.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/links.py
@@ -4,6 +4,7 @@
 
 from fescuedrum.platform.interfaces import Instance
 from fescuedrum.process import cancel
+from fescuedrum.wire.handshake import PeerKey
 from fescuedrum_agent.conf import AgentSettings
 from fescuedrum_agent.process.agent import Agent
 from fescuedrum_bench.capacity.measures import cpu_seconds, memory_bytes
@@ -45,6 +46,7 @@
             port=port,
             endpoint_url="http://127.0.0.1:9",
             platform_url=self.site.platform.url,
+            peer_keys=[PeerKey("site", self.site.peer_secret)],
         )
         agent = Agent(settings, incarnation=index + 1)
         server = await asyncio.start_server(agent.serve_connection, host, port)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -162,7 +162,7 @@
             link.send(heartbeat=self.heartbeat())
 
     def update_links(self, instances):
-        """Keep a link to each of the agents given."""
+        """Keep a link to each of the agents given; tell whether some are left over."""
         agents = {each.name: each for each in instances}
         for name, instance in agents.items():
             if name not in self.links:
@@ -173,6 +173,7 @@
             if name not in agents and self.may_unlink(name):
                 self.link_tasks.pop(name).cancel()
                 self.router.forget(self.links.pop(name))
+        return len(self.links) > len(agents)
 
     def may_unlink(self, name):
         """Tell whether a link that is not called for may be closed now."""
@@ -203,9 +204,6 @@
 
     def heartbeat(self):
         return Heartbeat(
-            instance=self.settings.name,
-            incarnation=self.incarnation,
-            zone=self.settings.zone,
             version=self.configuration.version,
             leaving=self.leaving,
             wanted_interval_ms=int(self.members.interval() * 1000),
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/members.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/members.py
@@ -9,10 +9,10 @@
 from fescuedrum.conf import schema
 from fescuedrum.decisions import topology
 from fescuedrum.decisions.digests import (
-    INTERVAL_SECONDS,
     Digests,
     ServiceSum,
     ZoneSum,
+    digest_interval,
     sum_up,
 )
 from fescuedrum.decisions.membership import Beat, Membership
@@ -49,6 +49,7 @@
 
     __slots__ = (
         "channels",
+        "chosen_for",
         "damped",
         "digests",
         "entry",
@@ -58,6 +59,7 @@
         "peers",
         "seeds",
         "settings",
+        "to_unlink",
     )
 
     def __init__(self, entry):
@@ -67,6 +69,10 @@
         self.digests = Digests()
         self.instances = None
         self.channels = set()
+        # The zone's entries for which connections were chosen last.
+        self.chosen_for = None
+        # Links that are to close once nothing runs on them.
+        self.to_unlink = False
         # Members that come and go too often to get new work just yet.
         self.damped = set()
         self.peers = {}
@@ -136,11 +142,10 @@
         while True:
             try:
                 instances = await self.entry.platform.list_instances()
-                if instances != self.instances:
+                if instances is not self.instances:
                     self.take_instances(instances)
                     self.spread_listing()
-                else:
-                    self.choose_connections()
+                self.choose_connections()
             except StoreUnavailable as error:
                 logger.info("instances not read", extra={"error": str(error)})
             await asyncio.sleep(self.read_interval())
@@ -154,10 +159,16 @@
             and (each.zone == self.settings.zone or each.role == AGENT_ROLE)
         ]
         self.membership.listed(lines, self.loop.time())
+        self.chosen_for = None
         self.choose_connections()
 
     def choose_connections(self):
-        self.entry.update_links(self.choose_agents())
+        """Open and close connections after a change of the list or of the entries."""
+        entries = frozenset(self.zone_entries())
+        if self.chosen_for == entries and not self.to_unlink:
+            return
+        self.chosen_for = entries
+        self.to_unlink = self.entry.update_links(self.choose_agents())
         wanted = self.choose_peers()
         for name in [*self.peers]:
             if name not in wanted:
@@ -288,12 +299,15 @@
         """Send the zone's digest to the other zones that this entry talks to."""
         while True:
             jitter = self.entry.random.uniform(1 - READ_JITTER, 1)
-            await asyncio.sleep(INTERVAL_SECONDS * jitter)
+            await asyncio.sleep(digest_interval(self.count_zones()) * jitter)
             frame = dump_digest(self.sum_up_zone(self.settings.zone), 0.0)
             for channel in self.channels:
                 if channel.hello.zone != self.settings.zone:
                     channel.connection.send(digest=frame)
 
+    def count_zones(self):
+        return len({each.zone for each in self.instances or ()})
+
     def sum_up_zone(self, zone):
         """Sum up a zone from the heartbeats of its members."""
         links = self.entry.links.values()
--- a/packages/fescuedrum/src/fescuedrum/decisions/digests.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/digests.py
@@ -2,18 +2,21 @@
 
 Load pattern: every zone wants to know how much others can carry when it is full or a
 zone leaves. Telling each member of each zone would grow with the fleet twice over; a
-digest has a few numbers for each service, whatever the number of endpoints.
+digest has a few numbers for each service, whatever the number of endpoints. They come
+less often the more zones there are: every entry hears one of each zone, twice.
 
 A digest is old by the time it arrives. It carries its age, added up on the way, so that
-no clocks are compared, and one older than EXPIRY_SECONDS counts for nothing: a zone
-that is cut off must not be taken for one with room.
+no clocks are compared, and one that is older than a few intervals counts for nothing: a
+zone that is cut off must not be taken for one with room.
 """
 
 from dataclasses import dataclass, field
 
-# Three times the interval between digests: two may be lost.
-INTERVAL_SECONDS = 3.0
-EXPIRY_SECONDS = 10.0
+SHORTEST_INTERVAL_SECONDS = 3.0
+# 19 zones make it 9.5 s: 1.1 KB a second sent by each entry of a zone of 20.
+ZONES_PER_SECOND = 2.0
+# Two of three may be lost; the rest is for the way.
+EXPIRY_INTERVALS = 3.4
 
 
 @dataclass(slots=True)
@@ -45,6 +48,11 @@
     services: dict = field(default_factory=dict)
 
 
+def digest_interval(zones):
+    """Return the seconds between two digests with so many zones."""
+    return max(SHORTEST_INTERVAL_SECONDS, zones / ZONES_PER_SECOND)
+
+
 def sum_up(zone, members, loads, version):
     """Sum up a zone from its members and (service, load report) of its endpoints."""
     alive = [member for member in members if not member.silent]
@@ -85,8 +93,9 @@
 
     def current(self, now):
         """Return (digest, age in seconds) of each zone heard of lately."""
+        expiry = EXPIRY_INTERVALS * digest_interval(len(self.sums) + 1)
         return [
             (zone_sum, now - self.made_at[zone])
             for zone, zone_sum in self.sums.items()
-            if now - self.made_at[zone] <= EXPIRY_SECONDS
+            if now - self.made_at[zone] <= expiry
         ]
--- a/packages/fescuedrum/src/fescuedrum/decisions/pacing.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/pacing.py
@@ -7,11 +7,12 @@
 double with each failure and are drawn from the whole interval, and heartbeats slow
 down once there are more members than BEATS_PER_SECOND allows.
 
-80 heartbeats a second each way, at about 100 bytes with their packet's headers, are
-16 KB a second: within the 17 KB a second that a node may spend.
+64 heartbeats a second are 9.5 KB a second sent: 45 bytes each, 52 of their packet's
+headers, and 52 for the acknowledgement of the one that came the other way. With digests
+and documents that leaves room within the 17 KB a second that a node may spend.
 """
 
-BEATS_PER_SECOND = 80.0
+BEATS_PER_SECOND = 64.0
 # A member is silent after this many heartbeats that did not come.
 MISSED_BEATS = 4
 FIRST_RETRY_SECONDS = 0.2
--- a/packages/fescuedrum/src/fescuedrum/decisions/topology.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/topology.py
@@ -17,11 +17,11 @@
 READERS_PER_ZONE = 2
 # Two spokespeople for each other zone: one may be lost without a pause.
 SPOKESPEOPLE_PER_ZONE = 2
-# Room for every endpoint of a site of three zones; 3 KB a second at the size to
-# design for.
-REMOTE_LINKS = 48
-# Below this a service that stands mostly in other zones would hang on few members.
-FEWEST_LINKS_PER_SERVICE = 4
+# Room for every endpoint of a site of three zones and two services; at the size to
+# design for a sixth of an entry's connections.
+REMOTE_LINKS = 24
+# With one alone a service that stands in other zones only would hang on one member.
+FEWEST_LINKS_PER_SERVICE = 2
 
 
 def score(*parts):
--- a/packages/fescuedrum/src/fescuedrum/platform/client.py
+++ b/packages/fescuedrum/src/fescuedrum/platform/client.py
@@ -15,11 +15,14 @@
 class PlatformClient:
     """Implement Table, ObjectStore and InstanceList on one HTTP session."""
 
-    __slots__ = ("base_url", "session", "timeout")
+    __slots__ = ("base_url", "instances", "listing", "session", "timeout")
 
     def __init__(self, base_url, session, *, timeout=2.0):
         self.base_url = base_url.rstrip("/")
         self.session = session
+        # The list read last, as bytes and as instances.
+        self.listing = b""
+        self.instances = []
         self.timeout = aiohttp.ClientTimeout(total=timeout)
 
     async def call(self, method, path, *, accept=(), **arguments):
@@ -64,5 +67,10 @@
         await self.call("PUT", f"/objects/{name}", data=body)
 
     async def list_instances(self):
-        lines = await self.call_json("GET", "/instances")
-        return [schema.load(Instance, line).unwrap() for line in lines]
+        _, listing = await self.call("GET", "/instances")
+        # It is read often and changes seldom; building 1,500 lines takes long.
+        if listing != self.listing:
+            lines = json.loads(listing)
+            self.instances = [schema.load(Instance, line).unwrap() for line in lines]
+            self.listing = listing
+        return self.instances
--- a/packages/fescuedrum/src/fescuedrum/wire/connection.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/connection.py
@@ -31,6 +31,8 @@
         "partial",
         "queued_bytes",
         "reader",
+        "received_bytes",
+        "sent_bytes",
         "writer",
     )
 
@@ -41,6 +43,8 @@
         self.loop = asyncio.get_running_loop()
         self.outgoing = []
         self.queued_bytes = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self.incoming = collections.deque()
         self.partial = bytearray()
         self.maximum_frame_bytes = codec.MAXIMUM_FRAME_BYTES
@@ -55,6 +59,7 @@
 
     def flush(self):
         frames, self.outgoing = self.outgoing, []
+        self.sent_bytes += self.queued_bytes
         self.queued_bytes = 0
         if not frames or self.writer.is_closing():
             return
@@ -111,6 +116,7 @@
                 return None
             if not data:
                 return None
+            self.received_bytes += len(data)
             self.split(data)
         return codec.decode(self.incoming.popleft())
 
--- a/packages/fescuedrum/src/fescuedrum/wire/idl/members.thrift
+++ b/packages/fescuedrum/src/fescuedrum/wire/idl/members.thrift
@@ -18,6 +18,7 @@
   24: optional list<string> loaded,
 }
 
+// Who sends it stands in the Hello of its connection and is not told again.
 struct Heartbeat {
   1: optional string instance,
   2: optional i64 incarnation,
