--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -313,6 +313,19 @@
         accepted = await applier.apply(proposal)
         self.version = accepted.version
 
+    async def wait_in_force(self, version):
+        """Wait until every entry hears all its members run a version."""
+        async with asyncio.timeout(READY_SECONDS):
+            for entry in self.entries:
+                while not await self.runs(entry, version):
+                    await asyncio.sleep(0.05)
+
+    async def runs(self, entry, version):
+        _, status = await self.operate(entry, "status")
+        members = status["members"]
+        lowest = min([status["in_force"], *(each["version"] for each in members)])
+        return lowest >= version and not any(each["silent"] for each in members)
+
     async def wait_ready(self, url):
         async with asyncio.timeout(READY_SECONDS):
             while not await self.answers(url):
--- a/tests/integration/test_console.py
+++ b/tests/integration/test_console.py
@@ -88,6 +88,8 @@
 
 async def test_a_zone_goes_out_and_in_with_two_clicks_each():
     async with Site(SMALL, ["club"]) as site, Browser(site.entries[0].url) as browser:
+        # Until each zone's endpoints are heard, taking one out could be an outage.
+        await site.wait_in_force(1)
         await browser.sign_in(site.operator_token)
         for state in ("out", "in"):
             link = f"/console/zones/zone-2/{state}"
