--- a/tests/integration/test_desired_state.py
+++ b/tests/integration/test_desired_state.py
@@ -6,6 +6,8 @@
 import sys
 import uuid
 
+from support.proposals import build_change
+
 from fescuedrum.conf import document as documents, schema
 from fescuedrum.process import EXIT_FINDINGS, EXIT_OK, EXIT_RACED
 from fescuedrum_bench.site import Site, SiteShape
@@ -130,14 +132,7 @@
         status, shown = await site.operate(entry, "configuration")
         if status != 200 or not shown["from_platform"]:
             continue
-        document = shown["document"]
-        organisation = document["organisations"][index]
-        organisation["weight"] = organisation.get("weight", 1.0) + 1
-        data = {
-            "base_version": shown["version"],
-            "document": document,
-            "change": uuid.uuid4().hex,
-        }
+        data = build_change(shown, index)
         status, answer = await site.operate(entry, "apply", data)
         # The same id again settles what the first answer left open.
         while status == 503:
