--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -21,7 +21,11 @@
     port: int = setting(help="Port for callers.", minimum=1, maximum=65535)
     platform_url: str = setting(help="Base URL of the platform's services.")
     maximum_body_bytes: int = setting(
-        4 * 1024 * 1024, help="Largest body taken from a caller.", minimum=1, unit="B"
+        4 * 1024 * 1024,
+        help="Largest body taken from a caller; a frame must hold it and its head.",
+        minimum=1,
+        maximum=7 * 1024 * 1024,
+        unit="B",
     )
     body_seconds: float = setting(
         30.0, help="Longest time for a caller's body.", minimum=0.05, unit="s"
@@ -65,6 +69,12 @@
     routing_policy: RoutingPolicy = setting(
         RoutingPolicy.ADAPTIVE, help="adaptive; others only to compare with."
     )
+    notice_seconds: float = setting(
+        5.0,
+        help="Time at a stop for the balancer to see /readyz; callers are served on.",
+        minimum=0.0,
+        unit="s",
+    )
     drain_seconds: float = setting(
         60.0, help="Longest wait for running requests at a stop.", minimum=0.0, unit="s"
     )
