--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
@@ -26,6 +26,7 @@
         "free_at",
         "loop",
         "number",
+        "offset",
         "session",
     )
 
@@ -36,6 +37,8 @@
         self.credit = request.window
         self.credited = asyncio.Event()
         self.answer = answer
+        # An entry that lost its connection midway asks for the rest only.
+        self.offset = request.resume_offset or 0
         self.loop = asyncio.get_running_loop()
         # Until this time what comes is held, so that it leaves together.
         self.free_at = 0.0
@@ -56,7 +59,7 @@
                 waited_ms=answer.waited_ms,
                 cold=answer.cold,
             )
-        offset = 0
+        offset = self.offset
         while True:
             offset = await self.send_available(offset)
             if answer.done and offset == len(answer.body):
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -110,6 +110,7 @@
         "document",
         "endpoints",
         "entries",
+        "fault_steps",
         "guard",
         "keys",
         "members",
@@ -134,6 +135,8 @@
         self.entries = []
         self.agents = []
         self.endpoints = []
+        # Protocol step at which a member, by name, kills itself.
+        self.fault_steps = {}
         self.platform = None
         self.session = None
         self.version = 0
@@ -279,10 +282,20 @@
             "platform_url": self.platform.url,
             "peer_keys": [{"id": "site", "secret": self.peer_secret}],
         }
+        if step := self.fault_steps.get(member.name):
+            settings = settings | {"fault_step": step}
         path.write_text(json.dumps(common | settings))
         member.command += ["--settings", str(path)]
         await member.start()
 
+    async def restart(self, member):
+        """Start a member that is dead again, without its fault."""
+        path = self.directory / f"{member.name}.json"
+        settings = json.loads(path.read_text())
+        settings.pop("fault_step", None)
+        path.write_text(json.dumps(settings))
+        await member.start()
+
     def add(self, name, arguments):
         host = f"{self.prefix}.{self.next_host}"
         self.next_host += 1
@@ -315,6 +328,19 @@
         accepted = await applier.apply(proposal)
         self.version = accepted.version
 
+    async def wait_in_force(self, version):
+        """Wait until every entry hears all its members run a version."""
+        async with asyncio.timeout(READY_SECONDS):
+            for entry in self.entries:
+                while not await self.runs(entry, version):
+                    await asyncio.sleep(0.05)
+
+    async def runs(self, entry, version):
+        _, status = await self.operate(entry, "status")
+        members = status["members"]
+        lowest = min([status["in_force"], *(each["version"] for each in members)])
+        return lowest >= version and not any(each["silent"] for each in members)
+
     async def wait_ready(self, url):
         async with asyncio.timeout(READY_SECONDS):
             while not await self.answers(url):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from fescuedrum import __version__
+from fescuedrum.faults import FaultPoint
 from fescuedrum.logs import live_fields
 from fescuedrum.metrics import watch_loop
 from fescuedrum.platform.client import PlatformClient
@@ -22,6 +23,7 @@
 from fescuedrum_entry.operators import fairness, requests, routes as operators
 from fescuedrum_entry.operators.access import SignInLimit, require_role
 from fescuedrum_entry.operators.accounts import Role
+from fescuedrum_entry.process.claims import ClaimWriter
 from fescuedrum_entry.process.fairness import FairnessKeeper
 from fescuedrum_entry.process.members import Members
 from fescuedrum_entry.process.metrics import EntryMetrics
@@ -40,9 +42,12 @@
     """Own the links, the configuration and the HTTP server of one entry process."""
 
     __slots__ = (
+        "background",
         "callers_tls",
+        "claims",
         "configuration",
         "fairness",
+        "faults",
         "following",
         "incarnation",
         "leaving",
@@ -80,8 +85,10 @@
         self.waiting_room = WaitingRoom(
             self, settings.endpoint_wait_limit, settings.endpoint_wait_seconds
         )
+        self.claims = None
+        self.faults = FaultPoint(settings.fault_step)
+        self.background = set()
         self.fairness = FairnessKeeper(self, settings.fairness_seconds)
-        self.configuration.subscribe(self.router.refresh_all)
         self.configuration.subscribe(self.fairness.configuration_changed)
         self.running = 0
         self.traces = TraceBook(settings.trace_count, settings.trace_slow_seconds)
@@ -96,6 +103,7 @@
         on_reload(self.callers_tls.reload, self.peers.certificates.reload)
         async with aiohttp.ClientSession() as session:
             self.platform = PlatformClient(self.settings.platform_url, session)
+            self.claims = ClaimWriter(self.platform, self.settings.claim_group_seconds)
             self.following = Following(self.configuration, self.platform)
             tasks = [
                 asyncio.create_task(self.following.run(self.members.read_interval)),
@@ -166,9 +174,15 @@
         await asyncio.sleep(self.settings.notice_seconds)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.drain_seconds
-        while self.running and loop.time() < deadline:
+        while (self.running or self.background) and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    def spawn(self, coroutine):
+        """Run work that outlives its request and holds up a stop."""
+        task = asyncio.create_task(coroutine)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
     def send_heartbeats(self):
         """Tell every agent and entry at once, as of a new version."""
         self.members.send_heartbeats()
@@ -176,7 +190,7 @@
             link.send(heartbeat=self.heartbeat())
 
     def update_links(self, instances):
-        """Keep a link to each of the agents given."""
+        """Keep a link to each of the agents given; tell whether some are left over."""
         agents = {each.name: each for each in instances}
         for name, instance in agents.items():
             if name not in self.links:
@@ -187,6 +201,7 @@
             if name not in agents and self.may_unlink(name):
                 self.link_tasks.pop(name).cancel()
                 self.router.forget(self.links.pop(name))
+        return len(self.links) > len(agents)
 
     def may_unlink(self, name):
         """Tell whether a link that is not called for may be closed now."""
@@ -217,9 +232,6 @@
 
     def heartbeat(self):
         return Heartbeat(
-            instance=self.settings.name,
-            incarnation=self.incarnation,
-            zone=self.settings.zone,
             version=self.configuration.version,
             leaving=self.leaving,
             wanted_interval_ms=int(self.members.interval() * 1000),
--- a/tests/integration/test_desired_state.py
+++ b/tests/integration/test_desired_state.py
@@ -6,6 +6,8 @@
 import sys
 import uuid
 
+from support.proposals import build_change
+
 from fescuedrum.conf import document as documents, schema
 from fescuedrum.process import EXIT_FINDINGS, EXIT_OK, EXIT_RACED
 from fescuedrum_bench.site import Site, SiteShape
@@ -45,18 +47,6 @@
     return changed
 
 
-async def wait_in_force(site, version, *, seconds=10):
-    async with asyncio.timeout(seconds):
-        for entry in site.entries:
-            while True:
-                _, status = await site.operate(entry, "status")
-                members = status["members"]
-                lowest = min([status["in_force"], *(m["version"] for m in members)])
-                if lowest >= version and not any(m["silent"] for m in members):
-                    break
-                await asyncio.sleep(0.05)
-
-
 async def test_the_commands_carry_a_change_from_a_file_to_every_process():
     async with Site(SMALL, ["club"]) as site:
         code, shown, _ = await run_command(site, "show", "config")
@@ -71,7 +61,7 @@
         assert change["words"] == "organisation club: weight changed from 1.0 to 2.5"
         code, applied, _ = await run_command(site, "apply", str(path), *base)
         assert (code, applied["version"]) == (EXIT_OK, 2)
-        await wait_in_force(site, 2)
+        await site.wait_in_force(2)
         assert (await run_command(site, "status"))[0] == EXIT_OK
         code, trail, _ = await run_command(site, "audit")
         assert (code, trail["findings"]) == (EXIT_OK, [])
@@ -86,6 +76,7 @@
 
 async def test_a_change_that_cuts_a_service_off_needs_its_word():
     async with Site(SMALL, ["club"]) as site:
+        await site.wait_in_force(1)
         document = copy.deepcopy(site.document)
         # The only instance of the bookings stands in this zone.
         document.zones[0].state = documents.ZoneState.OUT
@@ -141,14 +132,7 @@
         status, shown = await site.operate(entry, "configuration")
         if status != 200 or not shown["from_platform"]:
             continue
-        document = shown["document"]
-        organisation = document["organisations"][index]
-        organisation["weight"] = organisation.get("weight", 1.0) + 1
-        data = {
-            "base_version": shown["version"],
-            "document": document,
-            "change": uuid.uuid4().hex,
-        }
+        data = build_change(shown, index)
         status, answer = await site.operate(entry, "apply", data)
         # The same id again settles what the first answer left open.
         while status == 503:
