Show operators what became of an idempotency key

Cause: an operator who is asked about an order had to read rows of the table by hand.

Result: an integration test books and reads the key's state on the command line.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/commands/show.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/commands/show.py
@@ -12,6 +12,8 @@
 examples:
   fescuedrum show config --entry http://10.0.0.5:7000 --token-file token
   fescuedrum show request 3f0c... --entry http://10.0.0.5:7000 --token-file token
+  fescuedrum show key club bookings order-17 --entry http://10.0.0.5:7000 \\
+      --token-file token
 
 A request's id is in the header Fescuedrum-Request-Id, in the body of an error and in
 the logs. Only the entry that served the request holds its trace; the log lines with
@@ -52,14 +54,40 @@
     return EXIT_OK
 
 
+def show_key(client, arguments):
+    """Print what became of the request under an idempotency key."""
+    answer = client.get(
+        "keys",
+        organisation=arguments.organisation,
+        service=arguments.service,
+        key=arguments.key,
+    )
+    if arguments.json:
+        print(json.dumps(answer))
+        return EXIT_OK
+    print(f"{answer['state']}: {answer['meaning']}")
+    print(f"  attempt {answer['attempt']} at {answer['agent']}")
+    if "status" in answer:
+        print(f"  answer {answer['status']}, {answer['bytes']} bytes")
+    return EXIT_OK
+
+
+@dataclass(slots=True, frozen=True)
+class Argument:
+    """Describe what stands after the kind on the command line."""
+
+    name: str
+    help: str
+    optional: bool = False
+
+
 @dataclass(slots=True, frozen=True)
 class Kind:
     """Describe something that can be shown; others add theirs to KINDS."""
 
     help: str
     handle: Callable
-    # Help for the optional name after the kind; empty when it takes none.
-    name_help: str = ""
+    arguments: tuple[Argument, ...] = ()
 
 
 KINDS = {
@@ -67,7 +95,22 @@
     "request": Kind(
         "where a request waited, and why it went where it went",
         show_request,
-        "the request's id; without it, requests that went wrong are listed",
+        (
+            Argument(
+                "name",
+                "the request's id; without it, requests that went wrong are listed",
+                optional=True,
+            ),
+        ),
+    ),
+    "key": Kind(
+        "what became of the request under an idempotency key",
+        show_key,
+        (
+            Argument("organisation", "organisation that sent it"),
+            Argument("service", "service that it was sent to"),
+            Argument("key", "the Idempotency-Key"),
+        ),
     ),
 }
 
@@ -80,8 +123,9 @@
         kinds = parser.add_subparsers(dest="kind", required=True)
         for name, kind in sorted(KINDS.items()):
             subparser = kinds.add_parser(name, help=kind.help)
-            if kind.name_help:
-                subparser.add_argument("name", nargs="?", help=kind.name_help)
+            for each in kind.arguments:
+                nargs = "?" if each.optional else None
+                subparser.add_argument(each.name, nargs=nargs, help=each.help)
             add_entry_arguments(subparser)
 
     def handle(self, arguments):
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -90,6 +90,14 @@
     remedy = "Ask the other entries; each keeps its own recent requests only."
 
 
+class UnknownClaim(BadRequest):
+    """Tell an operator that the table holds no claim under a key."""
+
+    code = "unknown-claim"
+    status = 404
+    remedy = "Check organisation, service and key; rows of old keys are cleared away."
+
+
 class MethodNotAllowed(BadRequest):
     """Refuse a method that a path does not offer."""
 
--- a/tests/integration/test_requests.py
+++ b/tests/integration/test_requests.py
@@ -44,11 +44,25 @@
     assert all(record.whole and record.status == 201 for record in records)
 
 
+async def test_an_operator_sees_what_became_of_a_key(capsys):
+    """A receptionist isn't sure that her order was taken, and calls the operators."""
+    async with Site(SiteShape(entries=1, engines=0), ["club"]) as site:
+        caller = Caller(site.session, site.entries[0].url, "club", site.keys["club"])
+        await caller.book("order-1")
+        found = ("key", "club", "bookings", "order-1")
+        code, text = await asyncio.to_thread(show, site, capsys, *found)
+        other = ("key", "club", "bookings", "order-2")
+        missing, _ = await asyncio.to_thread(show, site, capsys, *other)
+    assert (code, missing) == (0, 1)
+    assert text.startswith("finished: It ran to its end")
+    assert "attempt 1 at agent-service-0" in text
+
+
 def show(site, capsys, *arguments):
     token = site.directory / "token"
     token.write_text(site.operator_token)
     options = ["--entry", site.entries[0].url, "--token-file", str(token)]
-    code = main(["show", "request", *arguments, *options])
+    code = main(["show", *arguments, *options])
     return code, capsys.readouterr().out
 
 
@@ -60,9 +74,11 @@
         async with site.session.post(url, json=BODY, headers=caller.headers) as answer:
             assert answer.status == 200
             number = answer.headers["Fescuedrum-Request-Id"]
-        code, text = await asyncio.to_thread(show, site, capsys, number)
-        _, data = await asyncio.to_thread(show, site, capsys, number, "--json")
-        missing, _ = await asyncio.to_thread(show, site, capsys, "none")
+        code, text = await asyncio.to_thread(show, site, capsys, "request", number)
+        _, data = await asyncio.to_thread(
+            show, site, capsys, "request", number, "--json"
+        )
+        missing, _ = await asyncio.to_thread(show, site, capsys, "request", "none")
     assert (code, missing) == (0, 1)
     assert "answered (ok) after 1 attempts" in text
     steps = [event["step"] for event in json.loads(data)["events"]]
