Trace the steps of requests that may run once

Cause: the time that a keyed request spends on its claim stood in no trace.

Change: each step of such a request and what came of it is an event of its trace.

Conclusion: a trace tells waiting for the table from waiting for an endpoint.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/keyed.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/keyed.py
@@ -24,6 +24,7 @@
 from fescuedrum_entry.request.call import Repetition
 from fescuedrum_entry.request.collector import Collector
 from fescuedrum_entry.request.requests import build_request
+from fescuedrum_entry.request.trace import Step
 
 STORE_RETRY_SECONDS = 0.1
 ASK_RETRY_SECONDS = 0.05
@@ -86,11 +87,19 @@
                     raise KeyReused("The Idempotency-Key stands for another request.")
                 case steps.Tell():
                     raise self.error_for(step)
-            step = self.request.handle(await self.perform_in_time(step))
+            event = await self.perform_in_time(step)
+            self.note(step, event)
+            step = self.request.handle(event)
             if self.error is not None and not self.request.closing:
                 # Waiting on would only keep the caller from its answer.
                 step = self.request.handle(steps.DeadlineNear())
 
+    def note(self, step, event):
+        """Put a step and what came of it into the request's trace."""
+        if trace := self.entry.traces.running.get(self.call.request_id):
+            names = {"did": type(step).__name__, "result": type(event).__name__}
+            trace.note(Step.KEYED, self.loop.time(), **names)
+
     def error_for(self, tell):
         if tell.outcome is Outcome.UNKNOWN:
             keyed = self.call.repetition is Repetition.KEYED
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/trace.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/trace.py
@@ -22,6 +22,8 @@
     """Name what can happen to a request."""
 
     PARSED = "parsed"
+    # A step of a request that may run once, such as the write of its claim.
+    KEYED = "keyed"
     SENT = "sent"
     REFUSED = "refused"
     HEAD = "head"
--- a/tests/integration/test_requests.py
+++ b/tests/integration/test_requests.py
@@ -48,13 +48,19 @@
     """A receptionist isn't sure that her order was taken, and calls the operators."""
     async with Site(SiteShape(entries=1, engines=0), ["club"]) as site:
         caller = Caller(site.session, site.entries[0].url, "club", site.keys["club"])
-        await caller.book("order-1")
+        url = f"{caller.url}/services/bookings/bookings"
+        headers = caller.headers | {"Idempotency-Key": "order-1"}
+        body = {"reference": "order-1"}
+        async with site.session.post(url, json=body, headers=headers) as answer:
+            number = answer.headers["Fescuedrum-Request-Id"]
         found = ("key", "club", "bookings", "order-1")
         code, text = await asyncio.to_thread(show, site, capsys, *found)
         other = ("key", "club", "bookings", "order-2")
         missing, _ = await asyncio.to_thread(show, site, capsys, *other)
+        _, trace = await asyncio.to_thread(show, site, capsys, "request", number)
     assert (code, missing) == (0, 1)
     assert text.startswith("finished: It ran to its end")
+    assert "did WriteRow, result WriteDone" in trace
     assert "attempt 1 at agent-service-0" in text
 
 
