Bound the connections that a process accepts from peers

Cause: a stranger may open connections and prove nothing for five seconds each; enough of them use up the files that a process may have open. An entry's peer port could be its callers' port without a finding.

Change: 768 accepted connections at most; the rule of ports covers both processes.

Result: unit tests open one connection above a bound of two and see it closed.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
@@ -73,7 +73,7 @@
             *rules.check_address("$.host", self.host),
             *rules.check_url("$.endpoint_url", self.endpoint_url),
             *rules.check_url("$.platform_url", self.platform_url),
-            *rules.check_ports(self),
+            *rules.check_ports(self, "operations_port"),
             *rules.check_limits(self),
             *rules.check_peer_keys(self.peer_keys),
             *rules.check_peer_tls(self.peer_tls),
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -122,6 +122,7 @@
         return [
             *rules.check_address("$.host", self.host),
             *rules.check_url("$.platform_url", self.platform_url),
+            *rules.check_ports(self, "peer_port"),
             *rules.check_silence(self),
             *rules.check_peer_keys(self.peer_keys),
             *rules.check_peer_tls(self.peer_tls),
--- a/packages/fescuedrum/src/fescuedrum/conf/rules.py
+++ b/packages/fescuedrum/src/fescuedrum/conf/rules.py
@@ -35,12 +35,12 @@
         yield checks.error("settings.E012", path, f"{level!r} is no level.", hint)
 
 
-def check_ports(settings):
-    """Report two listeners on one port."""
-    if settings.operations_port == settings.port:
+def check_ports(settings, second):
+    """Report a second listener on the port of the first."""
+    if getattr(settings, second) == settings.port:
         hint = "Give it a port of its own, or 0 for none."
-        message = "The port is taken by the entries' listener."
-        yield checks.error("settings.E013", "$.operations_port", message, hint)
+        message = "The port is the same as in $.port."
+        yield checks.error("settings.E013", f"$.{second}", message, hint)
 
 
 def check_silence(settings):
--- a/packages/fescuedrum/src/fescuedrum/wire/peers.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/peers.py
@@ -6,11 +6,22 @@
 from fescuedrum.tls import Certificates
 from fescuedrum.wire.handshake import AGENT, NONCE_BYTES, AgentSide, EntrySide, Keyring
 
+# Above the 390 nodes of the largest site that is planned for, and below the 1,024
+# files that a process may have open on most systems.
+MAXIMUM_ACCEPTED = 768
+
 
 class Peers:
     """Hold a process's peer keys and TLS contexts."""
 
-    __slots__ = ("certificates", "client_context", "files", "keyring", "make_hello")
+    __slots__ = (
+        "accepted",
+        "certificates",
+        "client_context",
+        "files",
+        "keyring",
+        "make_hello",
+    )
 
     def __init__(self, keys, files, make_hello):
         self.keyring = Keyring(keys)
@@ -18,6 +29,7 @@
         self.make_hello = make_hello
         self.certificates = Certificates()
         self.client_context = None
+        self.accepted = 0
 
     def entry_side(self, addressee, expected=AGENT):
         nonce = secrets.token_bytes(NONCE_BYTES)
@@ -46,4 +58,17 @@
         context = None
         if self.files is not None:
             context = self.certificates.server_context(self.files, verify_peer=True)
-        return await asyncio.start_server(serve, host, port, ssl=context)
+
+        async def admit(reader, writer):
+            # A stranger has five seconds for each connection that proves nothing. If
+            # it opens thousands, the process runs out of files and can serve nobody.
+            if self.accepted >= MAXIMUM_ACCEPTED:
+                writer.transport.abort()
+                return
+            self.accepted += 1
+            try:
+                await serve(reader, writer)
+            finally:
+                self.accepted -= 1
+
+        return await asyncio.start_server(admit, host, port, ssl=context)
--- a/tests/unit/test_handshake.py
+++ b/tests/unit/test_handshake.py
@@ -7,8 +7,9 @@
 from support.peers import build_agent_side, build_entry_side, build_key, connected
 
 from fescuedrum.exceptions import IncompatiblePeerError, PeerRefusedError, ProtocolError
+from fescuedrum.wire import peers
 from fescuedrum.wire.gen.frames import ttypes as frames
-from fescuedrum.wire.handshake import AGENT, ENTRY, Keyring
+from fescuedrum.wire.handshake import AGENT, ENTRY, Keyring, negotiate
 
 OLD, NEW = build_key("old"), build_key("new")
 
@@ -100,6 +101,36 @@
         entry.receive(frames.Challenge(9, 7, b"a" * 32))
 
 
+@pytest.mark.parametrize(
+    ("newest", "oldest", "spoken"), [(None, None, 1), (1, 1, 1), (4, 1, 1)]
+)
+def test_old_and_new_processes_speak_the_newest_protocol_of_both(
+    newest, oldest, spoken
+):
+    assert negotiate(frames.Challenge(newest, oldest)) == spoken
+
+
+async def test_strangers_cannot_use_up_a_processes_files(monkeypatch):
+    """Somebody opens thousands of connections to an agent and sends nothing."""
+    monkeypatch.setattr(peers, "MAXIMUM_ACCEPTED", 2)
+    listener = peers.Peers([NEW], None, frames.Hello)
+
+    async def serve(reader, _):
+        await reader.read()
+
+    server = await listener.listen(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    opened = [await asyncio.open_connection("127.0.0.1", port) for _ in range(3)]
+    assert await opened[2][0].read() == b""
+    assert listener.accepted == 2
+    for _, writer in opened[:2]:
+        writer.close()
+    async with asyncio.timeout(10):
+        while listener.accepted:
+            await asyncio.sleep(0.01)
+    server.close()
+
+
 @given(
     st.lists(
         st.builds(
--- a/tests/unit/test_operability.py
+++ b/tests/unit/test_operability.py
@@ -69,6 +69,7 @@
     [
         (EntrySettings, ENTRY, {"host": "entry.example"}, "$.host"),
         (EntrySettings, ENTRY, {"platform_url": "platform:1"}, "$.platform_url"),
+        (EntrySettings, ENTRY, {"peer_port": 7000}, "$.peer_port"),
         (EntrySettings, ENTRY, {"silence_seconds": 0.6}, "$.silence_seconds"),
         (EntrySettings, ENTRY, {"log_level": "LOUD"}, "$.log_level"),
         (AgentSettings, AGENT, {"cold_limit": 20}, "$.cold_limit"),
