--- a/packages/fescuedrum-bench/src/fescuedrum_bench/standins/platform.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/standins/platform.py
@@ -1,6 +1,7 @@
 """Stand in for the platform: table, object store and instance list, in memory."""
 
 import asyncio
+from collections import Counter
 
 from aiohttp import web
 
@@ -16,6 +17,7 @@
     """
 
     __slots__ = (
+        "calls",
         "delay_seconds",
         "down",
         "instances",
@@ -25,6 +27,8 @@
     )
 
     def __init__(self):
+        # How often each of its parts was called.
+        self.calls = Counter()
         self.rows = {}
         self.objects = {}
         self.instances = {}
@@ -44,12 +48,14 @@
         router.add_put("/instances/{name}", self.put_instance)
         router.add_delete("/instances/{name}", self.delete_instance)
         router.add_put("/faults", self.put_faults)
+        router.add_get("/calls", self.list_calls)
         return application
 
     @web.middleware
     async def spoil(self, request, handler):
-        if request.path == "/faults":
+        if request.path in ("/faults", "/calls"):
             return await handler(request)
+        self.calls[f"{request.method} /{request.path.split('/')[1]}"] += 1
         if self.delay_seconds:
             await asyncio.sleep(self.delay_seconds)
         if self.down:
@@ -60,6 +66,9 @@
             request.transport.abort()
         return response
 
+    async def list_calls(self, _):
+        return web.json_response(self.calls)
+
     async def put_faults(self, request):
         plan = await request.json()
         self.down = plan.get("down", self.down)
