--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
@@ -10,11 +10,7 @@
 from fescuedrum.outcomes import Outcome
 from fescuedrum_entry.request.call import Repetition
 from fescuedrum_entry.request.dispatch import Dispatcher
-from fescuedrum_entry.request.errors import (
-    error_response,
-    new_request_id,
-    shape_errors,
-)
+from fescuedrum_entry.request.errors import error_response, new_request_id
 from fescuedrum_entry.request.parse import authenticate, check_head, parse_call
 from fescuedrum_entry.request.reply import Reply
 
@@ -27,7 +23,6 @@
     """Add the callers' interface to the entry's application."""
     handler = CallerHandler(entry)
     router = application.router
-    application.middlewares.append(shape_errors)
     router.add_post("/v1/chat/completions", handler.handle)
     router.add_post("/v1/completions", handler.handle)
     router.add_get("/v1/models", handler.list_models)
@@ -139,7 +134,11 @@
     async def fail(self, reply, trace, error):
         """Tell the caller of an error in the way that is still open."""
         trace.fail(loop_time(), error)
-        logger.info("request not answered", extra={"code": error.code})
+        # Refusals come by the thousand when the service is full, and a line for each
+        # would cost as much as the refusal; metrics and traces tell of them.
+        refused = error.outcome is Outcome.NOT_RUN
+        level = logging.DEBUG if refused else logging.WARNING
+        logger.log(level, "request not answered", extra={"code": error.code})
         if not reply.started:
             raise error
         await reply.break_off(error)
