Put in force what the document says of classes, limits, shares, deadlines and endpoints

Cause: fields of the document that no process read: an operator who set a limit or a share would have believed in it. Change: an organisation's rates and concurrency are granted by each entry in equal parts and refused at once above them, with a time to return; a class gives the priority and is open to its organisations only; a service says which methods are idempotent and its default deadline; sharing rules scale the weights of a service's queues; an endpoint's cold and warm limits go before its agent's settings. Conclusion: left without effect are a model's version and adapters and a zone's region.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -11,6 +11,7 @@
 from fescuedrum.decisions.admission import Admission, RefusalReason, Refused
 from fescuedrum.decisions.limits import EndpointLimit, Phase
 from fescuedrum.decisions.queueing import build_queue
+from fescuedrum.decisions.sharing import effective_weights
 from fescuedrum.exceptions import ProtocolError
 from fescuedrum.faults import FaultPoint, ProtocolStep
 from fescuedrum.logs import live_fields
@@ -212,10 +213,20 @@
         if was_out and not self.gate.zone_out:
             # Whatever was done to the zone, nothing shows that the endpoint is warm.
             self.gate.limit.reset(Phase.COLD)
-        organisations = self.configuration.document.organisations
-        self.gate.queue.set_weights({each.name: each.weight for each in organisations})
+        document = self.configuration.document
+        weights = effective_weights(document, self.settings.service)
+        self.gate.queue.set_weights(weights)
+        self.bound_limit()
         self.send_heartbeats()
 
+    def bound_limit(self):
+        """Follow the limits that the document sets for this endpoint."""
+        settings, limit = self.settings, self.gate.limit
+        endpoint = self.configuration.endpoints.get(settings.endpoint)
+        cold = endpoint.cold_limit if endpoint else None
+        warm = endpoint.warm_limit if endpoint else None
+        limit.bound(cold or settings.cold_limit, warm or settings.warm_limit)
+
     def submit(self, session, request):
         """Take a request or find its answer: (answer, None) or (None, Refused)."""
         now = asyncio.get_running_loop().time()
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -29,6 +29,7 @@
 from fescuedrum_entry.process.metrics import EntryMetrics
 from fescuedrum_entry.process.router import Router
 from fescuedrum_entry.request import handler
+from fescuedrum_entry.request.quota import Quota
 from fescuedrum_entry.request.selection import WaitingRoom
 from fescuedrum_entry.request.trace import TraceBook
 from fescuedrum_entry.version.following import Following
@@ -57,6 +58,7 @@
         "metrics",
         "peers",
         "platform",
+        "quota",
         "random",
         "router",
         "running",
@@ -90,6 +92,7 @@
         self.background = set()
         self.fairness = FairnessKeeper(self, settings.fairness_seconds)
         self.configuration.subscribe(self.fairness.configuration_changed)
+        self.quota = Quota(self)
         self.running = 0
         self.traces = TraceBook(settings.trace_count, settings.trace_slow_seconds)
         self.metrics = EntryMetrics()
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/members.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/members.py
@@ -53,6 +53,7 @@
         "damped",
         "digests",
         "entry",
+        "entry_count",
         "instances",
         "loop",
         "membership",
@@ -68,6 +69,7 @@
         self.membership = Membership()
         self.digests = Digests()
         self.instances = None
+        self.entry_count = 0
         self.channels = set()
         # The zone's entries for which connections were chosen last.
         self.chosen_for = None
@@ -152,6 +154,7 @@
 
     def take_instances(self, instances):
         self.instances = instances
+        self.entry_count = sum(each.role == ENTRY_ROLE for each in instances)
         lines = [
             (each.name, each.role, each.zone, each.service)
             for each in instances
@@ -305,6 +308,10 @@
                 if channel.hello.zone != self.settings.zone:
                     channel.connection.send(digest=frame)
 
+    def count_entries(self):
+        """Return how many entries the instance list names, this one at least."""
+        return max(self.entry_count, 1)
+
     def count_zones(self):
         return len({each.zone for each in self.instances or ()})
 
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
@@ -120,7 +120,8 @@
     async def run(self, call, reply, trace):
         self.entry.running += 1
         try:
-            await Dispatcher(self.entry, call, reply).run()
+            with self.entry.quota.admit(call):
+                await Dispatcher(self.entry, call, reply).run()
             trace.end(loop_time(), reply.outcome)
         except Exception as error:
             if reply.started and isinstance(error, ConnectionError):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/parse.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/parse.py
@@ -22,14 +22,20 @@
 KEY_HEADER = "Idempotency-Key"
 DEADLINE_HEADER = "Fescuedrum-Deadline-Ms"
 PRIORITY_HEADER = "Fescuedrum-Priority"
-SINGLE_HEADERS = ("Authorization", KEY_HEADER, DEADLINE_HEADER, PRIORITY_HEADER)
+CLASS_HEADER = "Fescuedrum-Class"
+SINGLE_HEADERS = (
+    "Authorization",
+    KEY_HEADER,
+    DEADLINE_HEADER,
+    PRIORITY_HEADER,
+    CLASS_HEADER,
+)
 KEY_FORM = re.compile(r"[\x21-\x7e]{1,200}")
 MAXIMUM_DEADLINE_MS = 3_600_000
 MAXIMUM_PRIORITY = 9
 DEFAULT_PRIORITY = 5
 PLAIN_COST = 1.0
 CHAT_PATH = "/v1/chat/completions"
-IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 # CONNECT asks for a tunnel, and TRACE would show a caller what was added on the way.
 REFUSED_METHODS = frozenset(("CONNECT", "TRACE"))
 OWN_HEADERS = frozenset(
@@ -51,7 +57,7 @@
     # The organisation comes first: a stranger's body is not even read.
     organisation = authenticate(http_request, configuration)
     deadline = now + read_deadline(http_request, settings)
-    priority = read_priority(http_request)
+    priority = read_priority(http_request, organisation, configuration)
     service = find_plain(http_request, configuration)
     body = await read_body(http_request, settings)
     asked = Completion(model="", streamed=False, cost=PLAIN_COST)
@@ -60,6 +66,8 @@
         service, asked = find_engine(http_request, configuration, body)
     else:
         path = path_below(path)
+    if DEADLINE_HEADER not in http_request.headers:
+        deadline = now + (service.default_deadline_seconds or deadline - now)
     repetition, key = classify(http_request, service)
     return Call(
         request_id=request_id,
@@ -194,11 +202,16 @@
         raise BadRequest(
             f"{KEY_HEADER} must be 1 to 200 visible ASCII characters.", field=KEY_HEADER
         )
-    if service.kind is ServiceKind.ENGINE or http_request.method in IDEMPOTENT_METHODS:
+    if is_idempotent(service, http_request.method):
         return Repetition.IDEMPOTENT, ""
     return (Repetition.KEYED, key) if key else (Repetition.ONCE, "")
 
 
+def is_idempotent(service, method):
+    """Tell whether calls of a method may be repeated at a service."""
+    return service.kind is ServiceKind.ENGINE or method in service.idempotent_methods
+
+
 def read_deadline(http_request, settings):
     """Return the time that the caller gives, in seconds."""
     default = int(settings.default_deadline_seconds * 1000)
@@ -206,10 +219,18 @@
     return given / 1000
 
 
-def read_priority(http_request):
-    return read_number(
-        http_request, PRIORITY_HEADER, 0, MAXIMUM_PRIORITY, DEFAULT_PRIORITY
-    )
+def read_priority(http_request, organisation, configuration):
+    """Return the priority that the caller gives, or that of the class of work."""
+    default = DEFAULT_PRIORITY
+    allowed = organisation.classes
+    name = http_request.headers.get(CLASS_HEADER) or next(iter(allowed), None)
+    if name is not None:
+        if name not in configuration.classes or (allowed and name not in allowed):
+            raise BadRequest(
+                f"There is no class {name!r} for the organisation.", field=CLASS_HEADER
+            )
+        default = configuration.classes[name].priority
+    return read_number(http_request, PRIORITY_HEADER, 0, MAXIMUM_PRIORITY, default)
 
 
 def read_number(http_request, name, minimum, maximum, default):
--- a/packages/fescuedrum/src/fescuedrum/conf/document/model.py
+++ b/packages/fescuedrum/src/fescuedrum/conf/document/model.py
@@ -75,7 +75,7 @@
     """Describe a model, the version in use and its adapters."""
 
     name: str = setting(help="Name by which callers and services know the model.")
-    version: str = setting(help="Version that engines serve.")
+    version: str = setting(help="Version that engines are meant to serve.")
     versions: list[str] = setting(
         list, help="Versions in the weight store; empty allows any."
     )
@@ -88,7 +88,10 @@
 
     name: str = setting(help="Name by which organisations refer to the class.")
     priority: int = setting(
-        DEFAULT_PRIORITY, help="0 is served first, 9 last.", minimum=0, maximum=9
+        DEFAULT_PRIORITY,
+        help="7 to 9 urgent, 3 to 6 normal, 0 to 2 batch.",
+        minimum=0,
+        maximum=9,
     )
 
 
@@ -176,7 +179,7 @@
         0.0, help="Share kept for them when all want more.", minimum=0.0, maximum=1.0
     )
     maximum_share: float = setting(
-        1.0, help="Share they never pass.", minimum=0.0, maximum=1.0
+        1.0, help="Share they get at most while others wait.", minimum=0.0, maximum=1.0
     )
 
 
--- a/packages/fescuedrum/src/fescuedrum/decisions/limits.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/limits.py
@@ -70,6 +70,13 @@
         self.collapses = 0
         self.reset(Phase.COLD)
 
+    def bound(self, floor, ceiling):
+        """Follow a change of the floor and the ceiling."""
+        self.floor = floor
+        self.ceiling = max(ceiling, floor)
+        highest = self.floor if self.phase is Phase.COLD else self.ceiling
+        self.limit = min(max(self.limit, self.floor), highest)
+
     def reset(self, phase):
         self.phase = phase
         self.limit = self.floor
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -107,6 +107,13 @@
     remedy = "Send the request again after the time in Retry-After."
 
 
+class LimitReached(Overloaded):
+    """Refuse work above what operators allow the organisation; it was not run."""
+
+    code = "limit-reached"
+    status = 429
+
+
 class Unavailable(Overloaded):
     """Refuse work for which no endpoint can be reached; it was not run."""
 
--- a/packages/fescuedrum/src/fescuedrum/versions/configuration.py
+++ b/packages/fescuedrum/src/fescuedrum/versions/configuration.py
@@ -20,6 +20,7 @@
 
     __slots__ = (
         "body",
+        "classes",
         "compressed",
         "document",
         "document_hash",
@@ -39,6 +40,7 @@
         self.body = b""
         self.compressed = b""
         self.document = None
+        self.classes = {}
         self.endpoints = {}
         self.organisations = {}
         self.services = {}
@@ -77,6 +79,7 @@
 
     def take(self, document):
         self.document = document
+        self.classes = {each.name: each for each in document.classes}
         self.endpoints = {each.name: each for each in document.endpoints}
         self.organisations = {each.name: each for each in document.organisations}
         self.services = {each.name: each for each in document.services}
--- /dev/null
+++ b/tests/unit/test_allowances.py
@@ -0,0 +1,111 @@
+"""Check organisations' limits and the shares that rules promise."""
+
+import random
+
+import pytest
+from support.builders import build_document, build_organisation
+
+from fescuedrum.conf import document as documents
+from fescuedrum.conf.document import Limits
+from fescuedrum.decisions.allowances import BURST_SECONDS, Allowances, Exceeded
+from fescuedrum.decisions.sharing import effective_weights
+
+
+def arrive(allowances, limits, rate, seconds, *, entries=1, tokens=1.0, seed=1):
+    """Send requests at random; return how many were granted."""
+    chooser = random.Random(seed)
+    now, granted = 0.0, 0
+    while now < seconds:
+        now += chooser.expovariate(rate)
+        if allowances.enter("club", limits, tokens, entries, now) is None:
+            allowances.leave("club")
+            granted += 1
+    return granted
+
+
+def test_a_caller_that_runs_wild_gets_its_rate_and_no_more():
+    """A club's program repeats its question in a loop, a hundred times a second."""
+    granted = arrive(Allowances(), Limits(requests_per_second=5.0), 100, 60)
+    assert 5 * 60 <= granted <= 5 * (60 + BURST_SECONDS) + 1
+
+
+def test_a_caller_within_its_rate_is_hardly_ever_refused():
+    limits = Limits(requests_per_second=10.0)
+    chooser = random.Random(3)
+    entries = [Allowances() for _ in range(6)]
+    now, refused, sent = 0.0, 0, 3000
+    for _ in range(sent):
+        now += chooser.expovariate(8.0)
+        entry = chooser.choice(entries)
+        if entry.enter("club", limits, 1.0, len(entries), now):
+            refused += 1
+        else:
+            entry.leave("club")
+    assert refused < 0.03 * sent
+
+
+def test_long_prompts_count_by_their_tokens():
+    limits = Limits(tokens_per_second=100.0)
+    granted = arrive(Allowances(), limits, 20, 60, tokens=50.0)
+    assert 2 * 60 <= granted <= 2 * (60 + BURST_SECONDS) + 1
+
+
+def test_a_request_larger_than_the_burst_is_granted_once_the_bucket_is_full():
+    allowances = Allowances()
+    limits = Limits(tokens_per_second=10.0)
+    assert allowances.enter("club", limits, 1000.0, 1, 0.0) is None
+    exceeded = allowances.enter("club", limits, 1.0, 1, 1.0)
+    assert exceeded.limit == "tokens_per_second"
+    assert exceeded.seconds == pytest.approx((1000 - 50 - 10 + 1) / 10)
+
+
+def test_places_are_given_back_and_each_entry_grants_one_at_least():
+    allowances = Allowances()
+    limits = Limits(concurrent_requests=4)
+    for _ in range(2):
+        assert allowances.enter("club", limits, 1.0, 2, 0.0) is None
+    exceeded = allowances.enter("club", limits, 1.0, 2, 0.0)
+    assert exceeded == Exceeded("concurrent_requests", 1.0)
+    allowances.leave("club")
+    assert allowances.enter("club", limits, 1.0, 2, 0.0) is None
+    assert Allowances().enter("club", limits, 1.0, 390, 0.0) is None
+
+
+def test_without_limits_nothing_is_bounded():
+    assert arrive(Allowances(), Limits(), 100, 10) > 900
+
+
+def share(weights, *names):
+    return sum(weights[name] for name in names) / sum(weights.values())
+
+
+def test_a_promised_share_stays_with_every_newcomer():
+    """A large customer was promised a fifth; with each new club it got less."""
+    rule = documents.SharingRule("floor", "advice", ["large", "twin"], 0.2)
+    for count in (2, 10, 100):
+        clubs = [build_organisation(f"club-{n}") for n in range(count)]
+        promised = [build_organisation("large"), build_organisation("twin")]
+        promised[0].weight = 3.0
+        document = build_document(
+            organisations=[*promised, *clubs], sharing_rules=[rule]
+        )
+        weights = effective_weights(document, "advice")
+        assert share(weights, "large", "twin") >= 0.2 - 1e-9
+        assert weights["large"] == pytest.approx(3 * weights["twin"])
+        assert effective_weights(document, "other")["large"] == 3.0
+
+
+def test_floors_and_ceilings_hold_together():
+    names = ["a", "b", "c", "d"]
+    rules = [
+        documents.SharingRule("1", "advice", ["a"], 0.5),
+        documents.SharingRule("2", "advice", ["b"], 0.3),
+        documents.SharingRule("3", "advice", ["c"], 0.0, 0.1),
+    ]
+    document = build_document(
+        organisations=[build_organisation(name) for name in names], sharing_rules=rules
+    )
+    weights = effective_weights(document, "advice")
+    assert share(weights, "a") >= 0.5 - 1e-3
+    assert share(weights, "b") >= 0.3 - 1e-3
+    assert share(weights, "c") <= 0.1 + 1e-3
