Run a site under random faults and judge it

Cause: crashes at single steps were tested; faults that come together, silent connections, pauses and store outages were not.

--- a/packages/fescuedrum-bench/src/fescuedrum_bench/callers.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/callers.py
@@ -16,12 +16,14 @@
 class Caller:
     """Act for one organisation through one entry."""
 
-    __slots__ = ("headers", "organisation", "session", "url")
+    __slots__ = ("headers", "organisation", "session", "timeout", "url")
 
     def __init__(self, session, url, organisation, key):
         self.session = session
         self.url = url
         self.organisation = organisation
+        # Longest wait for an answer, in seconds; None waits for ever.
+        self.timeout = None
         self.headers = {"Authorization": f"Bearer {key}"}
 
     async def complete(self, prompt, tokens=8):
@@ -49,11 +51,15 @@
         """Make a booking that must never be recorded twice."""
         headers = {"Idempotency-Key": reference} if keyed else {}
         path = "/services/bookings/bookings"
+        began = asyncio.get_running_loop().time()
         status, outcome, text, seconds = await self.send(
             path, {"reference": reference}, headers=headers
         )
         whole = status == 201 and json.loads(text)["booked"] == reference
-        return self.record("booking", outcome, status, seconds, reference, whole)
+        record = self.record("booking", outcome, status, seconds, reference, whole)
+        record.keyed, record.began = keyed, began
+        record.code = error_code(status, text)
+        return record
 
     def record(self, kind, outcome, status, seconds, reference="", whole=True):
         return Record(
@@ -69,16 +75,27 @@
                 self.url + path,
                 json=body,
                 headers=self.headers | (headers or {}),
+                timeout=aiohttp.ClientTimeout(total=self.timeout),
             ) as response:
                 text = await response.text()
                 outcome = response.headers.get(OUTCOME_HEADER, Outcome.UNKNOWN)
                 # A stream that ended whole, its last chunk included, was answered.
                 outcome = Outcome.ANSWERED if outcome == STREAMING else outcome
                 return response.status, outcome, text, loop.time() - begin
-        except (aiohttp.ClientError, OSError):
+        except (TimeoutError, aiohttp.ClientError, OSError):
             return 0, Outcome.UNKNOWN, "", loop.time() - begin
 
 
+def error_code(status, text):
+    """Return the code of an error's body, or an empty string."""
+    if status < 400:
+        return ""
+    try:
+        return json.loads(text)["error"]["code"]
+    except (ValueError, KeyError, TypeError):
+        return ""
+
+
 def text_of(body):
     return json.loads(body)["choices"][0]["text"]
 
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/checker.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/checker.py
@@ -1,10 +1,14 @@
 """Judge callers' records against what the endpoints did."""
 
+import math
 from collections import Counter
 from dataclasses import dataclass
 
+from fescuedrum.exceptions import KeyNotChecked
 from fescuedrum.outcomes import Outcome
 
+KEY_NOT_CHECKED = KeyNotChecked.code
+
 
 @dataclass(slots=True)
 class Record:
@@ -18,6 +22,11 @@
     # The booking's reference, for requests that may run only once.
     reference: str = ""
     whole: bool = True
+    keyed: bool = False
+    # Loop time at the sending, in seconds.
+    began: float = 0.0
+    # Code of the error that was told, if any.
+    code: str = ""
 
 
 @dataclass(slots=True)
@@ -33,6 +42,8 @@
     lost: int
     false_not_run: int
     wrong_answers: int
+    # References of the requests for which a promise was broken.
+    broken: list
 
     @property
     def kept(self):
@@ -47,24 +58,47 @@
     told = {}
     for record in records:
         if record.reference:
-            told.setdefault(record.reference, set()).add(record.outcome)
+            told.setdefault(record.reference, []).append(record)
+    doubled = [reference for reference, count in executions.items() if count > 1]
+    lost = [each for each in told if is_lost(told[each], executions.get(each, 0))]
+    false_not_run = [
+        each for each in told if is_false_not_run(told[each], executions.get(each, 0))
+    ]
+    wrong = [
+        record.reference
+        for record in records
+        if record.outcome == Outcome.ANSWERED and not record.whole
+    ]
     return Verdict(
         requests=len(records),
         answered=outcomes[Outcome.ANSWERED],
         not_run=outcomes[Outcome.NOT_RUN],
         unknown=outcomes[Outcome.UNKNOWN],
         failed=outcomes[Outcome.FAILED],
-        doubled=sum(count > 1 for count in executions.values()),
-        lost=sum(
-            Outcome.ANSWERED in seen and not executions.get(reference)
-            for reference, seen in told.items()
-        ),
-        false_not_run=sum(
-            seen == {Outcome.NOT_RUN} and bool(executions.get(reference))
-            for reference, seen in told.items()
-        ),
-        wrong_answers=sum(
-            record.outcome == Outcome.ANSWERED and not record.whole
-            for record in records
-        ),
+        doubled=len(doubled),
+        lost=len(lost),
+        false_not_run=len(false_not_run),
+        wrong_answers=len(wrong),
+        broken=[*doubled, *lost, *false_not_run, *wrong],
+    )
+
+
+def is_lost(records, executions):
+    return not executions and any(each.outcome == Outcome.ANSWERED for each in records)
+
+
+def is_false_not_run(records, executions):
+    """Tell whether "not run" was told of what ran, or after its answer was told.
+
+    A refusal because the key could not be checked speaks of that sending alone.
+    """
+    outcomes = {record.outcome for record in records}
+    if outcomes == {Outcome.NOT_RUN} and executions:
+        return True
+    ends = [e.began + e.seconds for e in records if e.outcome == Outcome.ANSWERED]
+    return any(
+        record.outcome == Outcome.NOT_RUN
+        and record.code != KEY_NOT_CHECKED
+        and record.began > min(ends, default=math.inf)
+        for record in records
     )
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -18,6 +18,7 @@
 from fescuedrum.platform.client import PlatformClient
 from fescuedrum.platform.interfaces import Instance
 from fescuedrum.versions.apply import Applier, Proposal
+from fescuedrum_bench.faultproxy import FaultProxy
 from fescuedrum_entry.operators.accounts import Account, Role
 
 PORT = 7000
@@ -44,6 +45,8 @@
     # Laid over the settings of every entry and every agent.
     entry_settings: dict[str, object] = field(default_factory=dict)
     agent_settings: dict[str, object] = field(default_factory=dict)
+    # Whether each connection between members goes through a proxy that can spoil it.
+    proxied: bool = False
 
 
 def reserve_network():
@@ -119,6 +122,7 @@
         "peer_secret",
         "platform",
         "prefix",
+        "proxies",
         "session",
         "shape",
         "temporary",
@@ -135,6 +139,7 @@
         self.entries = []
         self.agents = []
         self.endpoints = []
+        self.proxies = {}
         # Protocol step at which a member, by name, kills itself.
         self.fault_steps = {}
         self.platform = None
@@ -186,10 +191,7 @@
         await self.start_endpoints()
         for index in range(self.shape.entries):
             await self.start_entry(index)
-        for member in self.agents:
-            await self.wait_listening(member)
-        for entry in self.entries:
-            await self.wait_ready(f"{entry.url}/readyz")
+        await self.wait_whole()
         for endpoint in self.endpoints:
             await self.wait_ready(f"{endpoint.url}/healthz")
 
@@ -221,7 +223,7 @@
         settings = {
             "endpoint": endpoint.name,
             "service": service,
-            "endpoint_url": endpoint.url,
+            "endpoint_url": await self.proxied_url(f"{name}-endpoint", endpoint),
             "cold_limit": self.shape.cold_limit,
             "warm_limit": self.shape.warm_limit,
         } | self.shape.agent_settings
@@ -233,7 +235,7 @@
                 name,
                 "agent",
                 zone,
-                member.host,
+                await self.through_proxy(f"entries-{name}", member.host),
                 PORT,
                 endpoint=endpoint.name,
                 service=service,
@@ -277,7 +279,9 @@
             "zone": zone,
             "host": member.host,
             "port": PORT,
-            "platform_url": self.platform.url,
+            "platform_url": await self.proxied_url(
+                f"{member.name}-platform", self.platform
+            ),
             "peer_keys": [{"id": "site", "secret": self.peer_secret}],
         }
         if step := self.fault_steps.get(member.name):
@@ -286,6 +290,20 @@
         member.command += ["--settings", str(path)]
         await member.start()
 
+    async def through_proxy(self, name, host):
+        """Return the address under which others reach a host."""
+        if not self.shape.proxied:
+            return host
+        proxy = FaultProxy(host, PORT)
+        address = self.take_host()
+        await proxy.start(address, PORT)
+        self.proxies[name] = proxy
+        return address
+
+    async def proxied_url(self, name, member):
+        host = await self.through_proxy(name, member.host)
+        return f"http://{host}:{PORT}"
+
     async def restart(self, member):
         """Start a member that is dead again, without its fault."""
         path = self.directory / f"{member.name}.json"
@@ -295,13 +313,17 @@
         await member.start()
 
     def add(self, name, arguments):
-        host = f"{self.prefix}.{self.next_host}"
-        self.next_host += 1
+        host = self.take_host()
         log_path = self.directory / f"{name}.log"
         member = Member(name, host, [sys.executable, *arguments], log_path)
         self.members[name] = member
         return member
 
+    def take_host(self):
+        host = f"{self.prefix}.{self.next_host}"
+        self.next_host += 1
+        return host
+
     def members_of(self, kind):
         """Return the endpoints of a kind, in the order of their start."""
         return [each for each in self.endpoints if each.name.startswith(kind)]
@@ -326,6 +348,13 @@
         accepted = await applier.apply(proposal)
         self.version = accepted.version
 
+    async def wait_whole(self):
+        """Wait until every member serves again."""
+        for member in [*self.agents, *self.endpoints]:
+            await self.wait_listening(member)
+        for entry in self.entries:
+            await self.wait_ready(f"{entry.url}/readyz")
+
     async def wait_ready(self, url):
         async with asyncio.timeout(READY_SECONDS):
             while not await self.answers(url):
@@ -349,6 +378,8 @@
         others = [*self.agents, *self.endpoints]
         for group in (self.entries, others, list(self.members.values())):
             await asyncio.gather(*(member.stop() for member in group))
+        for proxy in self.proxies.values():
+            await proxy.stop()
         await self.session.close()
         self.guard.close()
         self.temporary.cleanup()
