--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -264,6 +264,8 @@
         operator = Account("operator", Role.OPERATOR, [salted])
         return {
             "peer_port": PEER_PORT,
+            # No balancer stands before a small site.
+            "notice_seconds": 0.0,
             "console_secret": self.peer_secret,
             "operators": [schema.dump(operator)],
             "seeds": [
@@ -355,6 +357,19 @@
         for entry in self.entries:
             await self.wait_ready(f"{entry.url}/readyz")
 
+    async def wait_in_force(self, version):
+        """Wait until every entry hears all its members run a version."""
+        async with asyncio.timeout(READY_SECONDS):
+            for entry in self.entries:
+                while not await self.runs(entry, version):
+                    await asyncio.sleep(0.05)
+
+    async def runs(self, entry, version):
+        _, status = await self.operate(entry, "status")
+        members = status["members"]
+        lowest = min([status["in_force"], *(each["version"] for each in members)])
+        return lowest >= version and not any(each["silent"] for each in members)
+
     async def wait_ready(self, url):
         async with asyncio.timeout(READY_SECONDS):
             while not await self.answers(url):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -164,9 +164,14 @@
         return web.Response(body=text, headers={"Content-Type": content_type})
 
     async def drain(self):
-        """Turn readiness down, say so, and let running requests end."""
+        """Turn readiness down, say so, and let running requests end.
+
+        The balancer goes on sending until it has asked /readyz again. A process that
+        closed its listener at once would cut those callers off.
+        """
         self.leaving = True
         self.send_heartbeats()
+        await asyncio.sleep(self.settings.notice_seconds)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.drain_seconds
         while (self.running or self.background) and loop.time() < deadline:
@@ -185,7 +190,7 @@
             link.send(heartbeat=self.heartbeat())
 
     def update_links(self, instances):
-        """Keep a link to each of the agents given."""
+        """Keep a link to each of the agents given; tell whether some are left over."""
         agents = {each.name: each for each in instances}
         for name, instance in agents.items():
             if name not in self.links:
@@ -196,6 +201,7 @@
             if name not in agents and self.may_unlink(name):
                 self.link_tasks.pop(name).cancel()
                 self.router.forget(self.links.pop(name))
+        return len(self.links) > len(agents)
 
     def may_unlink(self, name):
         """Tell whether a link that is not called for may be closed now."""
@@ -226,9 +232,6 @@
 
     def heartbeat(self):
         return Heartbeat(
-            instance=self.settings.name,
-            incarnation=self.incarnation,
-            zone=self.settings.zone,
             version=self.configuration.version,
             leaving=self.leaving,
             wanted_interval_ms=int(self.members.interval() * 1000),
--- a/packages/fescuedrum/src/fescuedrum/wire/connection.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/connection.py
@@ -12,6 +12,7 @@
 HANDSHAKE_SECONDS = 5.0
 # Above the high mark senders wait; the peer's kernel and ours hold some more.
 HIGH_WATER_BYTES = 1024 * 1024
+CLOSE_SECONDS = 5.0
 # Frames that can't wait (heartbeats, credit) still add up when a peer takes nothing.
 MAXIMUM_UNSENT_BYTES = 32 * 1024 * 1024
 
@@ -31,6 +32,8 @@
         "partial",
         "queued_bytes",
         "reader",
+        "received_bytes",
+        "sent_bytes",
         "writer",
     )
 
@@ -41,6 +44,8 @@
         self.loop = asyncio.get_running_loop()
         self.outgoing = []
         self.queued_bytes = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self.incoming = collections.deque()
         self.partial = bytearray()
         self.maximum_frame_bytes = codec.MAXIMUM_FRAME_BYTES
@@ -55,6 +60,7 @@
 
     def flush(self):
         frames, self.outgoing = self.outgoing, []
+        self.sent_bytes += self.queued_bytes
         self.queued_bytes = 0
         if not frames or self.writer.is_closing():
             return
@@ -111,6 +117,7 @@
                 return None
             if not data:
                 return None
+            self.received_bytes += len(data)
             self.split(data)
         return codec.decode(self.incoming.popleft())
 
@@ -131,5 +138,9 @@
         del buffer[:position]
 
     def close(self):
+        """Close when the peer has taken what was sent, or has had its time to."""
         self.flush()
         self.writer.close()
+        # A silent peer takes nothing, so the transport would wait for good and keep
+        # its buffer, and the process could not end.
+        self.loop.call_later(CLOSE_SECONDS, self.writer.transport.abort)
