Route by an organisation's own backlog where endpoints are full; keep a small burst

Entries compared whole queues, so the others' work gathered at the agent where the hot organisation's queue was shortest, and waited there behind itself.

Change: where all places are taken, an entry compares its own unanswered requests of that organisation. An organisation without a backlog joins the queue up to eight mean requests below the others' counter: joining at the bare counter made each small burst of one that keeps to its share wait. A finding names the place where worse answers gather against all answers.

--- /dev/null
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/experiments/cold_start.py
@@ -0,0 +1,73 @@
+"""Measure whether cold endpoints get more than they can carry."""
+
+import asyncio
+
+from fescuedrum_bench.experiments.base import Experiment, Figure
+from fescuedrum_bench.load import Job, Mix, OpenLoop, open_session
+from fescuedrum_bench.site import Site
+from fescuedrum_bench.trial import build_shape, capacity, count, plant
+
+ENGINES = 3
+SECONDS = 14.0
+TURN_COLD_EVERY = 3.0
+LOAD = 0.6
+DEADLINE = 5.0
+JOBS = [Job(8), Job(32)]
+MEAN_TOKENS = 20
+ORGANISATIONS = ("club", "shop", "kitchen")
+# Trusts every endpoint with its warm load at once, as a balancer without a gate does.
+TRUSTING = {"cold_limit": 16, "warm_limit": 16}
+
+
+async def run(scale, seed):
+    careful = await measure({}, scale, seed)
+    trusting = await measure(TRUSTING, scale, seed)
+    return Experiment(
+        "cold_start",
+        "Three engines start cold under load from two entries, and every "
+        f"{TURN_COLD_EVERY:g} s one turns cold without warning and cuts what it runs. "
+        "A cold engine falls over above two requests. Baseline: no cold floor.",
+        [
+            Figure("falls", careful.falls, "", trusting.falls, at_most=0),
+            Figure(
+                "answered in time",
+                careful.in_time,
+                "of sent",
+                trusting.in_time,
+            ),
+        ],
+    )
+
+
+class Run:
+    """Hold what came of one run."""
+
+    __slots__ = ("falls", "in_time")
+
+    def __init__(self, falls, in_time):
+        self.falls = falls
+        self.in_time = in_time
+
+
+async def measure(agent, scale, seed):
+    shape = build_shape(ENGINES, agent=agent)
+    rate = capacity(shape) * LOAD / MEAN_TOKENS / len(ORGANISATIONS)
+    mixes = [
+        Mix(name, f"{name}.secret", rate, JOBS, DEADLINE) for name in ORGANISATIONS
+    ]
+    async with Site(shape, ORGANISATIONS) as site, open_session() as session:
+        sender = OpenLoop(session, [entry.url for entry in site.entries], seed)
+        turning = asyncio.create_task(turn_cold(site))
+        results = await sender.run(mixes, SECONDS * scale)
+        turning.cancel()
+        falls = await count(site, "falls")
+    in_time = sum(each.in_time for each in results.samples)
+    return Run(falls, in_time / len(results.samples))
+
+
+async def turn_cold(site):
+    turn = 0
+    while True:
+        await asyncio.sleep(TURN_COLD_EVERY)
+        await plant(site, {f"engine-{turn % ENGINES}": {"cold": True}})
+        turn += 1
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/experiments/overload.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/experiments/overload.py
@@ -9,7 +9,7 @@
 SECONDS = 14.0
 SETTLE = 4.0
 DEADLINE = 4.0
-JOBS = [Job(32), Job(64)]
+JOBS = [Job(tokens) for tokens in range(24, 73, 4)]
 MEAN_TOKENS = 48
 ORGANISATIONS = ("club", "shop", "kitchen", "office")
 
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -41,6 +41,8 @@
     # Of an engine's step, for each sequence in the batch; and the largest batch.
     sequence_seconds: float = 0.0
     batch: int = 256
+    # Organisations' weights; 1 for those not named.
+    weights: dict[str, float] = field(default_factory=dict)
     # Laid over the settings of every entry and every agent.
     entry_settings: dict[str, object] = field(default_factory=dict)
     agent_settings: dict[str, object] = field(default_factory=dict)
@@ -155,6 +157,7 @@
                         "salt", documents.hash_key("salt", self.keys[name])
                     )
                 ],
+                weight=self.shape.weights.get(name, 1.0),
             )
             for name in organisations
         ]
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
@@ -38,16 +38,18 @@
         "events",
         "link",
         "number",
+        "organisation",
         "trace",
         "untold",
     )
 
-    def __init__(self, link, number, attempt, candidate=None, trace=None):
+    def __init__(self, link, number, attempt, organisation, candidate, trace):
         self.link = link
         self.number = number
         self.attempt = attempt
         # On which the router counts this request as unanswered.
         self.candidate = candidate
+        self.organisation = organisation
         self.events = asyncio.Queue()
         self.trace = trace
         self.untold = 0
@@ -67,7 +69,7 @@
             self.untold = 0
 
     def close(self, *, finished):
-        self.link.entry.router.ended(self.link, self.candidate)
+        self.link.entry.router.ended(self.link, self.candidate, self.organisation)
         self.link.exchanges.pop(self.number, None)
         if self.trace is not None:
             self.trace.closed()
@@ -120,8 +122,11 @@
         self.next_number += 1
         request.window = WINDOW_BYTES
         trace = AttemptTrace.begin(self, request)
-        candidate = self.entry.router.sent(self)
-        exchange = Exchange(self, request.number, request.attempt, candidate, trace)
+        organisation = request.organisation or ""
+        candidate = self.entry.router.sent(self, organisation)
+        exchange = Exchange(
+            self, request.number, request.attempt, organisation, candidate, trace
+        )
         self.exchanges[request.number] = exchange
         self.send(request=request)
         return exchange
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/router.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/router.py
@@ -124,14 +124,14 @@
             routes.view.remove(candidate.name)
         return None
 
-    def sent(self, link):
+    def sent(self, link, organisation):
         """Count a request; return the candidate that its end is counted on."""
         routes = self.routes(link.instance.service)
         target = routes.targets.get(link.instance.name)
         if target is None:
             return None
         now = loop_time()
-        routes.view.sent(target.candidate)
+        routes.view.sent(target.candidate, organisation)
         target.breaker.sent(now)
         routes.outliers.sent(link.instance.name, now)
         # The one trial of an endpoint under suspicion is on its way: no second one.
@@ -139,10 +139,10 @@
             routes.view.remove(link.instance.name)
         return target.candidate
 
-    def ended(self, link, candidate):
+    def ended(self, link, candidate, organisation):
         """Count the end of a request that was counted on a candidate."""
         if candidate is not None:
-            self.routes(link.instance.service).view.ended(candidate)
+            self.routes(link.instance.service).view.ended(candidate, organisation)
 
     def delivered(self, link, end):
         """Learn from the end of an answer whether the endpoint works.
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/selection.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/selection.py
@@ -51,6 +51,7 @@
     def wish(self):
         return Wish(
             zone=self.entry.settings.zone,
+            organisation=self.call.organisation,
             loaded=self.call.model,
             prefix=self.call.prefix,
             tried=frozenset(self.tried),
--- a/packages/fescuedrum/src/fescuedrum/decisions/fairness.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/fairness.py
@@ -23,14 +23,18 @@
 organisation notices; less is found later. The threshold log(comparisons / LEVEL) is
 Wald's bound. INTERVAL_EVIDENCE: requests of one interval share its bursts and are not
 independent, so that one interval counts for at most this much, and a finding needs
-seven bad intervals however many requests they hold. A finding clears when the evidence
-has run back to zero or CLEAR_INTERVALS in a row were alike. PEER_SAMPLE keeps the work
-for one organisation the same at any number of requests.
+seven bad intervals however many requests they hold. DEMAND_EVIDENCE: a queue's busy
+spells outlast intervals, so that waits and refusals need twenty. A finding clears when
+the evidence has run back to zero or CLEAR_INTERVALS in a row were alike. PEER_SAMPLE
+keeps the work for one organisation the same at any number of requests. PLACE_LIFT: a
+place that holds two fifths of the worse answers, and half as many again as of all
+answers, is where to look.
 """
 
 import bisect
 import enum
 import math
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
 HARM = 2.0
@@ -41,9 +45,12 @@
 MINIMUM_REQUESTS = 5
 MAXIMUM_BIT_RATE = 0.95
 INTERVAL_EVIDENCE = 2.0
+DEMAND_EVIDENCE = 0.7
 ALIKE_EXCESS = 1.25
-MOST_OF = 0.6
+PLACE_SHARE = 0.4
+PLACE_LIFT = 1.5
 PEER_SAMPLE = 200
+DEMAND_INTERVALS = 6
 SIZE_STEPS = (8, 32, 128, 512, 2048, 8192)
 # A yes or no has no quartile: yes is worse.
 BETWEEN_NO_AND_YES = 0.5
@@ -179,12 +186,14 @@
 class FairnessWatch:
     """Compare organisations from interval to interval; now is loop time in seconds."""
 
-    __slots__ = ("accounts", "evidence", "observations")
+    __slots__ = ("accounts", "evidence", "observations", "recent")
 
     def __init__(self):
         self.accounts = {}
         self.evidence = {}
         self.observations = []
+        # What each organisation asked for in the last intervals.
+        self.recent = deque(maxlen=DEMAND_INTERVALS)
 
     def observe(self, observation):
         """Take what a request received."""
@@ -208,7 +217,8 @@
     def close_interval(self):
         """Return what was observed since the last call, ready to be judged."""
         observations, self.observations = self.observations, []
-        interval = Interval(observations, self.accounts)
+        interval = Interval(observations, self.accounts, self.recent)
+        self.recent.append(interval.asked)
         for name, cost in interval.entitled.items():
             if name in self.accounts:
                 self.accounts[name].entitled += cost
@@ -227,7 +237,8 @@
         if comparison is None:
             return None
         evidence = self.evidence.setdefault((organisation, measure), Evidence())
-        added = min(comparison.log_ratio, INTERVAL_EVIDENCE)
+        most = DEMAND_EVIDENCE if measure in OF_DEMAND else INTERVAL_EVIDENCE
+        added = min(comparison.log_ratio, most)
         # Evidence of hours must not keep a finding for hours after its cause ended.
         most = 2 * self.threshold()
         evidence.weight = min(max(0.0, evidence.weight + added), most)
@@ -284,7 +295,7 @@
 
     __slots__ = ("asked", "entitled", "excess", "groups", "samples")
 
-    def __init__(self, observations, accounts):
+    def __init__(self, observations, accounts, recent=()):
         # Group to organisation to its observations.
         self.groups = {}
         self.samples = {}
@@ -295,10 +306,7 @@
             asked = self.asked.get(each.organisation, 0.0)
             self.asked[each.organisation] = asked + each.cost
         self.entitled = self.find_entitled(observations, accounts)
-        self.excess = {
-            name: max(1.0, cost / max(self.entitled[name], 1e-9))
-            for name, cost in self.asked.items()
-        }
+        self.excess = self.find_excess(accounts, [*recent, self.asked])
 
     @property
     def organisations(self):
@@ -314,6 +322,24 @@
         }
         return water_fill(self.asked, weights, served)
 
+    def find_excess(self, accounts, recent):
+        """Return the multiple of its share that each asked for lately, at least 1.
+
+        What was asked an interval ago still waits, or was served early and is being
+        made up for, so that one interval alone does not tell equal demand.
+        """
+        asked = {
+            name: sum(demand.get(name, 0.0) for demand in recent) for name in self.asked
+        }
+        weights = {
+            name: accounts[name].weight if name in accounts else 1.0 for name in asked
+        }
+        share = sum(asked.values()) / max(sum(weights.values()), 1e-9)
+        return {
+            name: max(1.0, cost / max(share * weights[name], 1e-9))
+            for name, cost in asked.items()
+        }
+
     def compare(self, organisation, measure):
         """Compare an organisation with its peers; None without enough to compare."""
         tally = Tally(measure)
@@ -365,6 +391,7 @@
         "own",
         "peers",
         "peers_count",
+        "seen",
         "worse",
     )
 
@@ -376,6 +403,7 @@
         self.peers = 0.0
         self.peers_count = 0
         self.worse = []
+        self.seen = []
 
     def add(self, mine, peers):
         """Add one group's observations."""
@@ -393,6 +421,7 @@
         self.peers += sum(values)
         self.peers_count += len(values)
         self.worse += worse
+        self.seen += mine
 
     def line(self, values):
         if self.measure in BINARY:
@@ -414,7 +443,7 @@
             self.log_ratio,
             self.own / self.count,
             self.peers / self.peers_count,
-            common_place(self.worse),
+            common_place(self.worse, self.seen),
         )
 
 
@@ -438,16 +467,16 @@
             return float(observation.cold)
 
 
-def common_place(worse):
-    """Return the zone or endpoint of most of the worse answers, or an empty text."""
+def common_place(worse, seen):
+    """Return the endpoint or zone at which worse answers gather, or an empty text."""
     for kind in ("endpoint", "zone"):
-        counts = {}
-        for each in worse:
-            place = getattr(each, kind)
-            counts[place] = counts.get(place, 0) + 1
-        name = max(counts, key=counts.get, default="")
-        if name and counts[name] > MOST_OF * len(worse):
-            return f"{kind} {name}"
+        among_worse = Counter(getattr(each, kind) for each in worse)
+        among_all = Counter(getattr(each, kind) for each in seen)
+        for name, count in among_worse.most_common(1):
+            share = count / len(worse)
+            usual = among_all[name] / len(seen)
+            if name and share >= max(PLACE_SHARE, PLACE_LIFT * usual):
+                return f"{kind} {name}"
     return ""
 
 
--- a/packages/fescuedrum/src/fescuedrum/decisions/queueing.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/queueing.py
@@ -9,13 +9,15 @@
 divided by its weight, and the backlogged organisation with the lowest counter goes
 next. Cost is charged when a request starts, by estimate, and corrected when the true
 cost is known, so guessing low gains nothing. An organisation that returns from idling
-starts at the others' counter: unused share is not saved up. Inside an organisation,
-classes go by rank and then by earliest deadline.
+starts a burst of a few requests below the others' counter and no lower: unused share
+is not saved up. Inside an organisation, classes go by rank and then by deadline.
 
 Grounds for the figures. FLOOR_SHARE: a fiftieth of the service is more than an equal
 share at 50 backlogged organisations on one endpoint, and still leaves 98% to weights.
 OLDEST_EVERY: one pick in eight by age bounds the wait of the lowest class at eight
-times its length, and costs the highest class an eighth at most.
+times its length, and costs the highest class an eighth at most. BURST: at four fifths
+of a share, Poisson arrivals hold eight requests or fewer in 19 of 20 moments; what is
+kept is used up after eight requests, however long the idling was.
 """
 
 import enum
@@ -26,6 +28,8 @@
 
 FLOOR_SHARE = 0.02
 OLDEST_EVERY = 8
+BURST = 8.0
+SMOOTHING = 1 / 32
 URGENT_FROM = 7
 BATCH_UP_TO = 2
 
@@ -123,7 +127,16 @@
 class FairQueue:
     """Serve organisations by weight and cost; hold at most a number of requests."""
 
-    __slots__ = ("active", "backlog", "heap", "length", "numbers", "shares", "virtual")
+    __slots__ = (
+        "active",
+        "backlog",
+        "heap",
+        "length",
+        "mean_charge",
+        "numbers",
+        "shares",
+        "virtual",
+    )
 
     def __init__(self):
         self.shares = {}
@@ -131,6 +144,8 @@
         self.active = {}
         self.heap = []
         self.virtual = 0.0
+        # Of a request, in counter units: cost for each unit of weight.
+        self.mean_charge = 0.0
         self.backlog = 0.0
         self.length = 0
         self.numbers = itertools.count()
@@ -164,13 +179,27 @@
         work.order = (work.rank, work.deadline, number)
         work.waiting = True
         if not share.waiting:
-            share.counter = max(share.counter, self.virtual)
+            share.counter = self.joining_counter(share)
             self.active[share.name] = share
             self.enter_heap(share)
         share.add(work)
         self.backlog += work.cost
         self.length += 1
 
+    def joining_counter(self, share):
+        """Return the counter at which an organisation without a backlog joins.
+
+        Requests of whoever keeps to its share come in small bursts. Joining at the
+        others' counter, each burst would wait at the organisation's bare share while
+        a backlogged one takes what the burst had left before; so a little is kept.
+        """
+        return max(share.counter, self.virtual - BURST * self.mean_charge)
+
+    def charge(self, share, work):
+        charge = work.cost / self.effective_weight(share)
+        self.mean_charge += (charge - self.mean_charge) * SMOOTHING
+        share.counter += charge
+
     def enter_heap(self, share):
         heapq.heappush(self.heap, (share.counter, next(self.numbers), share))
 
@@ -181,7 +210,7 @@
             return None
         self.virtual = max(self.virtual, share.counter)
         work = share.head()
-        share.counter += work.cost / self.effective_weight(share)
+        self.charge(share, work)
         self.remove(work)
         if share.waiting:
             self.enter_heap(share)
@@ -210,11 +239,11 @@
     def charge_direct(self, work):
         """Charge a request that found the endpoint free and never waited."""
         share = self.share(work.organisation)
-        share.counter = max(share.counter, self.virtual)
+        share.counter = self.joining_counter(share)
         # Service that nobody waited for is no debt: without this, whoever used an
         # idle endpoint all night would be shut out when the others arrive.
-        self.virtual = share.counter
-        share.counter += work.cost / self.effective_weight(share)
+        self.virtual = max(self.virtual, share.counter)
+        self.charge(share, work)
         if share.waiting:
             self.enter_heap(share)
 
@@ -237,10 +266,15 @@
         order = (work.rank, work.deadline, float("inf"))
         own = share.cost_before(order) + self.debt(share) * weight
         portion = weight / max(self.active_weight(share), weight)
-        return min(own / portion, self.backlog)
+        return min(max(0.0, own) / portion, self.backlog)
 
     def debt(self, share):
-        return max(0.0, share.counter - self.virtual) if self.active else 0.0
+        """Return what an organisation received beyond the others; below 0, less."""
+        if not self.active:
+            return 0.0
+        if not share.waiting:
+            return self.joining_counter(share) - self.virtual
+        return share.counter - self.virtual
 
     def most_over(self):
         """Return whom to refuse when the queue is full.
--- a/packages/fescuedrum/src/fescuedrum/decisions/routing.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/routing.py
@@ -62,6 +62,8 @@
     # Of these, what the latest report had seen.
     sent_seen: int = 0
     ended_seen: int = 0
+    # This entry's unanswered requests of each organisation.
+    own: dict[str, int] = field(default_factory=dict)
 
     @property
     def outstanding(self):
@@ -78,6 +80,17 @@
     def has_room(self):
         return self.outstanding < self.limit
 
+    def pressure(self, organisation):
+        """Return what compares endpoints for an organisation; less is better.
+
+        Where all places are taken, an organisation waits behind its own requests and
+        not behind all: the agents share fairly. Comparing whole queues would gather
+        the others' work where the queue of one that sends too much is shortest.
+        """
+        if self.has_room:
+            return (self.load, not self.warm)
+        return (1 + self.own.get(organisation, 0) / self.limit, self.load)
+
     def report(self, *, running, waiting, limit, warm, received):
         """Take a report; received counts this entry's requests seen by the agent."""
         self.running = running
@@ -121,6 +134,7 @@
     """Say what a request would like; an empty text asks for nothing."""
 
     zone: str = ""
+    organisation: str = ""
     # Model or adapter that should be loaded already.
     loaded: str = ""
     # Hash of the prompt's prefix.
@@ -262,12 +276,16 @@
             pool = self.by_loaded.setdefault((candidate.zone, name), Pool())
             pool.add(candidate)
 
-    def sent(self, candidate):
+    def sent(self, candidate, organisation=""):
         """Count a request that this entry sent."""
+        candidate.own[organisation] = candidate.own.get(organisation, 0) + 1
         self.shift(candidate, sent=1)
 
-    def ended(self, candidate):
+    def ended(self, candidate, organisation=""):
         """Count the end of a request that this entry sent."""
+        left = candidate.own.pop(organisation) - 1
+        if left:
+            candidate.own[organisation] = left
         self.shift(candidate, ended=1)
 
     def shift(self, candidate, sent=0, ended=0):
@@ -304,7 +322,7 @@
             found = self.best_of(pool, wish, random)
             if found is not None and found.has_room:
                 return found
-            best = lighter(best, found)
+            best = lighter(best, found, wish)
         return best or self.any_untried(wish)
 
     def nearest_pools(self, wish):
@@ -323,7 +341,7 @@
                 break
             each = pool.sample(random)
             if each.name not in wish.tried:
-                best = lighter(best, each)
+                best = lighter(best, each, wish)
         return best
 
     def any_untried(self, wish):
@@ -349,8 +367,8 @@
         return None
 
 
-def lighter(first, second):
-    """Return the one with less load; warm goes before cold at equal load."""
+def lighter(first, second, wish):
+    """Return the one with less pressure."""
     if first is None or second is None:
         return first or second
-    return min(first, second, key=lambda each: (each.load, not each.warm))
+    return min(first, second, key=lambda each: each.pressure(wish.organisation))
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -65,6 +65,23 @@
     assert max(sent.values()) <= 12
 
 
+def test_who_sends_too_much_does_not_gather_the_others_work():
+    """One organisation's backlog is a little shorter at one of three full agents.
+
+    Comparing whole queues would send everyone else's work there, where it would wait
+    behind itself, while at the other two it would be served at once.
+    """
+    candidates = [build_candidate(f"e{index}") for index in range(3)]
+    view = build_view(*candidates)
+    for candidate, waiting in zip(candidates, (100, 140, 141), strict=True):
+        report(view, candidate, 4, waiting=waiting)
+    wish = Wish(zone="zone-1", organisation="club")
+    chooser = random.Random(3)
+    for _ in range(30):
+        view.sent(view.choose(wish, chooser), "club")
+    assert max(each.own["club"] for each in candidates) <= 13
+
+
 def test_a_report_that_has_seen_the_sends_does_not_count_them_twice():
     candidate = build_candidate("a", limit=10)
     view = build_view(candidate)
