--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -112,6 +112,7 @@
         "document",
         "endpoints",
         "entries",
+        "fault_steps",
         "guard",
         "keys",
         "members",
@@ -136,6 +137,8 @@
         self.entries = []
         self.agents = []
         self.endpoints = []
+        # Protocol step at which a member, by name, kills itself.
+        self.fault_steps = {}
         self.platform = None
         self.session = None
         self.version = 0
@@ -262,6 +265,8 @@
         operator = Account("operator", Role.OPERATOR, [salted])
         return {
             "peer_port": PEER_PORT,
+            # No balancer stands before a small site.
+            "notice_seconds": 0.0,
             "console_secret": self.peer_secret,
             "operators": [schema.dump(operator)],
             "seeds": [
@@ -280,10 +285,20 @@
             "platform_url": self.platform.url,
             "peer_keys": [{"id": "site", "secret": self.peer_secret}],
         }
+        if step := self.fault_steps.get(member.name):
+            settings = settings | {"fault_step": step}
         path.write_text(json.dumps(common | settings))
         member.command += ["--settings", str(path)]
         await member.start()
 
+    async def restart(self, member):
+        """Start a member that is dead again, without its fault."""
+        path = self.directory / f"{member.name}.json"
+        settings = json.loads(path.read_text())
+        settings.pop("fault_step", None)
+        path.write_text(json.dumps(settings))
+        await member.start()
+
     def add(self, name, arguments):
         host = f"{self.prefix}.{self.next_host}"
         self.next_host += 1
@@ -292,6 +307,10 @@
         self.members[name] = member
         return member
 
+    def members_of(self, kind):
+        """Return the endpoints of a kind, in the order of their start."""
+        return [each for each in self.endpoints if each.name.startswith(kind)]
+
     async def list_instance(self, instance):
         url = f"{self.platform.url}/instances/{instance.name}"
         async with self.session.put(url, json=schema.dump(instance)) as response:
@@ -312,6 +331,19 @@
         accepted = await applier.apply(proposal)
         self.version = accepted.version
 
+    async def wait_in_force(self, version):
+        """Wait until every entry hears all its members run a version."""
+        async with asyncio.timeout(READY_SECONDS):
+            for entry in self.entries:
+                while not await self.runs(entry, version):
+                    await asyncio.sleep(0.05)
+
+    async def runs(self, entry, version):
+        _, status = await self.operate(entry, "status")
+        members = status["members"]
+        lowest = min([status["in_force"], *(each["version"] for each in members)])
+        return lowest >= version and not any(each["silent"] for each in members)
+
     async def wait_ready(self, url):
         async with asyncio.timeout(READY_SECONDS):
             while not await self.answers(url):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from fescuedrum.conf import rules
 from fescuedrum.conf.schema import setting
 from fescuedrum.decisions.routing import RoutingPolicy
 from fescuedrum.tls import TlsFiles
@@ -20,7 +21,11 @@
     port: int = setting(help="Port for callers.", minimum=1, maximum=65535)
     platform_url: str = setting(help="Base URL of the platform's services.")
     maximum_body_bytes: int = setting(
-        4 * 1024 * 1024, help="Largest body taken from a caller.", minimum=1, unit="B"
+        4 * 1024 * 1024,
+        help="Largest body taken from a caller; a frame must hold it and its head.",
+        minimum=1,
+        maximum=7 * 1024 * 1024,
+        unit="B",
     )
     body_seconds: float = setting(
         30.0, help="Longest time for a caller's body.", minimum=0.05, unit="s"
@@ -64,6 +69,12 @@
     routing_policy: RoutingPolicy = setting(
         RoutingPolicy.ADAPTIVE, help="adaptive; others only to compare with."
     )
+    notice_seconds: float = setting(
+        5.0,
+        help="Time at a stop for the balancer to see /readyz; callers are served on.",
+        minimum=0.0,
+        unit="s",
+    )
     drain_seconds: float = setting(
         60.0, help="Longest wait for running requests at a stop.", minimum=0.0, unit="s"
     )
@@ -77,6 +88,18 @@
         "", help="Secret that signs the console's cookies; without it, no console."
     )
     operators: list[Account] = setting(list, help="Operators who may sign in here.")
+    claim_group_seconds: float = setting(
+        0.005, help="Least time between writes of claims.", minimum=0.0, unit="s"
+    )
+    fence_patience_seconds: float = setting(
+        0.25,
+        help="Wait at an agent for a claimed request before it is fenced.",
+        minimum=0.0,
+        unit="s",
+    )
+    fault_step: str = setting(
+        "", help="Protocol step at which the process kills itself; for tests only."
+    )
     trace_count: int = setting(
         2000, help="Requests kept for operators to look up, of each kind.", minimum=1
     )
@@ -93,3 +116,15 @@
         None, help="Certificate, key and authority for entry-agent connections."
     )
     log_level: str = setting("INFO", help="Lowest level that is logged.")
+
+    def check(self):
+        """Return the findings across fields."""
+        return [
+            *rules.check_address("$.host", self.host),
+            *rules.check_url("$.platform_url", self.platform_url),
+            *rules.check_silence(self),
+            *rules.check_peer_keys(self.peer_keys),
+            *rules.check_peer_tls(self.peer_tls),
+            *rules.check_files("$.callers_tls", self.callers_tls),
+            *rules.check_log_level("$.log_level", self.log_level),
+        ]
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/attempt.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/attempt.py
@@ -7,6 +7,7 @@
 RESULT_REFUSED = "refused"
 RESULT_LOST = "lost"
 RESULT_LEFT = "left"
+MILLISECONDS = 1000
 
 
 class AttemptTrace:
