--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
@@ -43,7 +43,9 @@
         "untold",
     )
 
-    def __init__(self, link, number, attempt, organisation, candidate, trace):
+    def __init__(
+        self, link, number, attempt, candidate=None, trace=None, organisation=""
+    ):
         self.link = link
         self.number = number
         self.attempt = attempt
@@ -125,7 +127,7 @@
         organisation = request.organisation or ""
         candidate = self.entry.router.sent(self, organisation)
         exchange = Exchange(
-            self, request.number, request.attempt, organisation, candidate, trace
+            self, request.number, request.attempt, candidate, trace, organisation
         )
         self.exchanges[request.number] = exchange
         self.send(request=request)
