Bound retries by a budget, hedge late heads, join no two bodies, hold back long answers

Cause: an idempotent request was repeated three times whatever the load, a stream that broke off was lost, and an agent held all of a long answer to a slow caller. Change: retries and hedges come from shares of recent requests; a repeat of a stream that the caller has begun to read is passed on only if it begins with the same bytes; beyond 1 MB the endpoint is read no faster than the slowest reader.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/relay.py
@@ -39,6 +39,7 @@
         self.answer = answer
         # An entry that lost its connection midway asks for the rest only.
         self.offset = request.resume_offset or 0
+        answer.attach(self)
         self.loop = asyncio.get_running_loop()
         # Until this time what comes is held, so that it leaves together.
         self.free_at = 0.0
@@ -48,6 +49,12 @@
         self.credited.set()
 
     async def run(self):
+        try:
+            await self.send_all()
+        finally:
+            self.answer.detach(self)
+
+    async def send_all(self):
         answer = self.answer
         while answer.status is None and not answer.done:
             await answer.changed.wait()
@@ -59,41 +66,40 @@
                 waited_ms=answer.waited_ms,
                 cold=answer.cold,
             )
-        offset = self.offset
         while True:
-            offset = await self.send_available(offset)
-            if answer.done and offset == len(answer.body):
+            await self.send_available()
+            if answer.done and self.offset == answer.end:
                 break
             await answer.changed.wait()
         self.send(
             "end",
             outcome=answer.outcome.value,
-            length=offset,
+            length=self.offset,
             reason=answer.reason,
             retry_after_ms=answer.retry_after_ms,
             unavailable=answer.unavailable,
         )
 
-    async def send_available(self, offset):
-        while offset < len(self.answer.body):
+    async def send_available(self):
+        while self.offset < self.answer.end:
             while self.credit <= 0:
                 self.credited.clear()
                 await self.credited.wait()
-            await self.gather(offset)
+            await self.gather()
             # Credit bounds one request; this bounds the sum of all on the connection.
             await self.session.connection.wait_for_room()
             size = min(self.credit, CHUNK_BYTES)
-            data = bytes(self.answer.body[offset : offset + size])
-            self.send("chunk", offset=offset, data=data)
-            offset += len(data)
+            data = self.answer.read(self.offset, size)
+            self.send("chunk", offset=self.offset, data=data)
+            self.offset += len(data)
             self.credit -= len(data)
+            self.answer.advance()
             self.free_at = self.loop.time() + MERGE_SECONDS
-        return offset
 
-    async def gather(self, offset):
+    async def gather(self):
         """Wait for more of a stream if the last chunk left a moment ago."""
         wait = self.free_at - self.loop.time()
-        waiting = len(self.answer.body) - offset
+        waiting = self.answer.end - self.offset
         if wait > 0 and waiting < MERGE_BYTES and not self.answer.done:
             await asyncio.sleep(wait)
 
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
@@ -40,6 +40,7 @@
                 self.answer.start(response.status, plain_headers(response.headers))
                 async for data in response.content.iter_any():
                     self.answer.append(data)
+                    await self.answer.room()
             self.answer.finish(*judge_status(response.status))
         except aiohttp.ClientConnectorError as error:
             self.answer.unavailable = True
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/request/keyed.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/request/keyed.py
@@ -41,9 +41,10 @@
 
     def attach(self, request):
         record = self.ledger.records[request.key]
-        if record.answer is None:
+        answer = record.answer
+        if answer is None or (request.resume_offset or 0) < answer.base:
             return None, RefusalReason.KEY_UNKNOWN
-        return record.answer, None
+        return answer, None
 
     def start(self, request, answer, now):
         attempt = request.key_attempt or 1
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -1,6 +1,7 @@
 """Tie the parts of the entry process together."""
 
 import asyncio
+import collections
 import logging
 import random
 
@@ -8,6 +9,7 @@
 from aiohttp import web
 
 from fescuedrum import __version__
+from fescuedrum.decisions.retries import ServiceRetries
 from fescuedrum.faults import FaultPoint
 from fescuedrum.logs import live_fields
 from fescuedrum.metrics import watch_loop
@@ -58,6 +60,7 @@
         "peers",
         "platform",
         "random",
+        "retries",
         "router",
         "running",
         "settings",
@@ -88,6 +91,7 @@
         self.claims = None
         self.faults = FaultPoint(settings.fault_step)
         self.background = set()
+        self.retries = collections.defaultdict(ServiceRetries)
         self.fairness = FairnessKeeper(self, settings.fairness_seconds)
         self.configuration.subscribe(self.fairness.configuration_changed)
         self.running = 0
@@ -177,6 +181,10 @@
         while (self.running or self.background) and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    def retries_of(self, service):
+        """Return the retry and hedge budgets of a service at this entry."""
+        return self.retries[service]
+
     def spawn(self, coroutine):
         """Run work that outlives its request and holds up a stop."""
         task = asyncio.create_task(coroutine)
