Show fairness in the console, and take faulty answers of the platform as outages

Cause: the console had no page for the fairness watch. By its code, a line of the instance list that was not understood, or an answer that is no JSON, ended the task that follows the list, and the entry would have gone on with the members of that moment. Change: a fairness page; odd lines are left out and logged; an answer that is no JSON counts as none. Conclusion: one odd line no longer hides the rest.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/operators/console/pages.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/console/pages.py
@@ -13,6 +13,7 @@
     ("/console/", "Overview"),
     ("/console/edit", "Configuration"),
     ("/console/status", "Status"),
+    ("/console/fairness", "Fairness"),
     ("/console/audit", "Audit trail"),
 ]
 # No scripts at all, and nothing from elsewhere.
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/operators/console/routes.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/console/routes.py
@@ -1,5 +1,7 @@
 """Handle the console's requests."""
 
+import asyncio
+
 from aiohttp import web
 
 from fescuedrum.conf.diff import diff, merge
@@ -54,6 +56,7 @@
         router.add_post("/console/sign-out", form(Role.VIEWER, self.sign_out))
         router.add_get("/console/", page(Role.VIEWER, self.show_overview))
         router.add_get("/console/status", page(Role.VIEWER, self.show_status))
+        router.add_get("/console/fairness", page(Role.VIEWER, self.show_fairness))
         router.add_get("/console/audit", page(Role.VIEWER, self.show_audit))
         router.add_get("/console/edit", page(Role.OPERATOR, self.begin_draft))
         router.add_post("/console/edit", form(Role.OPERATOR, self.edit))
@@ -101,6 +104,12 @@
             request, "status.html", title="Status", report=described
         )
 
+    async def show_fairness(self, request):
+        report = self.entry.fairness.report(asyncio.get_running_loop().time())
+        return self.pages.render(
+            request, "fairness.html", title="Fairness", report=report
+        )
+
     async def show_audit(self, request):
         head, _ = await read_head(self.entry.platform)
         records = await read_trail(self.entry.platform, head.version, AUDIT_ROWS)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/members.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/members.py
@@ -18,7 +18,7 @@
 from fescuedrum.decisions.membership import Beat, Membership
 from fescuedrum.decisions.pacing import allowed_silence, beat_interval
 from fescuedrum.exceptions import StoreUnavailable
-from fescuedrum.platform.interfaces import Instance
+from fescuedrum.platform.client import load_instances
 from fescuedrum.process import cancel
 from fescuedrum.wire.gen.members import ttypes as wire
 from fescuedrum_entry.connection.peer import Peer, serve_peer
@@ -229,7 +229,7 @@
         """Take the list that a peer of the zone has read."""
         inflate = zlib.decompressobj()
         lines = json.loads(inflate.decompress(listing.body, MAXIMUM_LISTING_BYTES))
-        instances = [schema.load(Instance, line).unwrap() for line in lines]
+        instances = load_instances(lines)
         if instances != self.instances:
             self.take_instances(instances)
 
--- a/packages/fescuedrum/src/fescuedrum/platform/client.py
+++ b/packages/fescuedrum/src/fescuedrum/platform/client.py
@@ -1,6 +1,7 @@
 """Reach the platform's services over HTTP."""
 
 import json
+import logging
 
 import aiohttp
 
@@ -8,10 +9,36 @@
 from fescuedrum.exceptions import StoreUnavailable
 from fescuedrum.platform.interfaces import Instance, Row
 
+logger = logging.getLogger(__name__)
+
 CONFLICT = 409
 NOT_FOUND = 404
 
 
+def decode(body):
+    """Decode an answer; an answer that is no JSON is none."""
+    try:
+        return json.loads(body)
+    except ValueError as error:
+        raise StoreUnavailable(f"The platform's answer is no JSON: {error}.") from error
+
+
+def load_instances(lines):
+    """Build the instances of a list; leave out lines that are not understood.
+
+    One odd line would otherwise keep every process from learning of all the others.
+    """
+    instances = []
+    for line in lines:
+        loaded = schema.load(Instance, line)
+        if loaded.is_ok():
+            instances.append(loaded.ok_value)
+        else:
+            faults = [str(finding) for finding in loaded.err_value[:3]]
+            logger.warning("instance not understood", extra={"faults": faults})
+    return instances
+
+
 class PlatformClient:
     """Implement Table, ObjectStore and InstanceList on one HTTP session."""
 
@@ -42,7 +69,7 @@
 
     async def call_json(self, method, path, **arguments):
         _, body = await self.call(method, path, **arguments)
-        return json.loads(body)
+        return decode(body)
 
     async def get(self, key):
         row = await self.call_json("GET", "/table/row", params={"key": key})
@@ -70,7 +97,6 @@
         _, listing = await self.call("GET", "/instances")
         # It is read often and changes seldom; building 1,500 lines takes long.
         if listing != self.listing:
-            lines = json.loads(listing)
-            self.instances = [schema.load(Instance, line).unwrap() for line in lines]
+            self.instances = load_instances(decode(listing))
             self.listing = listing
         return self.instances
--- a/tests/integration/test_console.py
+++ b/tests/integration/test_console.py
@@ -4,6 +4,7 @@
 
 from support.browser import Browser
 
+from fescuedrum_bench.callers import Caller
 from fescuedrum_bench.site import Site, SiteShape
 
 SMALL = SiteShape(zones=2, entries=2, engines=2, services=2)
@@ -52,6 +53,11 @@
         assert "more clubs" in text
         assert "complete and unchanged" in text
         assert "agent-engine-0" in await browser.open("/console/status")
+        caller = Caller(site.session, browser.url, "club", site.keys["club"])
+        assert (await caller.look_up("item")).whole
+        text = await browser.open("/console/fairness")
+        assert "Nobody is treated worse" in text
+        assert "club" in text
 
 
 async def test_a_race_shows_both_changes_and_lets_the_operator_merge():
