Stop a process when one of its lasting tasks fails

Cause: a task that ended on an unforeseen error was noticed by nobody; the process went on without it and answered its health checks. Change: such an end is logged and stops the process as a signal does, drain included. Conclusion: a process either has all its tasks or makes room for one that has.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -16,7 +16,7 @@
 from fescuedrum.faults import FaultPoint, ProtocolStep
 from fescuedrum.logs import live_fields
 from fescuedrum.metrics import watch_loop
-from fescuedrum.process import cancel, on_reload, stop_event
+from fescuedrum.process import cancel, on_reload, stop_event, stop_on_failure
 from fescuedrum.versions.configuration import Configuration
 from fescuedrum.versions.pulling import Pulls
 from fescuedrum.wire.gen.frames.ttypes import Hello
@@ -92,6 +92,7 @@
         await operations.start()
         logger.info("agent started", extra={"release": __version__})
         beat = asyncio.create_task(self.beat())
+        stop_on_failure([beat, reload], stop)
         lag = asyncio.create_task(watch_loop(self.metrics.loop_delay))
         await stop.wait()
         await self.drain()
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -12,7 +12,7 @@
 from fescuedrum.logs import live_fields
 from fescuedrum.metrics import watch_loop
 from fescuedrum.platform.client import PlatformClient
-from fescuedrum.process import cancel, on_reload, stop_event
+from fescuedrum.process import cancel, on_reload, stop_event, stop_on_failure
 from fescuedrum.tls import Certificates
 from fescuedrum.versions.configuration import Configuration
 from fescuedrum.wire.gen.frames.ttypes import Hello
@@ -116,6 +116,7 @@
                 asyncio.create_task(watch_loop(self.metrics.loop_delay)),
                 asyncio.create_task(self.peers.certificates.follow()),
             ]
+            stop_on_failure(tasks, stop)
             runner = CallersRunner(self.build_application(), self.settings)
             await runner.setup()
             await self.listen(runner)
--- a/packages/fescuedrum/src/fescuedrum/process.py
+++ b/packages/fescuedrum/src/fescuedrum/process.py
@@ -93,6 +93,23 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
 
 
+def stop_on_failure(tasks, stop):
+    """Stop the process when one of its lasting tasks fails.
+
+    The failure: a task ends on an error that nobody foresaw, and the process goes on
+    with yesterday's members or document, and looks healthy. Stopped, it drains and is
+    replaced by a process that has all its tasks.
+    """
+
+    def ended(task):
+        if not task.cancelled() and task.exception() is not None:
+            logger.critical("task failed", exc_info=task.exception())
+            stop.set()
+
+    for task in tasks:
+        task.add_done_callback(ended)
+
+
 async def cancel(tasks):
     """Cancel tasks and wait for their end."""
     for task in tasks:
