Count every link of the real topology in the capacity page; add planning

Cause: the page charged an entry for its own zone's agents and 24 others, but not for the conversations between zones, and its slope per link mixed the paced and the unpaced range. The planner had no line.

Change: links follow the topology's own constants, spokespeople at both ends included; the slope is per heartbeat, measured below the pacing; memory of links and a whole plan of a rank group's map are lines of their own.

Conclusion: a change of pacing or topology now changes the page by itself.

--- a/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/links.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/links.py
@@ -8,13 +8,17 @@
 from fescuedrum_agent.conf import AgentSettings
 from fescuedrum_agent.process.agent import Agent
 from fescuedrum_bench.capacity.measures import cpu_seconds, memory_bytes
+from fescuedrum_bench.capacity.roles import HEARTBEAT_SECONDS
 from fescuedrum_bench.capacity.slopes import fit
 from fescuedrum_bench.site import PORT, Site, SiteShape
 
 AGENT_COUNTS = (10, 30, 100, 300)
+# Below the pacing of heartbeats, so that their number follows the links.
+UNPACED_COUNTS = (8, 16, 24, 32)
 FIRST_HOST = 100
 HOSTS = 100
-OBSERVED_SECONDS = 5.0
+OBSERVED_SECONDS = 8.0
+SETTLE_SECONDS = 1.0
 CONNECT_SECONDS = 30.0
 
 
@@ -71,22 +75,31 @@
 
 
 async def measure_links():
-    """Fit the entry's processor time a second and its memory to its links."""
+    """Fit the entry's processor time to heartbeats, and its memory to links."""
     shape = SiteShape(zones=1, entries=1, engines=0, services=0)
     processor, memory = [], []
     async with Site(shape, ["club"]) as site:
         host = AgentHost(site)
-        entry = site.entries[0]
-        for count in AGENT_COUNTS:
+        for count in UNPACED_COUNTS:
             await host.grow(count)
             await host.wait_linked()
-            before = cpu_seconds(entry)
-            await asyncio.sleep(OBSERVED_SECONDS)
-            spent = cpu_seconds(entry) - before
-            processor.append((count, spent / OBSERVED_SECONDS))
-            memory.append((count, memory_bytes(entry)))
+            processor.append(
+                (count / HEARTBEAT_SECONDS, await observe(site.entries[0]))
+            )
+        for count in AGENT_COUNTS[1:]:
+            await host.grow(count)
+            await host.wait_linked()
+            await asyncio.sleep(SETTLE_SECONDS)
+            memory.append((count, memory_bytes(site.entries[0])))
         await host.stop()
     return [
-        fit("link.heartbeats", processor, per="link", unit="core"),
+        fit("link.heartbeats", processor, per="heartbeat each way", unit="s"),
         fit("link.memory", memory, per="link", unit="B"),
     ]
+
+
+async def observe(entry):
+    """Return the processor seconds that a process spends in a second at rest."""
+    before = cpu_seconds(entry)
+    await asyncio.sleep(OBSERVED_SECONDS)
+    return (cpu_seconds(entry) - before) / OBSERVED_SECONDS
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/measures.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/measures.py
@@ -1,11 +1,13 @@
 """Measure each slope that the capacity page stands on."""
 
 import asyncio
+import random
 import time
 
 import psutil
 
 from fescuedrum.conf import document as documents
+from fescuedrum.decisions.experts import placement, planner
 from fescuedrum.wire import codec
 from fescuedrum.wire.gen.frames.ttypes import Chunk
 from fescuedrum.wire.gen.members.ttypes import Heartbeat, LoadReport
@@ -21,6 +23,9 @@
 IDLE_CONNECTIONS = (0, 100, 200, 400)
 ORGANISATION_COUNTS = (10, 50, 100, 290)
 PARSE_ROUNDS = 20
+RANK_COUNTS = (8, 32, 64, 128, 256)
+EXPERTS = 64
+LAYERS = 8
 CONCURRENT_CALLS = 16
 SETTLE_SECONDS = 0.5
 
@@ -94,6 +99,21 @@
     )
 
 
+def measure_planner():
+    """Measure the processor time of one whole plan against the group's ranks."""
+    chooser = random.Random(1)
+    points = []
+    for ranks in RANK_COUNTS:
+        topology = placement.build_topology(ranks, EXPERTS, LAYERS)
+        loads = [
+            [chooser.paretovariate(1.2) for _ in range(EXPERTS)] for _ in range(LAYERS)
+        ]
+        begin = time.process_time()
+        planner.place_all(loads, topology)
+        points.append((ranks, time.process_time() - begin))
+    return fit("experts.place", points, per="rank", unit="s")
+
+
 async def measure_path():
     """Measure entry and agent against requests, tokens and idle connections."""
     shape = SiteShape(
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/roles.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/roles.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from fescuedrum.decisions.pacing import beat_interval
-from fescuedrum.decisions.topology import REMOTE_LINKS
+from fescuedrum.decisions.topology import REMOTE_LINKS, SPOKESPEOPLE_PER_ZONE
 
 # Both ends of a link send a heartbeat at this interval; it is the settings' default.
 HEARTBEAT_SECONDS = 0.5
@@ -58,13 +58,28 @@
     return Cost(role, what, rate * seconds_each, "core", working)
 
 
+def links_of_entry(size):
+    """Return how many connections for control one entry has."""
+    peers = size.nodes_per_zone - 1
+    abroad = SPOKESPEOPLE_PER_ZONE * (size.zones - 1) / size.nodes_per_zone
+    # Each conversation between two zones has an entry at either end.
+    return size.engines_per_zone + REMOTE_LINKS + peers + 2 * abroad
+
+
+def links_of_agent(size):
+    """Return how many entries one agent is connected to."""
+    return size.nodes_per_zone + REMOTE_LINKS * size.nodes / size.engines
+
+
 def link_costs(slopes, size, budget, heartbeat_bytes):
-    """Return what heartbeats cost a node that links to its own zone and a few more."""
-    entry_links = size.engines_per_zone + size.nodes_per_zone + REMOTE_LINKS
-    agent_links = size.nodes_per_zone + REMOTE_LINKS * size.nodes / size.engines
+    """Return what heartbeats and their connections cost a node."""
     return [
-        *heartbeat_costs("entry", entry_links, slopes, budget, heartbeat_bytes),
-        *heartbeat_costs("agent", agent_links, slopes, budget, heartbeat_bytes),
+        *heartbeat_costs(
+            "entry", links_of_entry(size), slopes, budget, heartbeat_bytes
+        ),
+        *heartbeat_costs(
+            "agent", links_of_agent(size), slopes, budget, heartbeat_bytes
+        ),
     ]
 
 
@@ -72,26 +87,50 @@
     interval = beat_interval(HEARTBEAT_SECONDS, links)
     beats = links / interval
     sent = beats * (heartbeat_bytes + SEGMENT_OVERHEAD_BYTES)
-    # The slope was measured with few enough links for the shortest interval.
-    seconds = slopes["link.heartbeats"].slope * HEARTBEAT_SECONDS / interval
+    seconds = slopes["link.heartbeats"].slope
+    memory = links * slopes["link.memory"].slope
+    rate = f"{links:.0f} links, one heartbeat each in {interval:.2f} s"
     return [
         Cost(
             role,
             "heartbeats, bytes sent",
             sent,
             "B/s",
-            f"{links:.0f} links x {1 / interval:.2f}/s x "
-            f"{heartbeat_bytes + SEGMENT_OVERHEAD_BYTES} B",
+            f"{rate}, {heartbeat_bytes + SEGMENT_OVERHEAD_BYTES} B",
             sent / budget.bytes_per_second,
         ),
         Cost(
             role,
             "heartbeats, processor",
-            links * seconds,
+            beats * seconds,
             "core",
-            f"{links:.0f} links x {seconds * 1e6:,.0f} us a second",
-            links * seconds / budget.core_share,
+            f"{beats:.0f}/s x {seconds * 1e6:,.0f} us for one each way",
+            beats * seconds / budget.core_share,
         ),
+        Cost(
+            role,
+            "memory of links",
+            memory,
+            "B",
+            f"{links:.0f} links x {slopes['link.memory'].slope:,.0f} B",
+            memory / budget.memory_bytes,
+        ),
+    ]
+
+
+def planning_costs(slopes, size):
+    """Return what planning one rank group's map costs the entry that has the duty."""
+    seconds = slopes["experts.place"].at(size.ranks_per_group)
+    groups = size.accelerators / size.ranks_per_group
+    return [
+        Cost(
+            "holder of a rank group's duty",
+            "one whole plan, processor",
+            seconds,
+            "s",
+            f"line at {size.ranks_per_group} ranks; {groups:.0f} groups share "
+            f"{size.nodes} entries",
+        )
     ]
 
 
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/commands/capacity.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/commands/capacity.py
@@ -30,6 +30,7 @@
 
 async def measure():
     slopes = [*measures.measure_codec(), *measures.measure_document()]
+    slopes.append(measures.measure_planner())
     slopes += await measures.measure_path()
     slopes += await links.measure_links()
     return page.dump(slopes, measures.heartbeat_bytes())
--- a/tests/unit/test_capacity.py
+++ b/tests/unit/test_capacity.py
@@ -5,7 +5,6 @@
 import pytest
 
 from fescuedrum.decisions.pacing import BEATS_PER_SECOND
-from fescuedrum.decisions.topology import REMOTE_LINKS
 from fescuedrum_bench.capacity import page, roles, slopes
 from fescuedrum_bench.capacity.size import Budget, Size
 
@@ -16,6 +15,8 @@
     "agent.request",
     "agent.token",
     "link.heartbeats",
+    "link.memory",
+    "experts.place",
     "document.take",
     "document.size",
 )
@@ -37,23 +38,21 @@
     assert cost.amount == pytest.approx(0.1)
 
 
-def test_heartbeats_are_charged_by_the_members_of_one_zone_and_a_few_others():
-    found = {line.name: line for line in build_slopes()}
-    size = Size(engines=40, nodes=20, zones=10)
-    few = roles.link_costs(found, size, Budget(), 100)[0]
-    links = 4 + 2 + REMOTE_LINKS
-    each = 100 + roles.SEGMENT_OVERHEAD_BYTES
-    assert few.amount == pytest.approx(links / roles.HEARTBEAT_SECONDS * each)
+def test_an_entry_links_to_its_own_zone_and_a_bounded_number_elsewhere():
+    size = Size(nodes=40, engines=400, zones=4)
+    # 100 engines and 9 entries of its zone, and a share of talk with 3 other zones.
+    assert roles.links_of_entry(size) == pytest.approx(100 + 24 + 9 + 1.2)
+    larger = Size(nodes=400, engines=4000, zones=40)
+    assert roles.links_of_entry(larger) < roles.links_of_entry(size) + 20
 
 
-def test_heartbeats_slow_down_so_that_a_larger_zone_costs_no_more():
+def test_heartbeats_cost_no_more_bytes_once_they_are_paced():
     found = {line.name: line for line in build_slopes()}
-    costs = [
-        roles.link_costs(found, Size(engines=count, zones=1), Budget(), 100)[0].amount
-        for count in (100, 1000)
-    ]
+    few = roles.heartbeat_costs("entry", 64, found, Budget(), 100)
+    many = roles.heartbeat_costs("entry", 640, found, Budget(), 100)
     each = 100 + roles.SEGMENT_OVERHEAD_BYTES
-    assert costs == pytest.approx([BEATS_PER_SECOND * each] * 2)
+    assert few[0].amount == pytest.approx(BEATS_PER_SECOND * each)
+    assert many[0].amount == pytest.approx(few[0].amount)
 
 
 def test_the_page_lists_every_slope_of_its_run():
