Change a group's expert map in one step by a fenced protocol

Cause: all ranks must use one expert map in each step; without a protocol a lost message or a killed process splits a group's maps.

Conclusion: the arbiter arms the ranks itself, so that one message both asks for the horizon and binds the rank to an epoch.

--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/groups/arbiter.py
@@ -0,0 +1,232 @@
+"""Decide changes of the expert map at the agent of the lowest rank.
+
+The group can't step without that rank, so deciding there adds no failure that the
+group did not have, and no outage of the platform's table leaves ranks at their horizon.
+
+A decision to switch names the highest horizon: each rank starts no step from its own
+horizon on without the decision, so no rank has started that step under the old map.
+
+An arbiter that has started anew remembers nothing. It asks every rank, takes an epoch
+above all promises, and for what is pending waits for the answers of all: a switch that
+an earlier arbiter decided is known to a rank, or no rank will take it any more.
+"""
+
+from fescuedrum.groups.messages import (
+    Arm,
+    Armed,
+    Ask,
+    Begin,
+    Decision,
+    Discover,
+    Inquire,
+    Outcome,
+    Refused,
+    Standing,
+    ToHolder,
+    ToRank,
+)
+
+# Ranks that have not armed by then end the change; the group steps on until horizons.
+ARM_TIMEOUT_SECONDS = 2.0
+KEPT_DECISIONS = 16
+
+
+class Round:
+    """Hold the answers for one change."""
+
+    __slots__ = ("answers", "change", "deadline", "may_be_decided")
+
+    def __init__(self, change, deadline, *, may_be_decided):
+        self.change = change
+        self.deadline = deadline
+        # An earlier arbiter may have decided it: only all answers show.
+        self.may_be_decided = may_be_decided
+        self.answers = {}
+
+
+class Arbiter:
+    """Run one change at a time and remember the last decisions."""
+
+    __slots__ = (
+        "decisions",
+        "epoch",
+        "floor",
+        "incarnation",
+        "ranks",
+        "round",
+        "standings",
+        "waiting",
+    )
+
+    def __init__(self, ranks, incarnation):
+        self.ranks = tuple(ranks)
+        self.incarnation = incarnation
+        self.epoch = 0
+        self.floor = 0
+        self.standings = {}
+        # change: Decision, the last ones.
+        self.decisions = {}
+        self.round = None
+        # Changes that wait for a round, each with whether it may be decided.
+        self.waiting = {}
+
+    @property
+    def ready(self):
+        """Tell whether every rank has said what it knows."""
+        return self.epoch > 0
+
+    def start(self):
+        return [ToRank(rank, Discover(self.incarnation)) for rank in self.ranks]
+
+    def handle(self, message, now):
+        """Take a message; return the effects."""
+        match message:
+            case Standing():
+                return self.stand(message, now)
+            case Begin():
+                return self.begin(message, now)
+            case Inquire(fence):
+                return self.inquire(fence)
+            case Armed():
+                return self.armed(message, now)
+            case Ask():
+                return self.ask(message, now)
+        return []
+
+    def stand(self, standing, now):
+        if self.ready or standing.arbiter != self.incarnation:
+            return []
+        self.standings[standing.rank] = standing
+        if len(self.standings) < len(self.ranks):
+            return []
+        standings = self.standings.values()
+        self.epoch = 1 + max(each.promised for each in standings)
+        for each in standings:
+            if each.decided is not None:
+                self.remember(each.decided)
+        for each in standings:
+            if each.pending and each.pending not in self.decisions:
+                self.waiting[each.pending] = True
+        return self.next_round(now)
+
+    def begin(self, order, now):
+        if order.fence < self.floor:
+            return [ToHolder(Refused(self.floor))]
+        self.floor = order.fence
+        if not self.ready:
+            return []
+        if self.is_closed(order.change):
+            return [ToHolder(self.outcome(order.change))]
+        if not self.is_open(order.change):
+            self.waiting[order.change] = False
+        return self.next_round(now)
+
+    def is_open(self, change):
+        under_way = self.round is not None and self.round.change == change
+        return under_way or change in self.waiting
+
+    def is_closed(self, change):
+        """Tell whether a change is decided, or a later one is and this never began."""
+        is_late = change <= self.last_change() and not self.is_open(change)
+        return change in self.decisions or is_late
+
+    def inquire(self, fence):
+        if fence < self.floor:
+            return [ToHolder(Refused(self.floor))]
+        self.floor = fence
+        if not self.ready:
+            return []
+        return [ToHolder(self.outcome(self.last_change()))]
+
+    def last_change(self):
+        return max(self.decisions, default=0)
+
+    def outcome(self, change):
+        decision = self.decisions.get(change) or Decision(0, change, False, 0)
+        busy = self.round is not None or bool(self.waiting)
+        return Outcome(change, decision.committed, decision.step, busy)
+
+    def next_round(self, now):
+        """Arm all ranks for the lowest change that waits, if none is under way."""
+        if self.round is not None or not self.waiting:
+            return []
+        change = min(self.waiting)
+        may_be_decided = self.waiting.pop(change)
+        deadline = now + ARM_TIMEOUT_SECONDS
+        self.round = Round(change, deadline, may_be_decided=may_be_decided)
+        return [self.arm(rank) for rank in self.ranks]
+
+    def arm(self, rank):
+        previous = self.decisions.get(self.last_change())
+        return ToRank(rank, Arm(self.epoch, self.round.change, previous))
+
+    def armed(self, answer, now):
+        if answer.change in self.decisions:
+            return [self.tell(answer.rank, answer.incarnation, answer.change)]
+        current = self.round
+        if current is None or answer.change != current.change:
+            return []
+        if answer.epoch != self.epoch:
+            return []
+        current.answers[answer.rank] = answer
+        if len(current.answers) < len(self.ranks):
+            return []
+        return self.settle(now)
+
+    def settle(self, now):
+        """Decide once all ranks have answered."""
+        answers = self.round.answers.values()
+        known = [each.decision for each in answers if each.decision is not None]
+        if known:
+            return self.conclude(known[0].committed, known[0].step, now)
+        horizons = [each.horizon for each in answers]
+        if None in horizons:
+            return self.conclude(False, 0, now)
+        return self.conclude(True, max(horizons), now)
+
+    def conclude(self, committed, step, now):
+        change = self.round.change
+        answers = self.round.answers
+        self.remember(Decision(self.epoch, change, committed, step))
+        self.round = None
+        effects = [
+            self.tell(rank, answer.incarnation, change)
+            for rank, answer in answers.items()
+        ]
+        effects.append(ToHolder(self.outcome(change)))
+        return effects + self.next_round(now)
+
+    def remember(self, decision):
+        self.decisions[decision.change] = decision
+        while len(self.decisions) > KEPT_DECISIONS:
+            del self.decisions[min(self.decisions)]
+
+    def tell(self, rank, incarnation, change):
+        known = self.decisions[change]
+        decision = Decision(
+            self.epoch, change, known.committed, known.step, incarnation
+        )
+        return ToRank(rank, decision)
+
+    def ask(self, question, now):
+        if not self.ready:
+            return []
+        if question.change in self.decisions:
+            return [self.tell(question.rank, question.incarnation, question.change)]
+        if not self.is_open(question.change):
+            # Armed by an earlier arbiter's order that came after its answer to us.
+            self.waiting[question.change] = True
+        return self.next_round(now)
+
+    def tick(self, now):
+        """Ask again whoever has not answered; end a change that can't be armed."""
+        if not self.ready:
+            missing = [rank for rank in self.ranks if rank not in self.standings]
+            return [ToRank(rank, Discover(self.incarnation)) for rank in missing]
+        current = self.round
+        if current is None:
+            return self.next_round(now)
+        if now >= current.deadline and not current.may_be_decided:
+            return self.conclude(False, 0, now)
+        missing = [rank for rank in self.ranks if rank not in current.answers]
+        return [self.arm(rank) for rank in missing]
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/groups/holder.py
@@ -0,0 +1,134 @@
+"""Lead a change of the expert map under the group's lease.
+
+The holder orders every rank to load, and when all have, asks the arbiter to arm and
+decide. It binds nothing itself: it may die or pause at any point, and its successor
+asks the arbiter what became of the change. A holder that wakes after its lease lapsed
+is refused by its fencing number.
+"""
+
+import enum
+
+from fescuedrum.groups.messages import (
+    Begin,
+    Inquire,
+    Load,
+    Loaded,
+    Outcome,
+    Refused,
+    ToArbiter,
+    ToRank,
+    change_number,
+)
+
+# A rank that has not loaded by this much over the expected time ends the change.
+LOAD_PATIENCE = 3.0
+LEAST_LOAD_SECONDS = 10.0
+
+
+class Phase(enum.StrEnum):
+    """Name how far a holder has come."""
+
+    INQUIRING = "inquiring"
+    IDLE = "idle"
+    LOADING = "loading"
+    DECIDING = "deciding"
+    # A higher fencing number was seen: another process holds the lease.
+    DEPOSED = "deposed"
+
+
+class Holder:
+    """Lead one group's changes, one after another."""
+
+    __slots__ = (
+        "abandoned",
+        "base",
+        "change",
+        "committed",
+        "count",
+        "deadline",
+        "fence",
+        "loaded",
+        "outcome",
+        "phase",
+        "ranks",
+        "rate",
+    )
+
+    def __init__(self, ranks, fence):
+        self.ranks = tuple(ranks)
+        self.fence = fence
+        self.count = 0
+        self.change = 0
+        self.base = 0
+        self.rate = 0.0
+        self.loaded = set()
+        self.deadline = 0.0
+        self.phase = Phase.INQUIRING
+        self.outcome = None
+        self.committed = 0
+        self.abandoned = 0
+
+    def start(self):
+        return [ToArbiter(Inquire(self.fence))]
+
+    def propose(self, now, *, base=0, rate=0.0, load_seconds=0.0):
+        """Begin a new change of the map of an earlier one: (number, effects)."""
+        assert self.phase is Phase.IDLE
+        self.count += 1
+        self.change = change_number(self.fence, self.count)
+        self.base = base
+        self.rate = rate
+        self.loaded = set()
+        patience = max(load_seconds * LOAD_PATIENCE, LEAST_LOAD_SECONDS)
+        self.deadline = now + patience
+        self.phase = Phase.LOADING
+        return self.change, [self.load(rank) for rank in self.ranks]
+
+    def load(self, rank):
+        return ToRank(rank, Load(self.change, self.fence, self.base, self.rate))
+
+    def handle(self, message):
+        """Take a message; return the effects."""
+        match message:
+            case Refused(floor) if floor > self.fence:
+                self.phase = Phase.DEPOSED
+            case Loaded(rank, change) if self.expects(change, Phase.LOADING):
+                return self.take_loaded(rank)
+            case Outcome(change) if self.expects(change, Phase.DECIDING):
+                self.finish(message)
+            case Outcome() if self.phase is Phase.INQUIRING and not message.busy:
+                self.outcome = message
+                self.phase = Phase.IDLE
+        return []
+
+    def expects(self, change, phase):
+        return self.phase is phase and change == self.change
+
+    def take_loaded(self, rank):
+        self.loaded.add(rank)
+        if len(self.loaded) < len(self.ranks):
+            return []
+        self.phase = Phase.DECIDING
+        return [ToArbiter(Begin(self.change, self.fence))]
+
+    def finish(self, outcome):
+        self.outcome = outcome
+        self.committed += outcome.committed
+        self.abandoned += not outcome.committed
+        self.phase = Phase.IDLE
+
+    def tick(self, now):
+        """Repeat what has not been answered; give up loading that takes too long."""
+        match self.phase:
+            case Phase.INQUIRING:
+                return self.start()
+            case Phase.LOADING if now >= self.deadline:
+                # Nothing was bound, so the old map is whole without any message.
+                self.abandoned += 1
+                self.phase = Phase.IDLE
+            case Phase.LOADING:
+                missing = [rank for rank in self.ranks if rank not in self.loaded]
+                return [self.load(rank) for rank in missing]
+            case Phase.DECIDING:
+                return [ToArbiter(Begin(self.change, self.fence))]
+        return []
