--- a/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from fescuedrum.conf import rules
 from fescuedrum.conf.schema import setting
 from fescuedrum.decisions.queueing import QueuePolicy
 from fescuedrum.tls import TlsFiles
@@ -43,10 +44,38 @@
     ledger_bytes: int = setting(
         64 * 1024 * 1024, help="Memory for kept answers.", minimum=1024, unit="B"
     )
+    ledger_keys: int = setting(
+        100_000, help="Keys that the agent remembers at most.", minimum=1
+    )
+    session_silence_seconds: float = setting(
+        10.0,
+        help="Silence after which an entry's connection is closed.",
+        minimum=0.1,
+        unit="s",
+    )
+    fault_step: str = setting(
+        "", help="Protocol step at which the process kills itself; for tests only."
+    )
     peer_keys: list[PeerKey] = setting(
         list, help="Keys that entries and agents prove; the first is used to prove."
     )
     peer_tls: TlsFiles | None = setting(
         None, help="Certificate, key and authority for entry-agent connections."
     )
+    operations_port: int = setting(
+        0, help="Port for /healthz, /readyz and /metrics; 0 for none.", minimum=0
+    )
     log_level: str = setting("INFO", help="Lowest level that is logged.")
+
+    def check(self):
+        """Return the findings across fields."""
+        return [
+            *rules.check_address("$.host", self.host),
+            *rules.check_url("$.endpoint_url", self.endpoint_url),
+            *rules.check_url("$.platform_url", self.platform_url),
+            *rules.check_ports(self, "operations_port"),
+            *rules.check_limits(self),
+            *rules.check_peer_keys(self.peer_keys),
+            *rules.check_peer_tls(self.peer_tls),
+            *rules.check_log_level("$.log_level", self.log_level),
+        ]
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -9,7 +9,7 @@
 import socket
 import sys
 import tempfile
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import aiohttp
 
@@ -18,6 +18,7 @@
 from fescuedrum.platform.client import PlatformClient
 from fescuedrum.platform.interfaces import Instance
 from fescuedrum.versions.apply import Applier, Proposal
+from fescuedrum_bench.faultproxy import FaultProxy
 from fescuedrum_entry.operators.accounts import Account, Role
 
 PORT = 7000
@@ -38,6 +39,16 @@
     step_seconds: float = 0.01
     cold_limit: int = 2
     warm_limit: int = 16
+    # Of an engine's step, for each sequence in the batch; and the largest batch.
+    sequence_seconds: float = 0.0
+    batch: int = 256
+    # Organisations' weights; 1 for those not named.
+    weights: dict[str, float] = field(default_factory=dict)
+    # Laid over the settings of every entry and every agent.
+    entry_settings: dict[str, object] = field(default_factory=dict)
+    agent_settings: dict[str, object] = field(default_factory=dict)
+    # Whether each connection between members goes through a proxy that can spoil it.
+    proxied: bool = False
 
 
 def reserve_network():
@@ -104,6 +115,7 @@
         "document",
         "endpoints",
         "entries",
+        "fault_steps",
         "guard",
         "keys",
         "members",
@@ -112,6 +124,7 @@
         "peer_secret",
         "platform",
         "prefix",
+        "proxies",
         "session",
         "shape",
         "temporary",
@@ -128,6 +141,9 @@
         self.entries = []
         self.agents = []
         self.endpoints = []
+        self.proxies = {}
+        # Protocol step at which a member, by name, kills itself.
+        self.fault_steps = {}
         self.platform = None
         self.session = None
         self.version = 0
@@ -149,6 +165,7 @@
                         "salt", documents.hash_key("salt", self.keys[name])
                     )
                 ],
+                weight=self.shape.weights.get(name, 1.0),
             )
             for name in organisations
         ]
@@ -177,10 +194,7 @@
         await self.start_endpoints()
         for index in range(self.shape.entries):
             await self.start_entry(index)
-        for member in self.agents:
-            await self.wait_listening(member)
-        for entry in self.entries:
-            await self.wait_ready(f"{entry.url}/readyz")
+        await self.wait_whole()
         for endpoint in self.endpoints:
             await self.wait_ready(f"{endpoint.url}/healthz")
 
@@ -189,6 +203,8 @@
         for index in range(shape.engines):
             options = ("--step-seconds", shape.step_seconds)
             options += ("--cold-limit", shape.cold_limit)
+            options += ("--sequence-seconds", shape.sequence_seconds)
+            options += ("--batch", shape.batch)
             engine = await self.start_standin(f"engine-{index}", "engine", *options)
             await self.start_agent(engine, "advice", self.zone(index))
         for index in range(shape.services):
@@ -210,10 +226,10 @@
         settings = {
             "endpoint": endpoint.name,
             "service": service,
-            "endpoint_url": endpoint.url,
+            "endpoint_url": await self.proxied_url(f"{name}-endpoint", endpoint),
             "cold_limit": self.shape.cold_limit,
             "warm_limit": self.shape.warm_limit,
-        }
+        } | self.shape.agent_settings
         member = self.add(name, ["-m", "fescuedrum_agent.management"])
         await self.launch(member, zone, settings)
         self.agents.append(member)
@@ -222,7 +238,7 @@
                 name,
                 "agent",
                 zone,
-                member.host,
+                await self.through_proxy(f"entries-{name}", member.host),
                 PORT,
                 endpoint=endpoint.name,
                 service=service,
@@ -234,7 +250,8 @@
         member = self.add(
             f"entry-{index}", ["-m", "fescuedrum_entry.management", "serve"]
         )
-        await self.launch(member, zone, self.entry_settings(seeds))
+        settings = self.entry_settings(seeds) | self.shape.entry_settings
+        await self.launch(member, zone, settings)
         self.entries.append(member)
         if not listed:
             return
@@ -250,6 +267,9 @@
         operator = Account("operator", Role.OPERATOR, [salted])
         return {
             "peer_port": PEER_PORT,
+            # No balancer stands before a small site.
+            "notice_seconds": 0.0,
+            "console_secret": self.peer_secret,
             "operators": [schema.dump(operator)],
             "seeds": [
                 {"name": seed.name, "host": seed.host, "port": PEER_PORT}
@@ -264,21 +284,55 @@
             "zone": zone,
             "host": member.host,
             "port": PORT,
-            "platform_url": self.platform.url,
+            "platform_url": await self.proxied_url(
+                f"{member.name}-platform", self.platform
+            ),
             "peer_keys": [{"id": "site", "secret": self.peer_secret}],
         }
+        if step := self.fault_steps.get(member.name):
+            settings = settings | {"fault_step": step}
         path.write_text(json.dumps(common | settings))
         member.command += ["--settings", str(path)]
         await member.start()
 
+    async def through_proxy(self, name, host):
+        """Return the address under which others reach a host."""
+        if not self.shape.proxied:
+            return host
+        proxy = FaultProxy(host, PORT)
+        address = self.take_host()
+        await proxy.start(address, PORT)
+        self.proxies[name] = proxy
+        return address
+
+    async def proxied_url(self, name, member):
+        host = await self.through_proxy(name, member.host)
+        return f"http://{host}:{PORT}"
+
+    async def restart(self, member):
+        """Start a member that is dead again, without its fault."""
+        path = self.directory / f"{member.name}.json"
+        settings = json.loads(path.read_text())
+        settings.pop("fault_step", None)
+        path.write_text(json.dumps(settings))
+        await member.start()
+
     def add(self, name, arguments):
-        host = f"{self.prefix}.{self.next_host}"
-        self.next_host += 1
+        host = self.take_host()
         log_path = self.directory / f"{name}.log"
         member = Member(name, host, [sys.executable, *arguments], log_path)
         self.members[name] = member
         return member
 
+    def take_host(self):
+        host = f"{self.prefix}.{self.next_host}"
+        self.next_host += 1
+        return host
+
+    def members_of(self, kind):
+        """Return the endpoints of a kind, in the order of their start."""
+        return [each for each in self.endpoints if each.name.startswith(kind)]
+
     async def list_instance(self, instance):
         url = f"{self.platform.url}/instances/{instance.name}"
         async with self.session.put(url, json=schema.dump(instance)) as response:
@@ -299,6 +353,26 @@
         accepted = await applier.apply(proposal)
         self.version = accepted.version
 
+    async def wait_whole(self):
+        """Wait until every member serves again."""
+        for member in [*self.agents, *self.endpoints]:
+            await self.wait_listening(member)
+        for entry in self.entries:
+            await self.wait_ready(f"{entry.url}/readyz")
+
+    async def wait_in_force(self, version):
+        """Wait until every entry hears all its members run a version."""
+        async with asyncio.timeout(READY_SECONDS):
+            for entry in self.entries:
+                while not await self.runs(entry, version):
+                    await asyncio.sleep(0.05)
+
+    async def runs(self, entry, version):
+        _, status = await self.operate(entry, "status")
+        members = status["members"]
+        lowest = min([status["in_force"], *(each["version"] for each in members)])
+        return lowest >= version and not any(each["silent"] for each in members)
+
     async def wait_ready(self, url):
         async with asyncio.timeout(READY_SECONDS):
             while not await self.answers(url):
@@ -322,6 +396,8 @@
         others = [*self.agents, *self.endpoints]
         for group in (self.entries, others, list(self.members.values())):
             await asyncio.gather(*(member.stop() for member in group))
+        for proxy in self.proxies.values():
+            await proxy.stop()
         await self.session.close()
         self.guard.close()
         self.temporary.cleanup()
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/link.py
@@ -38,16 +38,20 @@
         "events",
         "link",
         "number",
+        "organisation",
         "trace",
         "untold",
     )
 
-    def __init__(self, link, number, attempt, candidate=None, trace=None):
+    def __init__(
+        self, link, number, attempt, candidate=None, trace=None, organisation=""
+    ):
         self.link = link
         self.number = number
         self.attempt = attempt
         # On which the router counts this request as unanswered.
         self.candidate = candidate
+        self.organisation = organisation
         self.events = asyncio.Queue()
         self.trace = trace
         self.untold = 0
@@ -67,7 +71,7 @@
             self.untold = 0
 
     def close(self, *, finished):
-        self.link.entry.router.ended(self.link, self.candidate)
+        self.link.entry.router.ended(self.link, self.candidate, self.organisation)
         self.link.exchanges.pop(self.number, None)
         if self.trace is not None:
             self.trace.closed()
@@ -120,12 +124,30 @@
         self.next_number += 1
         request.window = WINDOW_BYTES
         trace = AttemptTrace.begin(self, request)
-        candidate = self.entry.router.sent(self)
-        exchange = Exchange(self, request.number, request.attempt, candidate, trace)
+        organisation = request.organisation or ""
+        candidate = self.entry.router.sent(self, organisation)
+        exchange = Exchange(
+            self, request.number, request.attempt, candidate, trace, organisation
+        )
         self.exchanges[request.number] = exchange
         self.send(request=request)
         return exchange
 
+    def ask(self, fence):
+        """Send a question about a key and return its exchange."""
+        fence.number = self.next_number
+        self.next_number += 1
+        fence.attempt = 1
+        exchange = Exchange(self, fence.number, fence.attempt)
+        self.exchanges[fence.number] = exchange
+        self.send(fence=fence)
+        return exchange
+
+    @property
+    def incarnation(self):
+        """Return the life that the agent at the other end is in, or None."""
+        return self.peer.incarnation if self.connection is not None else None
+
     def send(self, **body):
         if self.connection is not None:
             self.connection.send(**body)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/metrics.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/metrics.py
@@ -1,5 +1,6 @@
 """Declare the entry's metrics and count what its requests come to."""
 
+from fescuedrum.decisions.admission import RefusalReason
 from fescuedrum.metrics import (
     LOOP_DELAY_BUCKETS,
     ORGANISATION,
@@ -14,21 +15,7 @@
 CODE = Label("code", "`ok` and the error codes of the callers' interface")
 REASON = Label("reason", "refusal reasons of agents, others as `other`")
 RESULT = Label("result", "4: ended, refused, lost, left")
-REFUSAL_REASONS = frozenset(
-    (
-        "cold",
-        "deadline",
-        "draining",
-        "fenced",
-        "full",
-        "key-unknown",
-        "late",
-        "leaving",
-        "queue-full",
-        "withdrawn",
-        "zone-out",
-    )
-)
+REFUSAL_REASONS = frozenset(RefusalReason)
 
 
 class EntryMetrics:
@@ -37,6 +24,7 @@
     __slots__ = (
         "attempts",
         "catalogue",
+        "children",
         "first_byte",
         "loop_delay",
         "organisations",
@@ -47,6 +35,7 @@
 
     def __init__(self):
         catalogue = self.catalogue = Catalogue()
+        self.children = {}
         self.requests = catalogue.counter(
             "fescuedrum_requests_total",
             "Callers' requests that came to an end.",
@@ -126,16 +115,24 @@
     def ended(self, trace):
         """Count a request by its finished trace."""
         service = trace.service or NO_SERVICE
-        self.requests.labels(service, trace.outcome, trace.code).inc()
+        self.child(self.requests, service, trace.outcome, trace.code).inc()
         if trace.organisation:
-            self.organisations.labels(trace.organisation, trace.outcome).inc()
+            self.child(self.organisations, trace.organisation, trace.outcome).inc()
         if trace.service:
-            self.seconds.labels(service).observe(trace.seconds)
+            self.child(self.seconds, service).observe(trace.seconds)
             if trace.first_byte is not None:
-                self.first_byte.labels(service).observe(trace.first_byte)
+                self.child(self.first_byte, service).observe(trace.first_byte)
+
+    def child(self, metric, *labels):
+        """Return one time series; the library's own look-up takes a lock each time."""
+        key = (metric, labels)
+        found = self.children.get(key)
+        if found is None:
+            found = self.children[key] = metric.labels(*labels)
+        return found
 
     def refused(self, reason):
-        self.refusals.labels(bounded(reason, REFUSAL_REASONS)).inc()
+        self.child(self.refusals, bounded(reason, REFUSAL_REASONS)).inc()
 
     def attempt_ended(self, result):
-        self.attempts.labels(result).inc()
+        self.child(self.attempts, result).inc()
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/parse.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/parse.py
@@ -17,19 +17,25 @@
 )
 from fescuedrum.headers import end_to_end, is_text
 from fescuedrum_entry.request.call import Call, Repetition
-from fescuedrum_entry.request.completion import parse_completion
+from fescuedrum_entry.request.completion import Completion, parse_completion
 
 KEY_HEADER = "Idempotency-Key"
 DEADLINE_HEADER = "Fescuedrum-Deadline-Ms"
 PRIORITY_HEADER = "Fescuedrum-Priority"
-SINGLE_HEADERS = ("Authorization", KEY_HEADER, DEADLINE_HEADER, PRIORITY_HEADER)
+CLASS_HEADER = "Fescuedrum-Class"
+SINGLE_HEADERS = (
+    "Authorization",
+    KEY_HEADER,
+    DEADLINE_HEADER,
+    PRIORITY_HEADER,
+    CLASS_HEADER,
+)
 KEY_FORM = re.compile(r"[\x21-\x7e]{1,200}")
 MAXIMUM_DEADLINE_MS = 3_600_000
 MAXIMUM_PRIORITY = 9
 DEFAULT_PRIORITY = 5
 PLAIN_COST = 1.0
 CHAT_PATH = "/v1/chat/completions"
-IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 # CONNECT asks for a tunnel, and TRACE would show a caller what was added on the way.
 REFUSED_METHODS = frozenset(("CONNECT", "TRACE"))
 OWN_HEADERS = frozenset(
@@ -51,15 +57,17 @@
     # The organisation comes first: a stranger's body is not even read.
     organisation = authenticate(http_request, configuration)
     deadline = now + read_deadline(http_request, settings)
-    priority = read_priority(http_request)
+    priority = read_priority(http_request, organisation, configuration)
     service = find_plain(http_request, configuration)
     body = await read_body(http_request, settings)
-    cost = PLAIN_COST
+    asked = Completion(model="", streamed=False, cost=PLAIN_COST)
     path = raw_path(http_request)
     if service is None:
-        service, cost = find_engine(http_request, configuration, body)
+        service, asked = find_engine(http_request, configuration, body)
     else:
         path = path_below(path)
+    if DEADLINE_HEADER not in http_request.headers:
+        deadline = now + (service.default_deadline_seconds or deadline - now)
     repetition, key = classify(http_request, service)
     return Call(
         request_id=request_id,
@@ -73,7 +81,10 @@
         key=key,
         deadline=deadline,
         priority=priority,
-        cost=cost,
+        cost=asked.cost,
+        model=asked.model,
+        prefix=asked.prefix,
+        streamed=asked.streamed,
     )
 
 
@@ -139,6 +150,9 @@
     if not http_request.body_exists:
         return b""
     try:
+        if http_request.content.is_eof():
+            # It came with the head, so there is nothing to wait for.
+            return await read_within(http_request.content, maximum)
         async with asyncio.timeout(settings.body_seconds):
             return await read_within(http_request.content, maximum)
     except TimeoutError as error:
@@ -170,7 +184,7 @@
 
 
 def find_engine(http_request, configuration, body):
-    """Return (service, cost) of a completion request."""
+    """Return the service and the Completion of a request."""
     if http_request.headers.get("Content-Encoding", "identity") != "identity":
         raise BadRequest("The body is compressed.", field="Content-Encoding")
     chat = http_request.path == CHAT_PATH
@@ -178,7 +192,7 @@
     service = configuration.services_by_model.get(completion.model)
     if service is None:
         raise UnknownService(f"There is no model {completion.model!r}.", field="model")
-    return service, completion.cost
+    return service, completion
 
 
 def classify(http_request, service):
@@ -188,11 +202,16 @@
         raise BadRequest(
             f"{KEY_HEADER} must be 1 to 200 visible ASCII characters.", field=KEY_HEADER
         )
-    if service.kind is ServiceKind.ENGINE or http_request.method in IDEMPOTENT_METHODS:
+    if is_idempotent(service, http_request.method):
         return Repetition.IDEMPOTENT, ""
     return (Repetition.KEYED, key) if key else (Repetition.ONCE, "")
 
 
+def is_idempotent(service, method):
+    """Tell whether calls of a method may be repeated at a service."""
+    return service.kind is ServiceKind.ENGINE or method in service.idempotent_methods
+
+
 def read_deadline(http_request, settings):
     """Return the time that the caller gives, in seconds."""
     default = int(settings.default_deadline_seconds * 1000)
@@ -200,10 +219,18 @@
     return given / 1000
 
 
-def read_priority(http_request):
-    return read_number(
-        http_request, PRIORITY_HEADER, 0, MAXIMUM_PRIORITY, DEFAULT_PRIORITY
-    )
+def read_priority(http_request, organisation, configuration):
+    """Return the priority that the caller gives, or that of the class of work."""
+    default = DEFAULT_PRIORITY
+    allowed = organisation.classes
+    name = http_request.headers.get(CLASS_HEADER) or next(iter(allowed), None)
+    if name is not None:
+        if name not in configuration.classes or (allowed and name not in allowed):
+            raise BadRequest(
+                f"There is no class {name!r} for the organisation.", field=CLASS_HEADER
+            )
+        default = configuration.classes[name].priority
+    return read_number(http_request, PRIORITY_HEADER, 0, MAXIMUM_PRIORITY, default)
 
 
 def read_number(http_request, name, minimum, maximum, default):
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -90,6 +90,14 @@
     remedy = "Ask the other entries; each keeps its own recent requests only."
 
 
+class UnknownClaim(BadRequest):
+    """Tell an operator that the table holds no claim under a key."""
+
+    code = "unknown-claim"
+    status = 404
+    remedy = "Check organisation, service and key; rows of old keys are cleared away."
+
+
 class MethodNotAllowed(BadRequest):
     """Refuse a method that a path does not offer."""
 
@@ -107,6 +115,13 @@
     remedy = "Send the request again after the time in Retry-After."
 
 
+class LimitReached(Overloaded):
+    """Refuse work above what operators allow the organisation; it was not run."""
+
+    code = "limit-reached"
+    status = 429
+
+
 class Unavailable(Overloaded):
     """Refuse work for which no endpoint can be reached; it was not run."""
 
@@ -131,6 +146,39 @@
     remedy = "Repeat it with the same Idempotency-Key to learn what became of it."
 
 
+class AnswerTooLate(OutcomeUnknown):
+    """Tell the caller that an idempotent request was running at its deadline."""
+
+    code = "answer-too-late"
+    status = 504
+    remedy = "Send the request again with a later deadline; it may be repeated."
+
+
+class OutcomeUnknownUnkeyed(OutcomeUnknown):
+    """Tell the caller that a request without a key may have run."""
+
+    code = "unknown-unkeyed"
+    remedy = "Look at the endpoint's own records; send an Idempotency-Key next time."
+
+
+class KeyNotChecked(Overloaded):
+    """Refuse a keyed request whose key the platform's table could not show."""
+
+    code = "key-not-checked"
+    remedy = (
+        "This sending was not run; an earlier one under the key keeps the outcome it "
+        "was told. Repeat it with the same Idempotency-Key."
+    )
+
+
+class KeyReused(BadRequest):
+    """Refuse a key that stands for a request with another method, path or body."""
+
+    code = "key-reused"
+    status = 409
+    remedy = "Use a new Idempotency-Key for a new request, or send the first one again."
+
+
 class EndpointFailed(FescuedrumError):  # noqa: N818 - the field's term
     """Tell the caller that the endpoint ran the request and failed."""
 
@@ -171,6 +219,14 @@
     remedy = "Ask an administrator for the role, or let someone who has it do this."
 
 
+class FormRefused(BadRequest):
+    """Refuse a form that was not made for the session that sends it."""
+
+    code = "form-refused"
+    status = 403
+    remedy = "Open the page again and send the form from there."
+
+
 class TooManySignIns(BadRequest):
     """Refuse an address that failed to sign in too often."""
 
--- a/packages/fescuedrum/src/fescuedrum/process.py
+++ b/packages/fescuedrum/src/fescuedrum/process.py
@@ -2,13 +2,22 @@
 
 import asyncio
 import json
+import logging
 import pathlib
+import secrets
 import signal
+import sys
 
 from result import Err
 
 from fescuedrum import checks
 from fescuedrum.conf import schema
+from fescuedrum.logs import configure_logging
+
+logger = logging.getLogger(__name__)
+
+# Tells a process from the one that ran at the same address before it.
+INCARNATION_BITS = 62
 
 EXIT_OK = 0
 EXIT_FAILURE = 1
@@ -25,7 +34,44 @@
     except (OSError, ValueError) as error:
         hint = "Name a readable file of JSON."
         return Err([checks.error("settings.E001", str(path), f"{error}.", hint)])
-    return schema.load(cls, data)
+    loaded = schema.load(cls, data)
+    if loaded.is_err():
+        return loaded
+    findings = loaded.ok_value.check()
+    return Err(findings) if checks.has_errors(findings) else loaded
+
+
+def add_settings_arguments(parser):
+    """Add the arguments of a process that reads settings."""
+    parser.add_argument("--settings", required=True, help="file of settings in JSON")
+    parser.add_argument(
+        "--check-settings", action="store_true", help="check the settings and exit"
+    )
+
+
+def run_process(settings_class, arguments, build):
+    """Read settings, then check them or run build(settings, incarnation).run()."""
+    loaded = load_settings(settings_class, arguments.settings)
+    if loaded.is_err():
+        for finding in loaded.err_value:
+            print(finding, file=sys.stderr)
+        return EXIT_FINDINGS
+    settings = loaded.ok_value
+    if arguments.check_settings:
+        return run_check(settings)
+    configure_logging(settings.log_level, instance=settings.name, zone=settings.zone)
+    for finding in settings.check():
+        logger.warning("settings", extra={"finding": str(finding)})
+    asyncio.run(build(settings, secrets.randbits(INCARNATION_BITS)).run())
+    return EXIT_OK
+
+
+def run_check(settings):
+    """Tell that settings are valid, with the warnings that there are."""
+    for finding in settings.check():
+        print(f"warning: {finding}", file=sys.stderr)
+    print("The settings are complete and valid.")
+    return EXIT_OK
 
 
 def stop_event():
