--- a/packages/fescuedrum-entry/src/fescuedrum_entry/commands/show.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/commands/show.py
@@ -5,12 +5,15 @@
 from dataclasses import dataclass
 
 from fescuedrum.process import EXIT_OK
+from fescuedrum_entry.operators import keys
 from fescuedrum_entry.operators.client import add_entry_arguments, run_command
 from fescuedrum_entry.operators.requests import describe
 
 EPILOG = """\
 examples:
   fescuedrum show config --entry http://10.0.0.5:7000 --token-file token
+  fescuedrum show key club/bookings/order-1 --entry http://10.0.0.5:7000 \\
+      --token-file token
   fescuedrum show request 3f0c... --entry http://10.0.0.5:7000 --token-file token
 
 A request's id is in the header Fescuedrum-Request-Id, in the body of an error and in
@@ -52,6 +55,17 @@
     return EXIT_OK
 
 
+def show_key(client, arguments):
+    """Print what stands under a caller's key, and what to tell the caller."""
+    name = arguments.name or ""
+    answer = client.get(keys.key_path(name))
+    if arguments.json:
+        print(json.dumps(answer))
+    else:
+        print("\n".join(keys.describe(name, answer)))
+    return EXIT_OK
+
+
 @dataclass(slots=True, frozen=True)
 class Kind:
     """Describe something that can be shown; others add theirs to KINDS."""
@@ -64,6 +78,11 @@
 
 KINDS = {
     "config": Kind("the newest accepted document", show_config),
+    "key": Kind(
+        "what became of the request under an Idempotency-Key",
+        show_key,
+        "ORGANISATION/SERVICE/KEY",
+    ),
     "request": Kind(
         "where a request waited, and why it went where it went",
         show_request,
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -22,7 +22,7 @@
 from fescuedrum.wire.peers import Peers
 from fescuedrum_entry.connection.callers import CallersRunner
 from fescuedrum_entry.connection.link import Link
-from fescuedrum_entry.operators import fairness, requests, routes as operators
+from fescuedrum_entry.operators import fairness, keys, requests, routes as operators
 from fescuedrum_entry.operators.access import SignInLimit, require_role
 from fescuedrum_entry.operators.accounts import Role
 from fescuedrum_entry.process.claims import ClaimWriter
@@ -148,6 +148,7 @@
         application.router.add_get("/metrics", metrics)
         operators.add_routes(application, self)
         requests.add_routes(application, self)
+        keys.add_routes(application, self)
         fairness.add_routes(application, self)
         return application
 
