--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -31,6 +31,7 @@
 from fescuedrum_entry.process.metrics import EntryMetrics
 from fescuedrum_entry.process.router import Router
 from fescuedrum_entry.request import handler
+from fescuedrum_entry.request.quota import Quota
 from fescuedrum_entry.request.selection import WaitingRoom
 from fescuedrum_entry.request.trace import TraceBook
 from fescuedrum_entry.version.following import Following
@@ -59,6 +60,7 @@
         "metrics",
         "peers",
         "platform",
+        "quota",
         "random",
         "retries",
         "router",
@@ -94,6 +96,7 @@
         self.retries = collections.defaultdict(ServiceRetries)
         self.fairness = FairnessKeeper(self, settings.fairness_seconds)
         self.configuration.subscribe(self.fairness.configuration_changed)
+        self.quota = Quota(self)
         self.running = 0
         self.traces = TraceBook(settings.trace_count, settings.trace_slow_seconds)
         self.metrics = EntryMetrics()
