Delete claims that are older than keys are kept

Cause: every keyed request left a row in the platform's table for good. Change: each group of claims carries an index row of its age bucket; the holder of a lease raises the bucket's number by its own clock and deletes the claims last written in buckets that are over, each only if nobody has written it since. Result: in the test an old key goes, one that was taken over later stays; a holder that stops makes keys live longer, never shorter.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -91,6 +91,12 @@
     claim_group_seconds: float = setting(
         0.005, help="Least time between writes of claims.", minimum=0.0, unit="s"
     )
+    claim_bucket_seconds: float = setting(
+        600.0, help="Length of the buckets of claims' ages.", minimum=0.1, unit="s"
+    )
+    claim_buckets_kept: int = setting(
+        144, help="Whole buckets for which keys are kept at least.", minimum=7
+    )
     fence_patience_seconds: float = setting(
         0.25,
         help="Wait at an agent for a claimed request before it is fenced.",
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/claims.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/claims.py
@@ -12,6 +12,7 @@
 from fescuedrum.claims import record
 from fescuedrum.exceptions import StoreUnavailable
 from fescuedrum.platform.interfaces import Write
+from fescuedrum_entry.process.ages import index_prefix
 
 MAXIMUM_GROUP = 200
 
@@ -28,17 +29,22 @@
     """Own the writes of claims of one entry process."""
 
     __slots__ = (
+        "ages",
         "groups",
         "interval",
         "loop",
+        "name",
         "next_start",
         "table",
         "tasks",
         "waiting",
     )
 
-    def __init__(self, table, interval):
+    def __init__(self, table, interval, ages, name):
         self.table = table
+        self.ages = ages
+        # Unique to this life of the entry; index rows carry it.
+        self.name = name
         self.interval = interval
         self.loop = asyncio.get_running_loop()
         self.next_start = 0.0
@@ -96,7 +102,8 @@
             return
         self.groups += 1
         try:
-            applied = await self.table.transact([each.write for each in group])
+            writes = await self.with_index(group)
+            applied = await self.table.transact(writes)
             if not applied and len(group) > 1:
                 await self.separate(group)
                 return
@@ -105,6 +112,16 @@
             return
         settle(group, applied=applied)
 
+    async def with_index(self, group):
+        """Return the group's writes, marked with their age, and one that lists them."""
+        bucket = await self.ages.current()
+        for pending in group:
+            pending.write.value["bucket"] = bucket
+        writes = [pending.write for pending in group]
+        key = f"{index_prefix(bucket)}{self.name}-{self.groups}"
+        keys = [write.key for write in writes]
+        return [*writes, Write(key, {"keys": keys}, None)]
+
     async def separate(self, group):
         """Find the writes that came too late and send the others again.
 
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -14,6 +14,7 @@
 from fescuedrum.logs import live_fields
 from fescuedrum.metrics import watch_loop
 from fescuedrum.platform.client import PlatformClient
+from fescuedrum.platform.leases import Lease
 from fescuedrum.process import cancel, on_reload, stop_event
 from fescuedrum.tls import Certificates
 from fescuedrum.versions.configuration import Configuration
@@ -25,6 +26,7 @@
 from fescuedrum_entry.operators import fairness, keys, requests, routes as operators
 from fescuedrum_entry.operators.access import SignInLimit, require_role
 from fescuedrum_entry.operators.accounts import Role
+from fescuedrum_entry.process.ages import LEASE_NAME, ClaimAges
 from fescuedrum_entry.process.claims import ClaimWriter
 from fescuedrum_entry.process.fairness import FairnessKeeper
 from fescuedrum_entry.process.members import Members
@@ -110,9 +112,9 @@
         on_reload(self.callers_tls.reload, self.peers.certificates.reload)
         async with aiohttp.ClientSession() as session:
             self.platform = PlatformClient(self.settings.platform_url, session)
-            self.claims = ClaimWriter(self.platform, self.settings.claim_group_seconds)
+            tasks = self.start_claims()
             self.following = Following(self.configuration, self.platform)
-            tasks = [
+            tasks += [
                 asyncio.create_task(self.following.run(self.members.read_interval)),
                 asyncio.create_task(self.members.run()),
                 asyncio.create_task(self.fairness.run()),
@@ -185,6 +187,20 @@
         while (self.running or self.background) and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    def start_claims(self):
+        """Start what writes claims and what deletes old ones; return the tasks."""
+        settings = self.settings
+        holder = f"{settings.name}-{self.incarnation}"
+        lease = Lease(self.platform, LEASE_NAME, holder, self.random)
+        ages = ClaimAges(self.platform, lease, settings.claim_bucket_seconds)
+        self.claims = ClaimWriter(
+            self.platform, settings.claim_group_seconds, ages, holder
+        )
+        return [
+            asyncio.create_task(lease.run()),
+            asyncio.create_task(ages.run(settings.claim_buckets_kept)),
+        ]
+
     def retries_of(self, service):
         """Return the retry and hedge budgets of a service at this entry."""
         return self.retries[service]
--- a/packages/fescuedrum/src/fescuedrum/claims/record.py
+++ b/packages/fescuedrum/src/fescuedrum/claims/record.py
@@ -79,6 +79,8 @@
     """Build the claim from a row's value."""
     fields = dict(value)
     answer = fields.pop("answer", None)
+    # The age is the table's matter, not the claim's.
+    fields.pop("bucket", None)
     fields["state"] = ClaimState(fields["state"])
     return Claim(**fields, answer=parse_answer(answer) if answer else None)
 
--- a/tests/unit/test_claim_writer.py
+++ b/tests/unit/test_claim_writer.py
@@ -8,9 +8,25 @@
 from fescuedrum.claims.record import Claim
 from fescuedrum.exceptions import StoreUnavailable
 from fescuedrum.platform.interfaces import Row
+from fescuedrum_entry.process.ages import ClaimAges
 from fescuedrum_entry.process.claims import ClaimWriter
 
 
+class FixedAge:
+    async def current(self):
+        return 3
+
+
+class Held:
+    """Stand for a lease that is held."""
+
+    fence = 1
+
+
+def build_writer(table):
+    return ClaimWriter(table, 0.005, FixedAge(), "entry-1")
+
+
 class CountingTable:
     """Hold rows in memory and note when it was written to."""
 
@@ -29,14 +45,20 @@
         await asyncio.sleep(self.seconds)
         if self.silent:
             raise StoreUnavailable("silent")
-        versions = [self.rows.get(write.key, (None, 0))[1] for write in writes]
-        expected = [write.expected_version for write in writes]
-        if versions != expected:
-            return False
         for write in writes:
-            self.rows[write.key] = (write.value, write.expected_version + 1)
+            version = self.rows.get(write.key, (None, 0))[1]
+            if write.expected_version not in (None, version):
+                return False
+        for write in writes:
+            _, version = self.rows.pop(write.key, (None, 0))
+            if write.value is not None:
+                self.rows[write.key] = (write.value, version + 1)
         return True
 
+    async def scan(self, prefix):
+        keys = [key for key in self.rows if key.startswith(prefix)]
+        return [await self.get(key) for key in sorted(keys)]
+
 
 def build_claim(token="token"):
     return Claim(1, "agent-1", 7, token, "hash")
@@ -51,7 +73,7 @@
 
     async def claim_all():
         table = CountingTable()
-        writer = ClaimWriter(table, 0.005)
+        writer = build_writer(table)
         tasks = []
         for index in range(1000):
             await asyncio.sleep(0.001)
@@ -69,7 +91,7 @@
 def test_a_repeated_key_fails_alone_in_its_group():
     async def claim_some():
         table = CountingTable()
-        writer = ClaimWriter(table, 0.005)
+        writer = build_writer(table)
         assert await writer.write("claim/a", build_claim("first"), 0)
         names = ("a", "b", "c")
         writes = [writer.write(f"claim/{name}", build_claim(), 0) for name in names]
@@ -84,9 +106,38 @@
     async def claim_some():
         table = CountingTable()
         table.silent = True
-        writer = ClaimWriter(table, 0.005)
+        writer = build_writer(table)
         writes = [writer.write(f"claim/{name}", build_claim(), 0) for name in "abc"]
         return await asyncio.gather(*writes, return_exceptions=True)
 
     found = run_paused(claim_some())
     assert [type(error) for error in found] == [StoreUnavailable] * 3
+
+
+def test_old_claims_are_deleted_and_one_written_again_is_kept():
+    """A shop repeats a key a day later, just before its row would be swept.
+
+    The repeat has taken the key over and runs. Without its row another repeat would
+    find nothing and run it a second time.
+    """
+
+    async def keep_and_sweep():
+        table = CountingTable()
+        ages = ClaimAges(table, Held(), seconds=10.0)
+        writer = ClaimWriter(table, 0.005, ages, "entry-1")
+        sweeping = asyncio.create_task(ages.run(kept=3))
+        for name in ("old", "again"):
+            assert await writer.write(f"claim/{name}", build_claim(), 0)
+        await asyncio.sleep(25.0)
+        early = set(table.rows)
+        assert await writer.write("claim/again", build_claim("later"), 1)
+        await asyncio.sleep(37.0)
+        sweeping.cancel()
+        return early, set(table.rows), ages
+
+    early, late, ages = run_paused(keep_and_sweep())
+    assert {"claim/old", "claim/again"} <= early
+    assert "claim/again" in late
+    assert "claim/old" not in late
+    assert not any(key.startswith("claim-age/000000000000/") for key in late)
+    assert ages.bucket >= 4
