--- /dev/null
+++ b/tests/unit/test_claim_writer.py
@@ -0,0 +1,143 @@
+"""Check that claims are written in groups and that one conflict fails only itself."""
+
+import asyncio
+import itertools
+
+from support.clock import run_paused
+
+from fescuedrum.claims.record import Claim
+from fescuedrum.exceptions import StoreUnavailable
+from fescuedrum.platform.interfaces import Row
+from fescuedrum_entry.process.ages import ClaimAges
+from fescuedrum_entry.process.claims import ClaimWriter
+
+
+class FixedAge:
+    async def current(self):
+        return 3
+
+
+class Held:
+    """Stand for a lease that is held."""
+
+    fence = 1
+
+
+def build_writer(table):
+    return ClaimWriter(table, 0.005, FixedAge(), "entry-1")
+
+
+class CountingTable:
+    """Hold rows in memory and note when it was written to."""
+
+    def __init__(self, seconds=0.01):
+        self.seconds = seconds
+        self.rows = {}
+        self.written_at = []
+        self.silent = False
+
+    async def get(self, key):
+        value, version = self.rows.get(key, (None, 0))
+        return Row(key, value, version)
+
+    async def transact(self, writes):
+        self.written_at.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(self.seconds)
+        if self.silent:
+            raise StoreUnavailable("silent")
+        for write in writes:
+            version = self.rows.get(write.key, (None, 0))[1]
+            if write.expected_version not in (None, version):
+                return False
+        for write in writes:
+            _, version = self.rows.pop(write.key, (None, 0))
+            if write.value is not None:
+                self.rows[write.key] = (write.value, version + 1)
+        return True
+
+    async def scan(self, prefix):
+        keys = [key for key in self.rows if key.startswith(prefix)]
+        return [await self.get(key) for key in sorted(keys)]
+
+
+def build_claim(token="token"):
+    return Claim(1, "agent-1", 7, token, "hash")
+
+
+def test_a_thousand_claims_in_a_second_cost_one_write_each_5_ms_at_most():
+    """At noon every receptionist confirms at once.
+
+    One write for each claim would take all that the platform's table can do, and
+    the claims of the other entries would wait behind them.
+    """
+
+    async def claim_all():
+        table = CountingTable()
+        writer = build_writer(table)
+        tasks = []
+        for index in range(1000):
+            await asyncio.sleep(0.001)
+            tasks.append(writer.write(f"claim/{index}", build_claim(), 0))
+            tasks[-1] = asyncio.create_task(tasks[-1])
+        assert all(await asyncio.gather(*tasks))
+        return table.written_at
+
+    written_at = run_paused(claim_all())
+    gaps = [after - before for before, after in itertools.pairwise(written_at)]
+    assert min(gaps) > 0.0049
+    assert len(written_at) < 260
+
+
+def test_a_repeated_key_fails_alone_in_its_group():
+    async def claim_some():
+        table = CountingTable()
+        writer = build_writer(table)
+        assert await writer.write("claim/a", build_claim("first"), 0)
+        names = ("a", "b", "c")
+        writes = [writer.write(f"claim/{name}", build_claim(), 0) for name in names]
+        return await asyncio.gather(*writes), await writer.read("claim/a")
+
+    applied, (claim, version) = run_paused(claim_some())
+    assert applied == [False, True, True]
+    assert (claim.token, version) == ("first", 1)
+
+
+def test_a_silent_table_is_told_to_each_of_the_group():
+    async def claim_some():
+        table = CountingTable()
+        table.silent = True
+        writer = build_writer(table)
+        writes = [writer.write(f"claim/{name}", build_claim(), 0) for name in "abc"]
+        return await asyncio.gather(*writes, return_exceptions=True)
+
+    found = run_paused(claim_some())
+    assert [type(error) for error in found] == [StoreUnavailable] * 3
+
+
+def test_old_claims_are_deleted_and_one_written_again_is_kept():
+    """A shop repeats a key a day later, just before its row would be swept.
+
+    The repeat has taken the key over and runs. Without its row another repeat would
+    find nothing and run it a second time.
+    """
+
+    async def keep_and_sweep():
+        table = CountingTable()
+        ages = ClaimAges(table, Held(), seconds=10.0)
+        writer = ClaimWriter(table, 0.005, ages, "entry-1")
+        sweeping = asyncio.create_task(ages.run(kept=3))
+        for name in ("old", "again"):
+            assert await writer.write(f"claim/{name}", build_claim(), 0)
+        await asyncio.sleep(25.0)
+        early = set(table.rows)
+        assert await writer.write("claim/again", build_claim("later"), 1)
+        await asyncio.sleep(37.0)
+        sweeping.cancel()
+        return early, set(table.rows), ages
+
+    early, late, ages = run_paused(keep_and_sweep())
+    assert {"claim/old", "claim/again"} <= early
+    assert "claim/again" in late
+    assert "claim/old" not in late
+    assert not any(key.startswith("claim-age/000000000000/") for key in late)
+    assert ages.bucket >= 4
