--- a/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
@@ -26,6 +26,13 @@
     warm_after: int = setting(
         10, help="Answers after which a cold endpoint is warm.", minimum=1
     )
+    pace_seconds: float = setting(
+        0.0,
+        help="Time in which no more requests start than a cold endpoint carries; "
+        "set it, as to 0.01, for endpoints that turn cold without warning.",
+        minimum=0.0,
+        unit="s",
+    )
     queue_limit: int = setting(
         256, help="Requests that may wait for the endpoint.", minimum=0
     )
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -9,7 +9,7 @@
 
 from fescuedrum import __version__
 from fescuedrum.decisions.admission import Admission, RefusalReason, Refused
-from fescuedrum.decisions.limits import EndpointLimit, Phase
+from fescuedrum.decisions.limits import EndpointLimit, Pace, Phase
 from fescuedrum.decisions.queueing import build_queue
 from fescuedrum.exceptions import ProtocolError
 from fescuedrum.faults import FaultPoint, ProtocolStep
@@ -60,6 +60,7 @@
         self.settings = settings
         self.incarnation = incarnation
         self.gate = build_gate(settings, random.Random(incarnation))
+        self.gate.wake_after = self.admit_after
         self.faults = FaultPoint(settings.fault_step)
         self.keyed = KeyedRequests(settings, incarnation, self.faults)
         # The zone may be out: until the configuration tells, nothing is run.
@@ -239,6 +240,11 @@
             return None, refused
         return answer, None
 
+    def admit_after(self, seconds):
+        """Let the gate admit what waits, a little later."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, lambda: self.gate.admit_waiting(loop.time()))
+
     def finished(self, place, ticket):
         """Settle a request that ended, or that waited and was given up."""
         self.tickets.pop(place, None)
@@ -272,4 +278,6 @@
     queue = build_queue(settings.queue_policy)
     gate = Gate(limit, queue, Admission(chooser), settings.queue_limit)
     gate.admit_all = not settings.admission
+    if settings.pace_seconds:
+        gate.pace = Pace(settings.cold_limit, settings.pace_seconds)
     return gate
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/gate.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/gate.py
@@ -48,9 +48,11 @@
         "answers",
         "leaving",
         "limit",
+        "pace",
         "queue",
         "queue_limit",
         "running",
+        "wake_after",
         "zone_out",
     )
 
@@ -59,6 +61,9 @@
         self.queue = queue
         self.admission = admission
         self.queue_limit = queue_limit
+        # Off unless set; wake_after(seconds) must then call admit_waiting later.
+        self.pace = None
+        self.wake_after = None
         # Baseline for experiments: queue without a prediction.
         self.admit_all = False
         self.running = 0
@@ -86,7 +91,7 @@
         """Start or queue a request and return None, or return why it is refused."""
         if reason := self.closed():
             return Refused(reason, ELSEWHERE_SECONDS)
-        if self.running < self.limit.limit and not self.queue.length:
+        if self.may_start(now) and not self.queue.length:
             # With nothing running there is nothing to wait for, and the prediction
             # may stem from a cold start; refusing would let it never be corrected.
             if self.running and (refused := self.judge(work, 0.0, now)):
@@ -96,7 +101,15 @@
             return None
         if refused := self.judge(work, self.queue.cost_ahead(work), now):
             return refused
-        return self.enqueue(work)
+        refused = self.enqueue(work)
+        self.admit_waiting(now)
+        return refused
+
+    def may_start(self, now):
+        return self.running < self.limit.limit and not self.pause(now)
+
+    def pause(self, now):
+        return self.pace.wait(now) if self.pace else 0.0
 
     def judge(self, work, cost_ahead, now):
         if self.admit_all:
@@ -127,6 +140,8 @@
     def start(self, work, now):
         self.limit.starting(self.running, now)
         self.running += 1
+        if self.pace:
+            self.pace.started(now)
         work.payload.start(cold=self.limit.phase is Phase.COLD)
 
     def finish(self, work, result, now):
@@ -147,6 +162,9 @@
     def admit_waiting(self, now):
         """Start waiting requests while there are places."""
         while self.running < self.limit.limit and self.queue.length:
+            if pause := self.pause(now):
+                self.wake_after(pause)
+                return
             work = self.queue.pop()
             if refused := self.judge_waiting(work, now):
                 # Started now it would end too late and take a place from another.
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/experiments/cold_start.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/experiments/cold_start.py
@@ -16,7 +16,7 @@
 MEAN_TOKENS = 20
 ORGANISATIONS = ("club", "shop", "kitchen")
 # Trusts every endpoint with its warm load at once, as a balancer without a gate does.
-TRUSTING = {"cold_limit": 16, "warm_limit": 16}
+TRUSTING = {"cold_limit": 16, "warm_limit": 16, "pace_seconds": 0.0}
 
 
 async def run(scale, seed):
--- a/packages/fescuedrum/src/fescuedrum/decisions/limits.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/limits.py
@@ -24,6 +24,7 @@
 
 import enum
 import statistics
+from collections import deque
 
 SLOW = 2.0
 COLD = 4.0
@@ -43,6 +44,32 @@
     WARM = "warm"
 
 
+class Pace:
+    """Let no more requests start within a short time than a cold endpoint carries.
+
+    An endpoint that turns cold cuts what it runs, but what is on its way at that moment
+    reaches it all the same: a round of new requests, started together as a batch's
+    places became free, fells it before its agent can know. Spaced out over the time
+    that a cut takes to be noticed, no more than the floor is ever on its way.
+    """
+
+    __slots__ = ("count", "recent", "seconds")
+
+    def __init__(self, count, seconds):
+        self.count = count
+        self.seconds = seconds
+        self.recent = deque(maxlen=count)
+
+    def wait(self, now):
+        """Return the seconds until one more may start; 0 for now."""
+        if len(self.recent) < self.count:
+            return 0.0
+        return max(0.0, self.recent[0] + self.seconds - now)
+
+    def started(self, now):
+        self.recent.append(now)
+
+
 class EndpointLimit:
     """Hold the concurrency limit of one endpoint; times are loop time in seconds."""
 
--- a/tests/unit/test_gate.py
+++ b/tests/unit/test_gate.py
@@ -5,6 +5,7 @@
 from support.load import build_gate, build_work
 
 from fescuedrum.decisions.admission import RefusalReason
+from fescuedrum.decisions.limits import Pace
 from fescuedrum_agent.process.gate import Answered, Failed
 
 
@@ -84,6 +85,27 @@
     assert sum(work.payload.started for work in works) == 2
 
 
+def test_no_more_than_the_floor_is_on_its_way_at_one_moment():
+    """A batch ends, its places are filled anew, and just then the engine restarts.
+
+    It cuts what it ran, but the round of new requests was on its way already and
+    fells the cold engine before the agent can know.
+    """
+    gate = build_gate(floor=2, ceiling=8, warm_after=3)
+    serve(gate, 10)
+    gate.pace = Pace(2, 0.01)
+    woken = []
+    gate.wake_after = woken.append
+    works = [build_work(deadline=1e9) for _ in range(6)]
+    for work in works:
+        gate.offer(work, 10.0)
+    assert sum(work.payload.started for work in works) == 2
+    gate.admit_waiting(10.0 + woken[0])
+    assert sum(work.payload.started for work in works) == 4
+    gate.admit_waiting(10.03)
+    assert all(work.payload.started for work in works)
+
+
 def test_who_fills_the_queue_is_shed_and_not_who_comes_next():
     gate = build_gate(floor=1, queue_limit=10)
     hot = [build_work("hot") for _ in range(30)]
