--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -20,7 +20,7 @@
 from fescuedrum.wire.peers import Peers
 from fescuedrum_entry.connection.callers import CallersRunner
 from fescuedrum_entry.connection.link import Link
-from fescuedrum_entry.operators import fairness, requests, routes as operators
+from fescuedrum_entry.operators import fairness, keys, requests, routes as operators
 from fescuedrum_entry.operators.access import SignInLimit, require_role
 from fescuedrum_entry.operators.accounts import Role
 from fescuedrum_entry.process.claims import ClaimWriter
@@ -29,6 +29,7 @@
 from fescuedrum_entry.process.metrics import EntryMetrics
 from fescuedrum_entry.process.router import Router
 from fescuedrum_entry.request import handler
+from fescuedrum_entry.request.quota import Quota
 from fescuedrum_entry.request.selection import WaitingRoom
 from fescuedrum_entry.request.trace import TraceBook
 from fescuedrum_entry.version.following import Following
@@ -57,6 +58,7 @@
         "metrics",
         "peers",
         "platform",
+        "quota",
         "random",
         "router",
         "running",
@@ -90,6 +92,7 @@
         self.background = set()
         self.fairness = FairnessKeeper(self, settings.fairness_seconds)
         self.configuration.subscribe(self.fairness.configuration_changed)
+        self.quota = Quota(self)
         self.running = 0
         self.traces = TraceBook(settings.trace_count, settings.trace_slow_seconds)
         self.metrics = EntryMetrics()
@@ -144,6 +147,7 @@
         application.router.add_get("/metrics", metrics)
         operators.add_routes(application, self)
         requests.add_routes(application, self)
+        keys.add_routes(application, self)
         fairness.add_routes(application, self)
         return application
 
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -90,6 +90,14 @@
     remedy = "Ask the other entries; each keeps its own recent requests only."
 
 
+class UnknownClaim(BadRequest):
+    """Tell an operator that the table holds no claim under a key."""
+
+    code = "unknown-claim"
+    status = 404
+    remedy = "Check organisation, service and key; rows of old keys are cleared away."
+
+
 class MethodNotAllowed(BadRequest):
     """Refuse a method that a path does not offer."""
 
@@ -107,6 +115,13 @@
     remedy = "Send the request again after the time in Retry-After."
 
 
+class LimitReached(Overloaded):
+    """Refuse work above what operators allow the organisation; it was not run."""
+
+    code = "limit-reached"
+    status = 429
+
+
 class Unavailable(Overloaded):
     """Refuse work for which no endpoint can be reached; it was not run."""
 
