--- a/packages/fescuedrum-bench/src/fescuedrum_bench/chaos.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/chaos.py
@@ -8,7 +8,6 @@
 from fescuedrum.outcomes import Outcome
 from fescuedrum_bench.callers import Caller
 from fescuedrum_bench.checker import judge
-from fescuedrum_bench.commands.demo import count_executions
 from fescuedrum_bench.faultproxy import Mode
 from fescuedrum_bench.site import Site, SiteShape
 
@@ -277,7 +276,7 @@
         await asyncio.gather(faults.run(plan.seconds), *workers)
         await site.wait_whole()
         await callers.settle()
-        executions = await count_executions(site)
+        executions = await site.count_executions()
     verdict = judge(callers.records, executions)
     return ChaosResult(
         verdict, callers.records, executions, faults.done, callers.unsettled
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/commands/demo.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/commands/demo.py
@@ -3,15 +3,20 @@
 import asyncio
 import dataclasses
 import json
+import pathlib
 from collections import Counter
 
+from fescuedrum.conf.document import ZoneState
 from fescuedrum.process import EXIT_FAILURE, EXIT_OK, stop_event
 from fescuedrum_bench.callers import Caller
 from fescuedrum_bench.checker import judge
 from fescuedrum_bench.site import Site, SiteShape
 
 ORGANISATIONS = ("fjordbrod-bergen", "fjordbrod-voss", "trentside-derby")
-ROUNDS = 8
+KINDS = ("completion", "stream", "lookup", "booking")
+ROUNDS = 6
+ZONE_OUT = "zone-3"
+TOKEN_FILE = pathlib.Path("build/demo-token")
 
 
 class Command:
@@ -27,26 +32,50 @@
 
 
 async def demonstrate(keep_running):
-    async with Site(SiteShape(), ORGANISATIONS) as site:
+    async with Site(SiteShape(services=2), ORGANISATIONS) as site:
         if keep_running:
             await stay_up(site)
             return EXIT_OK
         print(f"Site up: {len(site.members)} processes in {site.shape.zones} zones.")
-        records = await send_requests(site)
-        executions = await count_executions(site)
-    return report(records, executions)
+        records = await send_requests(site, "whole")
+        show("What callers were told", records)
+        during, strayed = await take_zone_out(site)
+        records += during
+        executions = await site.count_executions()
+    return report(records, executions, strayed)
 
 
 async def stay_up(site):
     for entry in site.entries:
-        print(f"callers: {entry.url}/v1/completions and /services/bookings/...")
+        print(f"callers: {entry.url}/v1/completions and {entry.url}/services/bookings/")
+        print(f"console: {entry.url}/console/")
     for name, key in site.keys.items():
         print(f"key of {name}: {key}")
+    TOKEN_FILE.parent.mkdir(exist_ok=True)
+    TOKEN_FILE.write_text(site.operator_token)
+    print(f"operator's token: {site.operator_token} (also in {TOKEN_FILE})")
     print("Ctrl-C stops the site.", flush=True)
     await stop_event().wait()
-
-
-async def send_requests(site):
+    TOKEN_FILE.unlink()
+
+
+async def take_zone_out(site):
+    """Take a zone out, send requests, bring it back; return records and strays."""
+    await site.set_zone(ZONE_OUT, ZoneState.OUT)
+    await site.wait_in_force(site.version)
+    begun = await site.count_started(ZONE_OUT)
+    records = await send_requests(site, "out")
+    strayed = await site.count_started(ZONE_OUT) - begun
+    show(f"While {ZONE_OUT} was out", records)
+    print(f"  new work in {ZONE_OUT}: {strayed} requests")
+    await site.set_zone(ZONE_OUT, ZoneState.IN)
+    await site.wait_in_force(site.version)
+    records_after = await send_requests(site, "back")
+    show(f"After {ZONE_OUT} came back", records_after)
+    return records + records_after, strayed
+
+
+async def send_requests(site, phase):
     callers = [
         Caller(site.session, entry.url, name, site.keys[name])
         for name in ORGANISATIONS
@@ -54,38 +83,35 @@
     ]
     waiting = []
     for index in range(ROUNDS):
-        for caller in callers:
-            label = f"{caller.organisation}-{index}"
+        for number, caller in enumerate(callers):
+            label = f"{phase}-{caller.organisation}-{index}"
             waiting += [
                 caller.complete(f"summary for {label}"),
                 caller.stream(f"advice for {label}"),
                 caller.look_up(f"item-{index}"),
                 # Both entries get the same key: the booking must be made once.
                 caller.book(f"{label}-order"),
+                caller.book(f"{label}-walk-in-{number}", keyed=False),
             ]
     return await asyncio.gather(*waiting)
 
 
-async def count_executions(site):
-    total = Counter()
-    for member in site.endpoints:
-        if member.name.startswith("service"):
-            total += Counter(await site.fetch_json(f"{member.url}/executions"))
-    return total
-
-
-def report(records, executions):
-    print("\nWhat callers were told:")
+def show(title, records):
+    print(f"\n{title}:")
     for name in ORGANISATIONS:
-        for kind in ("completion", "stream", "lookup", "booking"):
+        for kind in KINDS:
             print_line(name, kind, records)
+
+
+def report(records, executions, strayed):
     verdict = judge(records, executions)
-    repeats = sum(record.kind == "booking" for record in records) - len(executions)
-    print(f"\n{len(executions)} bookings were made; {repeats} repeats of their keys")
-    print("got the recorded answer through another entry.")
+    sent = sum(record.kind == "booking" for record in records)
+    print(f"\n{sent} bookings were sent and {len(executions)} made: repeats of a key")
+    print("through another entry got the recorded answer.")
     print(json.dumps(dataclasses.asdict(verdict)))
     every_answered = verdict.answered == verdict.requests
-    return EXIT_OK if verdict.kept and every_answered else EXIT_FAILURE
+    kept = verdict.kept and every_answered and strayed == 0
+    return EXIT_OK if kept else EXIT_FAILURE
 
 
 def print_line(name, kind, records):
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/experiments/outcomes.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/experiments/outcomes.py
@@ -6,7 +6,6 @@
 from fescuedrum.outcomes import Outcome
 from fescuedrum_bench.callers import Caller
 from fescuedrum_bench.checker import judge
-from fescuedrum_bench.commands.demo import count_executions
 from fescuedrum_bench.experiments.base import Experiment, Figure
 from fescuedrum_bench.site import Site, SiteShape
 
@@ -30,7 +29,7 @@
         await measure_latency(callers, "warm", 5)
         keyed, unkeyed = await measure_latency(callers, "latency", count)
         records, waits = await kill_an_entry(site, callers, max(20, int(KEYS * scale)))
-        verdict = judge(records, await count_executions(site))
+        verdict = judge(records, await site.count_executions())
     breaches = verdict.doubled + verdict.lost + verdict.false_not_run
     waits.sort()
     return Experiment(
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/experiments/zones.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/experiments/zones.py
@@ -1,7 +1,6 @@
 """Measure the service that callers receive while a zone leaves and returns."""
 
 import asyncio
-import copy
 import itertools
 import random
 from dataclasses import dataclass
@@ -115,58 +114,30 @@
         marks.append(traffic.loop.time())
         last_work = await take_out(site, traffic, seconds)
         marks.append(traffic.loop.time())
-        await set_state(site, ZoneState.IN)
+        await site.set_zone(ZONE, ZoneState.IN)
         await asyncio.sleep(seconds)
         marks.append(traffic.loop.time())
         sending.cancel()
         await traffic.finish()
-        executions = await count_executions(site)
-        returned = await started_in(site)
+        executions = await site.count_executions()
+        returned = await site.count_started(ZONE)
     return summarise(traffic.sent, marks, last_work, executions, returned)
 
 
 async def take_out(site, traffic, seconds):
     """Take the zone out; return how long after its acceptance work last began there."""
-    await set_state(site, ZoneState.OUT)
+    await site.set_zone(ZONE, ZoneState.OUT)
     accepted = traffic.loop.time()
     until = accepted + seconds
-    known, last = await started_in(site), 0.0
+    known, last = await site.count_started(ZONE), 0.0
     while traffic.loop.time() < until:
         await asyncio.sleep(COUNT_POLL_SECONDS)
-        started = await started_in(site)
+        started = await site.count_started(ZONE)
         if started != known:
             last, known = traffic.loop.time() - accepted, started
     return last
 
 
-async def set_state(site, state):
-    document = copy.deepcopy(site.document)
-    for zone in document.zones:
-        if zone.name == ZONE:
-            zone.state = state
-    await site.apply(document)
-
-
-async def started_in(site):
-    """Count the requests that the zone's engines have begun."""
-    engines = [
-        member
-        for index, member in enumerate(site.members_of("engine"))
-        if site.zone(index) == ZONE
-    ]
-    loads = [await site.fetch_json(f"{each.url}/load") for each in engines]
-    return sum(load["running"] + load["answered"] for load in loads)
-
-
-async def count_executions(site):
-    total = {}
-    for member in site.members_of("service"):
-        counts = await site.fetch_json(f"{member.url}/executions")
-        for reference, count in counts.items():
-            total[reference] = total.get(reference, 0) + count
-    return total
-
-
 def summarise(sent, marks, last_work, executions, returned):
     steady, leaving, returning = (
         [each for each in sent if begin <= each.at < end]
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -1,6 +1,7 @@
 """Start and stop a small site of real processes on loopback addresses."""
 
 import asyncio
+import copy
 import datetime
 import json
 import pathlib
@@ -9,6 +10,7 @@
 import socket
 import sys
 import tempfile
+from collections import Counter
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -353,6 +355,31 @@
         accepted = await applier.apply(proposal)
         self.version = accepted.version
 
+    async def set_zone(self, name, state):
+        """Take a zone out or bring it back by a change of the document."""
+        document = copy.deepcopy(self.document)
+        for zone in document.zones:
+            if zone.name == name:
+                zone.state = state
+        await self.apply(document)
+
+    async def count_started(self, zone):
+        """Count the requests that a zone's engines have begun."""
+        engines = [
+            member
+            for index, member in enumerate(self.members_of("engine"))
+            if self.zone(index) == zone
+        ]
+        loads = [await self.fetch_json(f"{each.url}/load") for each in engines]
+        return sum(load["running"] + load["answered"] for load in loads)
+
+    async def count_executions(self):
+        """Count the plain services' executions of each reference."""
+        total = Counter()
+        for member in self.members_of("service"):
+            total += Counter(await self.fetch_json(f"{member.url}/executions"))
+        return total
+
     async def wait_whole(self):
         """Wait until every member serves again."""
         for member in [*self.agents, *self.endpoints]:
--- a/tests/integration/test_chaos.py
+++ b/tests/integration/test_chaos.py
@@ -6,7 +6,6 @@
 from fescuedrum_bench.callers import Caller
 from fescuedrum_bench.chaos import ChaosPlan, run_chaos
 from fescuedrum_bench.checker import Record, judge
-from fescuedrum_bench.commands.demo import count_executions
 from fescuedrum_bench.site import Site, SiteShape
 
 
@@ -51,12 +50,12 @@
         told, looked_up = await asyncio.gather(caller.book("o"), caller.look_up("tea"))
         assert (told.outcome, told.code) == ("not-run", "key-not-checked")
         assert looked_up.outcome == Outcome.ANSWERED
-        assert not await count_executions(site)
+        assert not await site.count_executions()
         await site.set_faults(down=False, lost_answers=1)
         caller.headers["Fescuedrum-Deadline-Ms"] = "5000"
         assert (await caller.book("o")).outcome == Outcome.ANSWERED
         assert (await caller.book("o")).outcome == Outcome.ANSWERED
-        assert await count_executions(site) == {"o": 1}
+        assert await site.count_executions() == {"o": 1}
 
 
 async def test_a_key_sent_with_another_body_is_refused():
@@ -71,7 +70,7 @@
         path, body = "/services/bookings/bookings", {"reference": "two"}
         status, outcome, _, _ = await caller.send(path, body, headers=headers)
         assert (status, outcome) == (409, "not-run")
-        assert await count_executions(site) == {"one": 1}
+        assert await site.count_executions() == {"one": 1}
 
 
 async def test_the_answer_to_a_key_outlives_the_agent_that_gave_it():
@@ -116,4 +115,4 @@
             while (await site.fetch_json(f"{engine.url}/load"))["running"]:
                 await asyncio.sleep(0.02)
         assert (await caller.book("o")).outcome == Outcome.ANSWERED
-        assert await count_executions(site) == {"o": 1}
+        assert await site.count_executions() == {"o": 1}
--- a/tests/integration/test_crashes.py
+++ b/tests/integration/test_crashes.py
@@ -8,7 +8,6 @@
 from fescuedrum.outcomes import Outcome
 from fescuedrum_bench.callers import Caller
 from fescuedrum_bench.checker import judge
-from fescuedrum_bench.commands.demo import count_executions
 from fescuedrum_bench.site import Site, SiteShape
 
 ORDERS = 6
@@ -69,7 +68,7 @@
         # Nothing is proved unless the step was reached.
         async with asyncio.timeout(5):
             await asyncio.gather(*reviving)
-        executions = await count_executions(site)
+        executions = await site.count_executions()
     verdict = judge(records, executions)
     assert verdict.kept, (verdict, records, executions)
     told = {record.reference for record in records if record.outcome == "answered"}
--- a/tests/integration/test_zones.py
+++ b/tests/integration/test_zones.py
@@ -6,12 +6,7 @@
 from fescuedrum.conf.document import ZoneState
 from fescuedrum.outcomes import Outcome
 from fescuedrum_bench.checker import judge
-from fescuedrum_bench.experiments.zones import (
-    Traffic,
-    count_executions,
-    set_state,
-    started_in,
-)
+from fescuedrum_bench.experiments.zones import ZONE, Traffic
 from fescuedrum_bench.site import Site, SiteShape
 
 SHAPE = SiteShape(zones=3, entries=3, engines=3, services=3, warm_limit=8)
@@ -19,7 +14,7 @@
 
 async def wait_for_work(site, known):
     async with asyncio.timeout(20):
-        while await started_in(site) == known:
+        while await site.count_started(ZONE) == known:
             await asyncio.sleep(0.05)
 
 
@@ -33,19 +28,19 @@
         traffic = Traffic(site, random.Random(7), requests_per_second=25)
         sending = asyncio.create_task(traffic.run())
         await wait_for_work(site, 0)
-        await set_state(site, ZoneState.OUT)
+        await site.set_zone(ZONE, ZoneState.OUT)
         await asyncio.sleep(2)
-        left = await started_in(site)
+        left = await site.count_started(ZONE)
         await asyncio.sleep(1.5)
-        assert await started_in(site) == left
+        assert await site.count_started(ZONE) == left
         out = next(each for each in site.entries if each not in traffic.ready)
         assert out.name == "entry-2"
-        await set_state(site, ZoneState.IN)
+        await site.set_zone(ZONE, ZoneState.IN)
         await wait_for_work(site, left)
         sending.cancel()
         await traffic.finish()
         records = [each.record for each in traffic.sent]
-        verdict = judge(records, await count_executions(site))
+        verdict = judge(records, await site.count_executions())
     assert verdict.kept, verdict
     outcomes = [record.outcome for record in records]
     assert outcomes.count(Outcome.UNKNOWN) == 0
