--- a/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/links.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/links.py
@@ -10,7 +10,8 @@
 from fescuedrum_bench.capacity.measures import cpu_seconds, memory_bytes
 from fescuedrum_bench.capacity.roles import HEARTBEAT_SECONDS
 from fescuedrum_bench.capacity.slopes import fit
-from fescuedrum_bench.site import PORT, Site, SiteShape
+from fescuedrum_bench.member import PORT
+from fescuedrum_bench.site import Site, SiteShape
 
 AGENT_COUNTS = (10, 30, 100, 300)
 # Below the pacing of heartbeats, so that their number follows the links.
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -5,9 +5,7 @@
 import datetime
 import json
 import pathlib
-import random
 import secrets
-import socket
 import sys
 import tempfile
 from collections import Counter
@@ -21,13 +19,11 @@
 from fescuedrum.platform.interfaces import Instance
 from fescuedrum.versions.apply import Applier, Proposal
 from fescuedrum_bench.faultproxy import FaultProxy
+from fescuedrum_bench.member import PORT, Member, listens, reserve_network
 from fescuedrum_entry.operators.accounts import Account, Role
 
-PORT = 7000
 PEER_PORT = 7001
-GUARD_PORT = 6999
 READY_SECONDS = 20.0
-STOP_SECONDS = 70.0
 
 
 @dataclass(slots=True)
@@ -53,61 +49,6 @@
     proxied: bool = False
 
 
-def reserve_network():
-    """Take a /24 of loopback addresses that no other site on this machine uses.
-
-    The socket that is returned holds the reservation until it is closed.
-    """
-    chooser = random.SystemRandom()
-    while True:
-        prefix = f"127.{chooser.randrange(1, 250)}.{chooser.randrange(1, 250)}"
-        guard = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        try:
-            guard.bind((f"{prefix}.1", GUARD_PORT))
-        except OSError:
-            guard.close()
-            continue
-        return prefix, guard
-
-
-class Member:
-    """Own one process of the site."""
-
-    __slots__ = ("command", "host", "log_path", "name", "process")
-
-    def __init__(self, name, host, command, log_path):
-        self.name = name
-        self.host = host
-        self.command = command
-        self.log_path = log_path
-        self.process = None
-
-    async def start(self):
-        with self.log_path.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                *self.command, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log
-            )
-
-    async def stop(self):
-        """Ask the process to stop and wait; kill it when it doesn't."""
-        if self.process is None or self.process.returncode is not None:
-            return
-        self.process.terminate()
-        try:
-            async with asyncio.timeout(STOP_SECONDS):
-                await self.process.wait()
-        except TimeoutError:
-            await self.kill()
-
-    async def kill(self):
-        self.process.kill()
-        await self.process.wait()
-
-    @property
-    def url(self):
-        return f"http://{self.host}:{PORT}"
-
-
 class Site:
     """Own all processes of a small site."""
 
@@ -448,12 +389,3 @@
     async def fetch_json(self, url):
         async with self.session.get(url) as response:
             return await response.json()
-
-
-async def listens(host):
-    try:
-        _, writer = await asyncio.open_connection(host, PORT)
-    except OSError:
-        return False
-    writer.close()
-    return True
--- a/tests/integration/test_peers.py
+++ b/tests/integration/test_peers.py
@@ -14,7 +14,8 @@
 from fescuedrum.wire.gen.frames import ttypes as frames
 from fescuedrum.wire.handshake import Keyring
 from fescuedrum_bench.callers import Caller
-from fescuedrum_bench.site import PORT, Site, SiteShape
+from fescuedrum_bench.member import PORT
+from fescuedrum_bench.site import Site, SiteShape
 
 
 async def test_requests_cross_a_site_whose_processes_speak_tls(tmp_path):
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -4,7 +4,6 @@
 
 from fescuedrum_bench.callers import Caller
 from fescuedrum_bench.checker import judge
-from fescuedrum_bench.commands.demo import count_executions
 from fescuedrum_bench.site import Site, SiteShape
 
 
@@ -23,7 +22,7 @@
             caller.book(f"order-{index}") for index in range(20) for caller in callers
         ]
         records = await asyncio.gather(*waiting)
-        executions = await count_executions(site)
+        executions = await site.count_executions()
     verdict = judge(records, executions)
     assert verdict.answered == 40
     assert verdict.kept
