--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -1,6 +1,7 @@
 """Tie the parts of the entry process together."""
 
 import asyncio
+import collections
 import logging
 import random
 
@@ -8,11 +9,13 @@
 from aiohttp import web
 
 from fescuedrum import __version__
+from fescuedrum.decisions.retries import ServiceRetries
 from fescuedrum.faults import FaultPoint
 from fescuedrum.logs import live_fields
 from fescuedrum.metrics import watch_loop
 from fescuedrum.platform.client import PlatformClient
-from fescuedrum.process import cancel, on_reload, stop_event
+from fescuedrum.platform.leases import Lease
+from fescuedrum.process import cancel, on_reload, stop_event, stop_on_failure
 from fescuedrum.tls import Certificates
 from fescuedrum.versions.configuration import Configuration
 from fescuedrum.wire.gen.frames.ttypes import Hello
@@ -23,6 +26,7 @@
 from fescuedrum_entry.operators import fairness, keys, requests, routes as operators
 from fescuedrum_entry.operators.access import SignInLimit, require_role
 from fescuedrum_entry.operators.accounts import Role
+from fescuedrum_entry.process.ages import LEASE_NAME, ClaimAges
 from fescuedrum_entry.process.claims import ClaimWriter
 from fescuedrum_entry.process.fairness import FairnessKeeper
 from fescuedrum_entry.process.members import Members
@@ -60,6 +64,7 @@
         "platform",
         "quota",
         "random",
+        "retries",
         "router",
         "running",
         "settings",
@@ -90,6 +95,7 @@
         self.claims = None
         self.faults = FaultPoint(settings.fault_step)
         self.background = set()
+        self.retries = collections.defaultdict(ServiceRetries)
         self.fairness = FairnessKeeper(self, settings.fairness_seconds)
         self.configuration.subscribe(self.fairness.configuration_changed)
         self.quota = Quota(self)
@@ -106,9 +112,9 @@
         on_reload(self.callers_tls.reload, self.peers.certificates.reload)
         async with aiohttp.ClientSession() as session:
             self.platform = PlatformClient(self.settings.platform_url, session)
-            self.claims = ClaimWriter(self.platform, self.settings.claim_group_seconds)
+            tasks = self.start_claims()
             self.following = Following(self.configuration, self.platform)
-            tasks = [
+            tasks += [
                 asyncio.create_task(self.following.run(self.members.read_interval)),
                 asyncio.create_task(self.members.run()),
                 asyncio.create_task(self.fairness.run()),
@@ -116,6 +122,7 @@
                 asyncio.create_task(watch_loop(self.metrics.loop_delay)),
                 asyncio.create_task(self.peers.certificates.follow()),
             ]
+            stop_on_failure(tasks, stop)
             runner = CallersRunner(self.build_application(), self.settings)
             await runner.setup()
             await self.listen(runner)
@@ -181,6 +188,24 @@
         while (self.running or self.background) and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    def start_claims(self):
+        """Start what writes claims and what deletes old ones; return the tasks."""
+        settings = self.settings
+        holder = f"{settings.name}-{self.incarnation}"
+        lease = Lease(self.platform, LEASE_NAME, holder, self.random)
+        ages = ClaimAges(self.platform, lease, settings.claim_bucket_seconds)
+        self.claims = ClaimWriter(
+            self.platform, settings.claim_group_seconds, ages, holder
+        )
+        return [
+            asyncio.create_task(lease.run()),
+            asyncio.create_task(ages.run(settings.claim_buckets_kept)),
+        ]
+
+    def retries_of(self, service):
+        """Return the retry and hedge budgets of a service at this entry."""
+        return self.retries[service]
+
     def spawn(self, coroutine):
         """Run work that outlives its request and holds up a stop."""
         task = asyncio.create_task(coroutine)
