Write the capacity page from a whole run; charge for tokens that travel alone

Change: tokens are measured on streams slower than the merging; a plan is charged as measured at 256 ranks; the process at rest has a line; the page says what is not measured.

--- a/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/measures.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/measures.py
@@ -27,6 +27,9 @@
 EXPERTS = 64
 LAYERS = 8
 CONCURRENT_CALLS = 16
+CONCURRENT_STREAMS = 64
+# Above the agent's 5 ms, so that each token travels alone as it would at 34 ms.
+SLOW_STEP_SECONDS = 0.008
 SETTLE_SECONDS = 0.5
 
 
@@ -122,16 +125,28 @@
     async with Site(shape, ["club"]) as site:
         caller = Caller(site.session, site.entries[0].url, "club", site.keys["club"])
         await repeat(caller.complete, 100)
-        return [
-            *await measure_requests(site, caller),
-            *await measure_tokens(site, caller),
-            await measure_idle(site),
-        ]
+        return [*await measure_requests(site, caller), await measure_idle(site)]
+
+
+async def measure_streams():
+    """Measure entry and agent against tokens of streams too slow to be merged."""
+    shape = SiteShape(
+        zones=1,
+        entries=1,
+        engines=1,
+        services=0,
+        step_seconds=SLOW_STEP_SECONDS,
+        warm_limit=CONCURRENT_STREAMS,
+    )
+    async with Site(shape, ["club"]) as site:
+        caller = Caller(site.session, site.entries[0].url, "club", site.keys["club"])
+        await repeat(caller.complete, 100)
+        return await measure_tokens(site, caller)
 
 
-async def repeat(action, count):
+async def repeat(action, count, concurrent=CONCURRENT_CALLS):
     """Make count calls, a bounded number at a time; fail if one is not answered."""
-    gate = asyncio.Semaphore(CONCURRENT_CALLS)
+    gate = asyncio.Semaphore(concurrent)
 
     async def one(index):
         async with gate:
@@ -161,7 +176,7 @@
     points = await sweep(
         members,
         TOKEN_COUNTS,
-        lambda count: repeat(stream, count // TOKENS_PER_STREAM),
+        lambda count: repeat(stream, count // TOKENS_PER_STREAM, CONCURRENT_STREAMS),
     )
     return [
         fit(f"{role}.token", found, per="token", unit="s")
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/page.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/page.py
@@ -32,6 +32,7 @@
         *roles.agent_costs(slopes, size),
         *roles.link_costs(slopes, size, budget, run["heartbeat_bytes"]),
         *roles.document_costs(slopes, size, budget),
+        *roles.process_costs(slopes, budget),
         *roles.planning_costs(slopes, size),
     ]
     environment = jinja2.Environment(
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/roles.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/capacity/roles.py
@@ -120,16 +120,31 @@
 
 def planning_costs(slopes, size):
     """Return what planning one rank group's map costs the entry that has the duty."""
-    seconds = slopes["experts.place"].at(size.ranks_per_group)
+    measured = dict(slopes["experts.place"].points)
     groups = size.accelerators / size.ranks_per_group
     return [
         Cost(
             "holder of a rank group's duty",
-            "one whole plan, processor",
-            seconds,
+            "one plan from nothing, processor",
+            measured[size.ranks_per_group],
             "s",
-            f"line at {size.ranks_per_group} ranks; {groups:.0f} groups share "
-            f"{size.nodes} entries",
+            f"measured at {size.ranks_per_group} ranks, 8 layers; {groups:.0f} groups "
+            f"share {size.nodes} entries",
+        )
+    ]
+
+
+def process_costs(slopes, budget):
+    """Return what an entry takes before it has links or callers."""
+    memory = slopes["link.memory"].intercept
+    return [
+        Cost(
+            "entry",
+            "memory of the process at rest",
+            memory,
+            "B",
+            "measured with no links, from the line of link.memory",
+            memory / budget.memory_bytes,
         )
     ]
 
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/commands/capacity.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/commands/capacity.py
@@ -32,5 +32,6 @@
     slopes = [*measures.measure_codec(), *measures.measure_document()]
     slopes.append(measures.measure_planner())
     slopes += await measures.measure_path()
+    slopes += await measures.measure_streams()
     slopes += await links.measure_links()
     return page.dump(slopes, measures.heartbeat_bytes())
--- a/tests/unit/test_capacity.py
+++ b/tests/unit/test_capacity.py
@@ -23,7 +23,7 @@
 
 
 def build_slopes(value=0.001):
-    points = [(0, 0.0), (1, value), (2, 2 * value)]
+    points = [(0, 0.0), (1, value), (256, 256 * value)]
     return [slopes.fit(name, points, per="step", unit="s") for name in NAMES]
 
 
