Keep the agent's HTTP client from sending a request a second time

Cause: found by trying the client against an endpoint that runs a request and closes the connection without an answer: aiohttp sent PUT, DELETE and GET again by itself on a new connection, so a deposit made by PUT ran twice although every process of ours sent it once. POST and PATCH are not sent again. Ruled out: claims and ledger, which hold one execution; the doubling is inside one execution.

Change: a hook of the client lets each request ask for one connection only; the second asking ends it, and the outcome is unknown. What may not be repeated also gets a connection of its own, as an idle one may close just as it leaves.

Conclusion: a library's own retries must be found by test; the service's count is the judge for every method, not for POST alone.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -5,8 +5,6 @@
 import random
 from functools import partial
 
-import aiohttp
-
 from fescuedrum import __version__
 from fescuedrum.decisions.admission import Admission, RefusalReason, Refused
 from fescuedrum.decisions.limits import EndpointLimit, Pace, Phase
@@ -29,6 +27,7 @@
 from fescuedrum_agent.request.answer import Answer
 from fescuedrum_agent.request.execution import Execution
 from fescuedrum_agent.request.keyed import KeyedRequests
+from fescuedrum_agent.request.once import open_session
 from fescuedrum_agent.request.ticket import Ticket
 
 logger = logging.getLogger(__name__)
@@ -54,6 +53,7 @@
         "session",
         "sessions",
         "settings",
+        "single_session",
         "tickets",
     )
 
@@ -73,6 +73,7 @@
         self.tickets = {}
         self.peers = Peers(settings.peer_keys, settings.peer_tls, self.hello)
         self.session = None
+        self.single_session = None
         self.sequence = 0
         self.metrics = AgentMetrics()
         self.metrics.watch(self)
@@ -82,9 +83,8 @@
         """Serve until a signal, then drain and stop."""
         stop = stop_event()
         on_reload(self.peers.certificates.reload)
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
-        )
+        self.session = open_session(keep_connections=True)
+        self.single_session = open_session(keep_connections=False)
         server = await self.peers.listen(
             self.serve_connection, self.settings.host, self.settings.port
         )
@@ -102,6 +102,7 @@
         for session in list(self.sessions):
             session.connection.close()
         await self.session.close()
+        await self.single_session.close()
         await operations.stop()
         logger.info("agent stopped")
 
@@ -238,7 +239,8 @@
             if found is not None or reason is not None:
                 return found, reason and Refused(reason, 0.0)
         answer = Answer()
-        execution = Execution(self.session, self.settings.endpoint_url, request, answer)
+        client = self.session if request.idempotent else self.single_session
+        execution = Execution(client, self.settings.endpoint_url, request, answer)
         place = (session, request.number)
         ticket = Ticket(request, answer, execution, partial(self.finished, place), now)
         # Noted before the gate: it may start the request, or refuse it, at once.
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
@@ -11,6 +11,7 @@
 from fescuedrum.logs import request_context
 from fescuedrum.outcomes import Outcome
 from fescuedrum.wire.gen.frames.ttypes import Header
+from fescuedrum_agent.request.once import Sending
 
 logger = logging.getLogger(__name__)
 
@@ -68,6 +69,7 @@
             timeout=timeout,
             allow_redirects=False,
             skip_auto_headers=SKIPPED_HEADERS,
+            trace_request_ctx=Sending(),
         )
 
 
