--- a/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
@@ -27,9 +27,9 @@
         10, help="Answers after which a cold endpoint is warm.", minimum=1
     )
     pace_seconds: float = setting(
-        0.0,
-        help="Time in which no more requests start than a cold endpoint carries; "
-        "set it, as to 0.01, for endpoints that turn cold without warning.",
+        0.01,
+        help="Time in which no more requests start at a model engine than it carries "
+        "cold, as it may turn cold without warning; 0 turns this off.",
         minimum=0.0,
         unit="s",
     )
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 from fescuedrum import __version__
+from fescuedrum.conf.document import ServiceKind
 from fescuedrum.decisions.admission import Admission, RefusalReason, Refused
 from fescuedrum.decisions.limits import EndpointLimit, Pace, Phase
 from fescuedrum.decisions.queueing import build_queue
@@ -229,6 +230,18 @@
         cold = endpoint.cold_limit if endpoint else None
         warm = endpoint.warm_limit if endpoint else None
         limit.bound(cold or settings.cold_limit, warm or settings.warm_limit)
+        self.gate.set_pace(self.pace(limit.floor))
+
+    def pace(self, floor):
+        """Return the pace of starts; plain services are given none.
+
+        Their calls are short and many, and a cap on starts would be one on throughput.
+        """
+        service = self.configuration.services.get(self.settings.service)
+        is_engine = service is not None and service.kind is ServiceKind.ENGINE
+        if not is_engine or not self.settings.pace_seconds:
+            return None
+        return Pace(floor, self.settings.pace_seconds)
 
     def submit(self, session, request):
         """Take a request or find its answer: (answer, None) or (None, Refused)."""
@@ -292,6 +305,4 @@
     queue = build_queue(settings.queue_policy)
     gate = Gate(limit, queue, Admission(chooser), settings.queue_limit)
     gate.admit_all = not settings.admission
-    if settings.pace_seconds:
-        gate.pace = Pace(settings.cold_limit, settings.pace_seconds)
     return gate
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/gate.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/gate.py
@@ -111,6 +111,13 @@
         self.admit_waiting(now)
         return refused
 
+    def set_pace(self, pace):
+        """Follow a change of the pace; None turns it off."""
+        same = self.pace and pace and self.pace.count == pace.count
+        # A new one would forget what started a moment ago.
+        if not same:
+            self.pace = pace
+
     def may_start(self, now):
         return self.has_place(now) and not self.pause(now)
 
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/trial.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/trial.py
@@ -10,7 +10,6 @@
 STEP_SECONDS = 0.008
 SEQUENCE_SECONDS = 0.00025
 BATCH = 16
-PACE_SECONDS = 0.01
 WARM_UP_TOKENS = 4
 WARM_UP_SECONDS = 4.0
 WARM_UP_RATE = 14.0
@@ -29,7 +28,7 @@
         "batch": BATCH,
         "warm_limit": BATCH,
         "entry_settings": entry or {},
-        "agent_settings": {"pace_seconds": PACE_SECONDS} | (agent or {}),
+        "agent_settings": agent or {},
     }
     return SiteShape(**values | changes)
 
--- a/packages/fescuedrum/src/fescuedrum/decisions/admission.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/admission.py
@@ -35,8 +35,6 @@
     TOO_LATE = "too-late"
     # The queue is full and others of its organisation or class go first.
     SHED = "shed"
-    # The organisation's own limit is reached.
-    QUOTA = "quota"
     # Its caller left while it waited.
     WITHDRAWN = "withdrawn"
     # The ledger holds nothing under the key that was asked for.
