Let the fault proxy's connections end before its loop does

Cause: an experiment with proxies printed a traceback for each open connection at its end: the loop cancelled their tasks, and the stream's callback reports that.

Change: stopping a proxy cuts its connections and waits for their tasks, 2 s at most.

Conclusion: a bench's output is read by people; noise hides what failed.

--- a/packages/fescuedrum-bench/src/fescuedrum_bench/faultproxy.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/faultproxy.py
@@ -1,8 +1,11 @@
 """Carry TCP connections and spoil them on order."""
 
 import asyncio
+import contextlib
 import enum
 
+STOP_SECONDS = 2.0
+STOP_POLL_SECONDS = 0.01
 READ_BYTES = 64 * 1024
 
 
@@ -74,6 +77,12 @@
     async def stop(self):
         self.server.close()
         self.cut()
+        # A loop that ends before them would cancel the connections' tasks and print a
+        # traceback for each.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STOP_SECONDS):
+                while self.carriers:
+                    await asyncio.sleep(STOP_POLL_SECONDS)
 
     async def accept(self, reader, writer):
         if self.mode is Mode.REFUSE:
