--- a/packages/fescuedrum-bench/src/fescuedrum_bench/experiments/expert_maps.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/experiments/expert_maps.py
@@ -223,4 +223,4 @@
     for ranks in GROUPS:
         for pattern in Pattern:
             figures += figures_of(pattern, ranks, count, seed)
-    return Experiment("expert maps", STORY, figures)
+    return Experiment("expert_maps", STORY, figures)
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/experiments/expert_weights.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/experiments/expert_weights.py
@@ -97,4 +97,4 @@
                 baseline=1.0,
             ),
         ]
-    return Experiment("expert weights", STORY, figures)
+    return Experiment("expert_weights", STORY, figures)
