--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 .PHONY: docs
 .PHONY: thrift clean
 
-$(STAMP): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 	python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check --requirement requirements.txt
 	touch $(STAMP)
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -15,6 +15,7 @@
 from fescuedrum.faults import FaultPoint, ProtocolStep
 from fescuedrum.logs import live_fields
 from fescuedrum.metrics import watch_loop
+from fescuedrum.once import open_session
 from fescuedrum.process import cancel, on_reload, stop_event, stop_on_failure
 from fescuedrum.versions.configuration import Configuration
 from fescuedrum.versions.pulling import Pulls
@@ -28,7 +29,6 @@
 from fescuedrum_agent.request.answer import Answer
 from fescuedrum_agent.request.execution import Execution
 from fescuedrum_agent.request.keyed import KeyedRequests
-from fescuedrum_agent.request.once import open_session
 from fescuedrum_agent.request.ticket import Ticket
 
 logger = logging.getLogger(__name__)
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
@@ -9,9 +9,9 @@
 
 from fescuedrum.headers import as_text, end_to_end
 from fescuedrum.logs import request_context
+from fescuedrum.once import Sending
 from fescuedrum.outcomes import Outcome
 from fescuedrum.wire.gen.frames.ttypes import Header
-from fescuedrum_agent.request.once import Sending
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Route callers to endpoints directly, configured by rows of the platform."""
--- /dev/null
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/conf.py
@@ -0,0 +1,71 @@
+"""Declare the gateway's settings."""
+
+from dataclasses import dataclass
+
+from fescuedrum.conf import rules
+from fescuedrum.conf.schema import setting
+
+
+@dataclass(slots=True)
+class GatewaySettings:
+    """Hold the settings of one gateway process."""
+
+    name: str = setting(help="Name of this instance, unique in the fleet.")
+    zone: str = setting(help="Availability zone of this instance.")
+    host: str = setting(help="IP address of this instance.")
+    callers_address: str = setting(help="HOST:PORT for callers.")
+    ready_address: str = setting(help="HOST:PORT where the balancer asks /readyz.")
+    peer_port: int = setting(
+        help="Port for other gateways, TCP and UDP; the same at all of them.",
+        minimum=1,
+        maximum=65535,
+    )
+    platform_url: str = setting(help="Base URL of the platform's store.")
+    seeds: list[str] = setting(
+        list, help="HOST:PORT of gateways whose hosts are asked when the store is out."
+    )
+    stop_seconds: float = setting(
+        8.0, help="Time from SIGTERM to the end.", minimum=0.5, unit="s"
+    )
+    retry_share: float = setting(
+        0.2, help="Repeats of a service allowed, as a share of its requests.", minimum=0
+    )
+    retry_slack: float = setting(
+        10.0, help="Repeats of a service allowed beyond that share.", minimum=0.0
+    )
+    retry_window_seconds: float = setting(
+        10.0, help="Window in which repeats are counted.", minimum=0.1, unit="s"
+    )
+    cold_factor: float = setting(
+        1.0, help="Multiple of its bound that a cold endpoint bears.", minimum=0.1
+    )
+    cold_slack: float = setting(
+        0.0, help="Requests a second that it bears beyond that.", minimum=0.0
+    )
+    idle_seconds: float = setting(
+        75.0, help="Longest time a caller may send no request.", minimum=0.1, unit="s"
+    )
+    maximum_header_bytes: int = setting(
+        16384, help="Longest line of a caller's head.", minimum=256, unit="B"
+    )
+    maximum_header_count: int = setting(
+        100, help="Most headers taken from a caller.", minimum=8
+    )
+    log_lines_per_second: float = setting(
+        200.0, help="Most lines logged, on average.", minimum=1.0
+    )
+    log_level: str = setting("INFO", help="Lowest level that is logged.")
+
+    @property
+    def seed_hosts(self):
+        return [seed.rpartition(":")[0] for seed in self.seeds]
+
+    def check(self):
+        """Return the findings across fields."""
+        return [
+            *rules.check_address("$.host", self.host),
+            *rules.check_listener("$.callers_address", self.callers_address),
+            *rules.check_listener("$.ready_address", self.ready_address),
+            *rules.check_url("$.platform_url", self.platform_url),
+            *rules.check_log_level("$.log_level", self.log_level),
+        ]
--- /dev/null
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
@@ -0,0 +1,184 @@
+"""Know the endpoints, what is at each of them, and which may get work."""
+
+import asyncio
+import collections
+import logging
+
+from fescuedrum.decisions.placement import (
+    Load,
+    Option,
+    PlacementLimits,
+    RefusalCause,
+    Refused,
+    Standing,
+    cold_part,
+    place,
+)
+from fescuedrum.decisions.presence import Presences
+from fescuedrum.exceptions import RowNotUnderstood
+from fescuedrum_gateway.adapter import ZoneOut
+
+logger = logging.getLogger(__name__)
+
+
+class Occupation:
+    """Charge an endpoint with one request until it is released."""
+
+    __slots__ = ("directory", "load", "tokens")
+
+    def __init__(self, directory, load, tokens):
+        self.directory = directory
+        self.load = load
+        self.tokens = tokens
+        load.requests += 1
+        load.unread_tokens += tokens
+        directory.changed()
+
+    def prompt_read(self):
+        """Take the prompt's tokens off: the endpoint writes now."""
+        self.load.unread_tokens -= self.tokens
+        self.tokens = 0
+
+    def release(self):
+        self.prompt_read()
+        self.load.requests -= 1
+        self.directory.changed()
+
+
+class Directory:
+    """Hold the endpoints of all services and choose among them."""
+
+    __slots__ = (
+        "adapter",
+        "changed",
+        "configuration",
+        "loop",
+        "peers",
+        "presences",
+        "random",
+        "settings",
+        "standings",
+        "zones_out",
+    )
+
+    def __init__(self, settings, adapter, configuration, peers, random):
+        self.settings = settings
+        self.adapter = adapter
+        self.configuration = configuration
+        self.peers = peers
+        self.random = random
+        self.loop = asyncio.get_running_loop()
+        self.presences = Presences()
+        self.standings = collections.defaultdict(Standing)
+        self.zones_out = {}
+        # Called when the own load at an endpoint changes.
+        self.changed = lambda: None
+
+    # What the platform tells
+
+    def take_endpoint_rows(self, rows):
+        """Take changed lines of the list of endpoints."""
+        now = self.loop.time()
+        for row in rows:
+            if row.value is None:
+                self.presences.unlisted(row.key, now)
+                logger.info("endpoint unlisted", extra=describe_row(row))
+            else:
+                self.take_endpoint(row, now)
+        self.expire()
+
+    def take_endpoint(self, row, now):
+        try:
+            endpoint = self.adapter.read_endpoint(row)
+        except RowNotUnderstood as error:
+            # It names no endpoint; the others of the list hold.
+            self.presences.unlisted(row.key, now)
+            extra = {**describe_row(row), "error": error.detail}
+            logger.warning("endpoint row not understood", extra=extra)
+            return
+        known = self.presences.by_name.get(endpoint.name)
+        if known is not None and known.endpoint.started_at != endpoint.started_at:
+            # The same name, but nothing of its former life holds.
+            self.standings.pop(endpoint.name, None)
+        self.presences.listed(endpoint)
+        if known is None or known.endpoint != endpoint:
+            extra = {
+                **describe_row(row),
+                "service": endpoint.service,
+                "zone": endpoint.zone,
+                "state": endpoint.state.value,
+                "cold_seconds": endpoint.cold_seconds,
+            }
+            logger.info("endpoint listed", extra=extra)
+
+    def take_zone(self, row):
+        """Take a row that says whether a zone is out of service."""
+        said = self.adapter.read_operators_row(row) if row.value is not None else None
+        if isinstance(said, ZoneOut):
+            self.zones_out[row.key] = said.zone
+            logger.info("zone out", extra={"zone_out": said.zone, **describe_row(row)})
+        elif self.zones_out.pop(row.key, None) is not None:
+            logger.info("zone back", extra=describe_row(row))
+
+    def expire(self):
+        """Drop endpoints whose entries lapsed and did not come back."""
+        for name in self.presences.expire(self.loop.time()):
+            logger.info("endpoint gone", extra={"endpoint": name})
+
+    # Choosing
+
+    def place(self, service, tried):
+        """Return Chosen or Refused for a request; endpoints tried before go last."""
+        self.expire()
+        zones_out = set(self.zones_out.values())
+        usable = [
+            each for each in self.presences.ready(service) if each.zone not in zones_out
+        ]
+        fresh = [each for each in usable if each.name not in tried]
+        if not fresh and tried:
+            return Refused(RefusalCause.NONE_LISTED)
+        options = [self.option(each) for each in fresh]
+        return place(options, self.limits(service), self.loop.time(), self.random)
+
+    def option(self, endpoint):
+        standing = self.standings[endpoint.name]
+        elsewhere = self.peers.load_at(endpoint.name)
+        load = Load(
+            standing.own.requests + elsewhere.requests,
+            standing.own.unread_tokens + elsewhere.unread_tokens,
+        )
+        same_zone = endpoint.zone == self.settings.zone
+        return Option(endpoint, load, standing, same_zone)
+
+    def limits(self, service):
+        described = self.configuration.table.services.get(service)
+        if described is None:
+            return PlacementLimits()
+        arrivals = cold_part(
+            described.cold_per_second,
+            self.settings.cold_factor,
+            self.settings.cold_slack,
+            self.peers.count_entries(),
+        )
+        return PlacementLimits(cold_arrivals=arrivals)
+
+    def standing(self, endpoint):
+        return self.standings[endpoint.name]
+
+    def occupy(self, endpoint, tokens):
+        """Charge an endpoint with a request that is about to be sent."""
+        standing = self.standings[endpoint.name]
+        standing.arrivals.add(self.loop.time())
+        return Occupation(self, standing.own, tokens)
+
+    def own_loads(self):
+        """Return (name, load) of each endpoint at which this process has requests."""
+        return [
+            (name, standing.own)
+            for name, standing in self.standings.items()
+            if standing.own.requests
+        ]
+
+
+def describe_row(row):
+    return {"row": row.key, "row_version": row.version}
--- /dev/null
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
@@ -0,0 +1,203 @@
+"""Keep copies of the platform's tables up to date, from the store and from peers."""
+
+import asyncio
+import base64
+import binascii
+import logging
+
+import aiohttp
+from aiohttp import web
+
+from fescuedrum.exceptions import HistoryLost, StoreUnavailable
+from fescuedrum.platform.interfaces import Changes, VersionedRow
+
+logger = logging.getLogger(__name__)
+
+# Longest wait of one call for changes; a call costs, and a silent one is noticed by
+# the connection's probes.
+WAIT_SECONDS = 20.0
+# Pauses between calls to a store that does not answer: within the two seconds in which
+# a configuration must be in force there is room for several.
+FIRST_RETRY_SECONDS = 0.1
+LONGEST_RETRY_SECONDS = 0.8
+# A read that is older than what is known is tried again after this.
+STALE_RETRY_SECONDS = 0.25
+# How long the store has to bring what a peer already has.
+PEER_GRACE_SECONDS = 0.15
+PEER_TIMEOUT_SECONDS = 1.0
+CHANGES_PATH = "/changes"
+
+
+class Follower:
+    """Own the copy of one table; take(rows) is called with rows that are new."""
+
+    __slots__ = (
+        "answers",
+        "loop",
+        "name",
+        "peers",
+        "pulling",
+        "replica",
+        "session",
+        "settings",
+        "store",
+        "store_changed",
+        "take",
+    )
+
+    def __init__(self, name, replica, store, peers, session, settings):
+        self.name = name
+        self.replica = replica
+        self.store = store
+        self.peers = peers
+        self.session = session
+        self.settings = settings
+        self.loop = asyncio.get_running_loop()
+        # Whether the store's last call was answered.
+        self.answers = False
+        self.pulling = None
+        self.take = lambda rows: None
+        # Called before rows are taken when the store falls silent or answers again.
+        self.store_changed = lambda: None
+
+    async def run(self):
+        """Follow the store for ever."""
+        pause = FIRST_RETRY_SECONDS
+        whole = True
+        while True:
+            try:
+                whole = await self.step(whole)
+                pause = FIRST_RETRY_SECONDS
+            except HistoryLost:
+                logger.info("history lost", extra={"table": self.name})
+                whole = True
+            except StoreUnavailable as error:
+                self.note_answers(False, error.detail)
+                await asyncio.sleep(pause)
+                pause = min(pause * 2, LONGEST_RETRY_SECONDS)
+
+    async def step(self, whole):
+        """Make one call to the store; return whether the next must read all."""
+        if not whole:
+            changes = await self.store.wait_for_changes(
+                self.replica.table, self.replica.version, WAIT_SECONDS
+            )
+            self.note_answers(True)
+            self.apply(changes, "store")
+            return False
+        changes = await self.store.read_table(self.replica.table)
+        self.note_answers(True)
+        if changes.version < self.replica.version:
+            # The store answers from behind: what is in force here is newer.
+            extra = {"table": self.name, "read": changes.version}
+            logger.info("stale read", extra={**extra, "known": self.replica.version})
+            await asyncio.sleep(STALE_RETRY_SECONDS)
+            return True
+        self.apply(changes, "store")
+        return False
+
+    def note_answers(self, answers, detail=""):
+        if answers == self.answers:
+            return
+        self.answers = answers
+        message = "store answers" if answers else "store lost"
+        logger.info(message, extra={"table": self.name, "detail": detail})
+        self.store_changed()
+
+    def apply(self, changes, source):
+        before = self.replica.version
+        rows = self.replica.apply(changes)
+        if not rows:
+            return
+        extra = {
+            "table": self.name,
+            "rows": len(rows),
+            "from_version": before,
+            "to_version": self.replica.version,
+            "source": source,
+        }
+        logger.debug("rows taken", extra=extra)
+        self.take(rows)
+
+    # From peers
+
+    def peer_heard(self, peer):
+        """Learn from a peer that is ahead, unless the store brings it at once."""
+        ahead = peer.versions.get(self.name, -1) > self.replica.version
+        if ahead and self.pulling is None:
+            self.pulling = asyncio.create_task(self.pull())
+
+    async def pull(self):
+        try:
+            if self.replica.loaded:
+                await asyncio.sleep(PEER_GRACE_SECONDS)
+            for peer in self.peers.ahead_of(self.name, self.replica.version):
+                if await self.pull_from(peer):
+                    return
+        finally:
+            self.pulling = None
+
+    async def pull_from(self, peer):
+        """Take what a peer has; tell whether it answered."""
+        url = f"http://{peer.host}:{self.settings.peer_port}{CHANGES_PATH}"
+        params = {"table": self.name, "after": str(self.replica.version)}
+        timeout = aiohttp.ClientTimeout(total=PEER_TIMEOUT_SECONDS)
+        try:
+            async with self.session.get(url, params=params, timeout=timeout) as answer:
+                changes = load_changes(await answer.json())
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            extra = {"table": self.name, "peer": peer.host, "error": repr(error)}
+            logger.info("peer gave no changes", extra=extra)
+            return False
+        self.apply(changes, peer.host)
+        return True
+
+    def tell(self, after):
+        """Return what a peer at a version lacks, as JSON."""
+        return dump_changes(self.replica.changes_after(after))
+
+
+def add_routes(application, followers):
+    """Let peers ask for changes."""
+    by_name = {each.name: each for each in followers}
+
+    async def get_changes(request):
+        follower = by_name.get(request.query.get("table", ""))
+        after = request.query.get("after", "")
+        if follower is None or not after.lstrip("-").isdigit():
+            return web.Response(status=400, text="Name a table and a version.")
+        return web.json_response(follower.tell(int(after)))
+
+    application.router.add_get(CHANGES_PATH, get_changes)
+
+
+def dump_changes(changes):
+    return {
+        "version": changes.version,
+        "whole": changes.whole,
+        "rows": [
+            {
+                "key": row.key,
+                "version": row.version,
+                "value": None
+                if row.value is None
+                else base64.b64encode(row.value).decode(),
+            }
+            for row in changes.rows
+        ],
+    }
+
+
+def load_changes(data):
+    """Build changes from a peer's JSON; raise ValueError when it is malformed."""
+    try:
+        rows = [load_row(row) for row in data["rows"]]
+        return Changes(rows, int(data["version"]), bool(data["whole"]))
+    except (KeyError, TypeError, binascii.Error) as error:
+        raise ValueError(f"The peer's changes are malformed: {error!r}.") from error
+
+
+def load_row(data):
+    value = data["value"]
+    decoded = None if value is None else base64.b64decode(value)
+    return VersionedRow(data["key"], decoded, int(data["version"]))
--- /dev/null
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -0,0 +1,271 @@
+"""Tie the parts of the gateway process together."""
+
+import asyncio
+import collections
+import logging
+import random
+
+import aiohttp
+from aiohttp import web
+
+from fescuedrum import __version__
+from fescuedrum.conf.routing import RoutingDocument, RoutingTable
+from fescuedrum.decisions.retries import SharedRetryBudget
+from fescuedrum.exceptions import RowNotUnderstood, StoreUnavailable
+from fescuedrum.process import cancel, stop_event
+from fescuedrum.wire.gen.gateways.ttypes import Beacon
+from fescuedrum_gateway.connection.callers import build_server
+from fescuedrum_gateway.connection.endpoints import open_endpoint_session, open_socket
+from fescuedrum_gateway.process import followers
+from fescuedrum_gateway.process.directory import Directory
+from fescuedrum_gateway.process.followers import Follower
+from fescuedrum_gateway.process.peers import ENDPOINTS, OPERATORS, Peers, loads_of
+from fescuedrum_gateway.request.handler import RequestHandler
+from fescuedrum_gateway.version.configuration import RoutingConfiguration
+from fescuedrum_gateway.version.replica import Replica
+
+logger = logging.getLogger(__name__)
+
+# The balancer asks once a second and needs two misses; then new connections stop.
+UNREADY_SECONDS = 2.6
+# What is left of the stop's time for the last answers to leave.
+STOP_MARGIN_SECONDS = 0.6
+# Silence of callers after which no kept connection is likely to bring a request.
+QUIET_SECONDS = 0.5
+STOP_POLL_SECONDS = 0.05
+ANNOUNCE_RETRY_SECONDS = 1.0
+# Pause before a failed task runs again, so that a lasting fault does not fill the log.
+FAILED_TASK_SECONDS = 0.5
+# New connections that may wait to be accepted: a burst must not have to dial again.
+ACCEPT_BACKLOG = 1024
+
+
+class Gateway:
+    """Own the configuration, the directory and the servers of one gateway process."""
+
+    __slots__ = (
+        "adapter",
+        "configuration",
+        "directory",
+        "followers",
+        "incarnation",
+        "last_arrival",
+        "leaving",
+        "peers",
+        "random",
+        "retries",
+        "running",
+        "session",
+        "settings",
+        "store",
+        "store_session",
+    )
+
+    def __init__(self, settings, adapter, incarnation):
+        self.settings = settings
+        self.adapter = adapter
+        self.incarnation = incarnation
+        self.random = random.Random(incarnation)
+        self.configuration = RoutingConfiguration()
+        self.peers = Peers(settings, incarnation)
+        self.peers.describe = self.describe
+        self.directory = Directory(
+            settings, adapter, self.configuration, self.peers, self.random
+        )
+        self.directory.changed = self.peers.changed
+        self.retries = collections.defaultdict(self.build_retries)
+        self.followers = []
+        self.leaving = False
+        self.running = 0
+        self.last_arrival = 0.0
+        self.session = None
+        self.store = None
+        self.store_session = None
+
+    def build_retries(self):
+        settings = self.settings
+        return SharedRetryBudget(
+            settings.retry_share, settings.retry_slack, settings.retry_window_seconds
+        )
+
+    async def run(self):
+        """Serve until a signal, then drain and stop."""
+        stop = stop_event()
+        connector = aiohttp.TCPConnector(limit=0, socket_factory=open_socket)
+        async with (
+            aiohttp.ClientSession(connector=connector) as self.store_session,
+            open_endpoint_session() as self.session,
+        ):
+            self.store = self.adapter.open_store(
+                self.settings.platform_url, self.store_session
+            )
+            self.build_followers()
+            await self.peers.open()
+            runners = await self.listen()
+            lasting = [each.run for each in self.followers]
+            lasting += [self.peers.run, self.announce]
+            tasks = [asyncio.create_task(keep_running(work)) for work in lasting]
+            logger.info("gateway started", extra={"release": __version__})
+            await stop.wait()
+            await self.drain()
+            for runner in runners:
+                await runner.cleanup()
+            await cancel(tasks)
+            self.peers.close()
+        logger.info("gateway stopped")
+
+    def build_followers(self):
+        tables = (
+            (OPERATORS, self.adapter.operators_table, self.take_operators_rows),
+            (ENDPOINTS, self.adapter.endpoints_table, self.take_endpoint_rows),
+        )
+        for name, table, take in tables:
+            follower = Follower(
+                name,
+                Replica(table),
+                self.store,
+                self.peers,
+                self.store_session,
+                self.settings,
+            )
+            follower.take = take
+            follower.store_changed = self.judge_store
+            self.followers.append(follower)
+        self.peers.heard = self.peer_heard
+
+    async def listen(self):
+        """Open the ports for callers, the balancer and peers."""
+        settings = self.settings
+        control = web.Application()
+        control.router.add_get("/readyz", self.readyz)
+        followers.add_routes(control, self.followers)
+        callers = web.ServerRunner(
+            build_server(RequestHandler(self).handle, settings), shutdown_timeout=0.1
+        )
+        own = web.AppRunner(control, access_log=None, shutdown_timeout=0.1)
+        peer_address = f"{settings.host}:{settings.peer_port}"
+        await start(own, settings.ready_address, peer_address)
+        await start(callers, settings.callers_address)
+        return callers, own
+
+    @property
+    def ready(self):
+        listed = self.followers and self.followers[1].replica.loaded
+        return not self.leaving and self.configuration.table is not None and listed
+
+    async def readyz(self, _):
+        body = {"ready": bool(self.ready), "version": self.configuration.version}
+        return web.json_response(body, status=200 if self.ready else 503)
+
+    # What the platform and peers tell
+
+    def take_operators_rows(self, rows):
+        for row in rows:
+            self.take_operators_row(row)
+        self.peers.changed()
+
+    def take_operators_row(self, row):
+        try:
+            if row.value is not None:
+                said = self.adapter.read_operators_row(row)
+                if isinstance(said, RoutingDocument):
+                    now = asyncio.get_running_loop().time()
+                    self.configuration.offer(RoutingTable(said), now)
+                    return
+            self.directory.take_zone(row)
+        except RowNotUnderstood as error:
+            extra = {"row": row.key, "row_version": row.version, "error": error.detail}
+            logger.warning("operators' row not understood", extra=extra)
+
+    def take_endpoint_rows(self, rows):
+        self.directory.take_endpoint_rows(rows)
+        self.peers.changed()
+
+    def judge_store(self):
+        """Tell the directory whether the store is away for all gateways heard."""
+        presences = self.directory.presences
+        answers = any(each.answers for each in self.followers)
+        if answers or self.peers.store_answers_elsewhere():
+            presences.store_returned(asyncio.get_running_loop().time())
+        else:
+            presences.store_lost()
+
+    def peer_heard(self, peer):
+        if self.directory.presences.store_away and peer.store_answers:
+            self.judge_store()
+        for follower in self.followers:
+            follower.peer_heard(peer)
+
+    def describe(self):
+        """Return a beacon of what this process knows and has at the endpoints."""
+        operators, endpoints = (each.replica.version for each in self.followers)
+        return Beacon(
+            leaving=self.leaving or None,
+            store_answers=any(each.answers for each in self.followers),
+            operators_version=operators,
+            endpoints_version=endpoints,
+            loads=loads_of(self.directory.own_loads()),
+        )
+
+    async def announce(self):
+        """Write this gateway's address where others find it, and learn theirs."""
+        for host in self.settings.seed_hosts:
+            self.peers.add_host(host)
+        table, settings = self.adapter.gateways_table, self.settings
+        while True:
+            try:
+                await self.store.put_row(table, settings.name, settings.host.encode())
+                for row in (await self.store.read_table(table)).rows:
+                    self.peers.add_host(row.value.decode(errors="replace"))
+                return
+            except StoreUnavailable as error:
+                logger.info("address not written", extra={"error": error.detail})
+                await asyncio.sleep(ANNOUNCE_RETRY_SECONDS)
+
+    # The end
+
+    async def drain(self):
+        """Turn readiness down and let running requests end.
+
+        The balancer goes on sending until it has asked /readyz twice, and callers keep
+        their connections. A process that closed at once would cut them off, so answers
+        say that the connection ends, and the process waits until callers are quiet.
+        """
+        loop = asyncio.get_running_loop()
+        self.leaving = True
+        self.peers.changed()
+        begin = loop.time()
+        logger.info("gateway draining", extra={"running": self.running})
+        latest = begin + self.settings.stop_seconds - STOP_MARGIN_SECONDS
+        earliest = min(begin + UNREADY_SECONDS, latest)
+        while loop.time() < latest:
+            quiet = loop.time() - self.last_arrival >= QUIET_SECONDS
+            if loop.time() >= earliest and quiet and not self.running:
+                break
+            await asyncio.sleep(STOP_POLL_SECONDS)
+        extra = {"running": self.running, "seconds": loop.time() - begin}
+        logger.info("gateway drained", extra=extra)
+
+
+async def start(runner, *addresses):
+    """Set a server up and listen on addresses."""
+    await runner.setup()
+    for address in addresses:
+        host, _, port = address.rpartition(":")
+        site = web.TCPSite(runner, host, int(port), backlog=ACCEPT_BACKLOG)
+        await site.start()
+
+
+async def keep_running(work):
+    """Run a lasting task again when it ends on an error that nobody foresaw.
+
+    The process would go on without it on yesterday's configuration, and look healthy;
+    ending the process instead would cut its callers off for the same error again.
+    """
+    while True:
+        try:
+            await work()
+            return
+        except Exception:
+            logger.critical("task failed", exc_info=True)
+            await asyncio.sleep(FAILED_TASK_SECONDS)
--- /dev/null
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
@@ -0,0 +1,231 @@
+"""Tell other gateways what is at the endpoints, and learn from them."""
+
+import asyncio
+import logging
+from dataclasses import dataclass, field
+
+from fescuedrum.decisions.placement import Load
+from fescuedrum.exceptions import ProtocolError
+from fescuedrum.wire.datagrams import decode, encode
+from fescuedrum.wire.gen.gateways.ttypes import Beacon, EndpointLoad
+
+logger = logging.getLogger(__name__)
+
+# The two tables that gateways copy, by the names that they use among themselves.
+OPERATORS = "operators"
+ENDPOINTS = "endpoints"
+# Longest time between beacons; what they tell is also sent when it changes.
+BEACON_SECONDS = 0.4
+# Changes within this time go out together: a request is chosen for some five times a
+# second at a gateway, and a choice elsewhere that is later than this has seen it.
+CHANGE_SECONDS = 0.01
+# Loads of a gateway that was silent for so long no longer hold.
+LOAD_SECONDS = 1.5
+# A gateway silent for so long is asked less often, and no longer shares the budgets.
+FORGOTTEN_SECONDS = 60.0
+# How often hosts that never answered are asked.
+PROBE_SECONDS = 2.0
+# A datagram with so many addresses still fits one packet.
+MAXIMUM_KNOWN_HOSTS = 40
+
+
+@dataclass(slots=True)
+class PeerGateway:
+    """Hold what another gateway told last; times are loop time in seconds."""
+
+    host: str
+    heard_at: float = float("-inf")
+    probed_at: float = float("-inf")
+    incarnation: int = 0
+    sequence: int = -1
+    leaving: bool = False
+    store_answers: bool = False
+    versions: dict[str, int] = field(default_factory=dict)
+    loads: dict[str, Load] = field(default_factory=dict)
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Own the socket for datagrams and what other gateways said."""
+
+    __slots__ = (
+        "describe",
+        "heard",
+        "hosts",
+        "incarnation",
+        "loop",
+        "pending",
+        "sequence",
+        "settings",
+        "transport",
+    )
+
+    def __init__(self, settings, incarnation):
+        self.settings = settings
+        self.incarnation = incarnation
+        self.loop = asyncio.get_running_loop()
+        self.hosts = {}
+        self.sequence = 0
+        self.transport = None
+        self.pending = None
+        # describe() fills a beacon; heard(peer) is told of each one that came.
+        self.describe = lambda: Beacon()
+        self.heard = lambda peer: None
+
+    async def open(self):
+        """Bind the socket for datagrams."""
+        address = (self.settings.host, self.settings.peer_port)
+        await self.loop.create_datagram_endpoint(lambda: self, local_addr=address)
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def error_received(self, exc):
+        # A host without a listener says so; it is asked again later.
+        logger.debug("datagram refused", extra={"error": repr(exc)})
+
+    def close(self):
+        if self.transport is not None:
+            self.transport.close()
+
+    # What is known
+
+    def add_host(self, host):
+        """Take note of an address at which a gateway may be."""
+        if host != self.settings.host and host not in self.hosts:
+            self.hosts[host] = PeerGateway(host)
+            self.send_to(self.hosts[host], wants_answer=True)
+
+    def heard_within(self, seconds):
+        since = self.loop.time() - seconds
+        return [each for each in self.hosts.values() if each.heard_at >= since]
+
+    def count_entries(self):
+        """Return how many gateways may share a bound, this one included.
+
+        Gateways that were cut off still send: they count until they are forgotten.
+        """
+        sharing = self.heard_within(FORGOTTEN_SECONDS)
+        return 1 + sum(not each.leaving for each in sharing)
+
+    def load_at(self, endpoint):
+        """Sum up what the other gateways have at an endpoint."""
+        total = Load()
+        for peer in self.heard_within(LOAD_SECONDS):
+            load = peer.loads.get(endpoint)
+            if load is not None:
+                total.requests += load.requests
+                total.unread_tokens += load.unread_tokens
+        return total
+
+    def store_answers_elsewhere(self):
+        return any(each.store_answers for each in self.heard_within(LOAD_SECONDS))
+
+    def ahead_of(self, table, version):
+        """Return the gateways whose copy of a table is newer than version."""
+        return [
+            each
+            for each in self.heard_within(LOAD_SECONDS)
+            if each.versions.get(table, -1) > version
+        ]
+
+    # Sending
+
+    async def run(self):
+        """Send a beacon at least every BEACON_SECONDS."""
+        while True:
+            self.send_all()
+            await asyncio.sleep(BEACON_SECONDS)
+
+    def changed(self):
+        """Send soon what has changed, together with what else changes till then."""
+        if self.pending is None and self.transport is not None:
+            self.pending = self.loop.call_later(CHANGE_SECONDS, self.send_all)
+
+    def send_all(self):
+        if self.pending is not None:
+            self.pending.cancel()
+            self.pending = None
+        now = self.loop.time()
+        payload = self.build(wants_answer=False)
+        for peer in self.hosts.values():
+            if now - peer.heard_at < LOAD_SECONDS:
+                self.transport.sendto(payload, (peer.host, self.settings.peer_port))
+            elif now - peer.probed_at >= PROBE_SECONDS:
+                self.send_to(peer, wants_answer=True)
+
+    def send_to(self, peer, *, wants_answer):
+        if self.transport is None:
+            return
+        peer.probed_at = self.loop.time()
+        payload = self.build(wants_answer=wants_answer)
+        self.transport.sendto(payload, (peer.host, self.settings.peer_port))
+
+    def build(self, *, wants_answer):
+        beacon = self.describe()
+        self.sequence += 1
+        beacon.instance = self.settings.name
+        beacon.incarnation = self.incarnation
+        beacon.host = self.settings.host
+        beacon.sequence = self.sequence
+        beacon.wants_answer = wants_answer or None
+        known = self.heard_within(FORGOTTEN_SECONDS) if wants_answer else ()
+        beacon.known_hosts = [each.host for each in known][:MAXIMUM_KNOWN_HOSTS]
+        return encode(beacon)
+
+    # Hearing
+
+    def datagram_received(self, data, addr):
+        try:
+            beacon = decode(Beacon, data)
+        except ProtocolError as error:
+            extra = {"sender": addr[0], "error": str(error)}
+            logger.warning("datagram not understood", extra=extra)
+            return
+        host = beacon.host or addr[0]
+        if host == self.settings.host:
+            return
+        for other in beacon.known_hosts or ():
+            self.add_host(other)
+        self.add_host(host)
+        self.take(self.hosts[host], beacon)
+        if beacon.wants_answer:
+            self.send_to(self.hosts[host], wants_answer=False)
+
+    def take(self, peer, beacon):
+        same_life = beacon.incarnation == peer.incarnation
+        if same_life and (beacon.sequence or 0) <= peer.sequence:
+            # Datagrams overtake each other; an older one would bring old loads back.
+            return
+        if self.loop.time() - peer.heard_at > LOAD_SECONDS:
+            extra = {"peer": beacon.instance, "host": peer.host}
+            logger.info("gateway heard", extra=extra)
+        peer.heard_at = self.loop.time()
+        peer.incarnation = beacon.incarnation
+        peer.sequence = beacon.sequence or 0
+        peer.leaving = bool(beacon.leaving)
+        peer.store_answers = bool(beacon.store_answers)
+        peer.loads = {
+            each.endpoint: Load(each.requests or 0, each.unread_tokens or 0)
+            for each in beacon.loads or ()
+        }
+        self.take_versions(peer, beacon)
+        self.heard(peer)
+
+    def take_versions(self, peer, beacon):
+        told = {
+            OPERATORS: beacon.operators_version,
+            ENDPOINTS: beacon.endpoints_version,
+        }
+        peer.versions = {
+            table: version for table, version in told.items() if version is not None
+        }
+
+
+def loads_of(pairs):
+    """Return own loads as they go into a beacon."""
+    return [
+        EndpointLoad(
+            endpoint=name, requests=load.requests, unread_tokens=load.unread_tokens
+        )
+        for name, load in pairs
+    ]
--- /dev/null
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
@@ -0,0 +1,82 @@
+"""Turn an HTTP request into a call, or refuse it."""
+
+import asyncio
+
+from fescuedrum.conf.routing import choose_service
+from fescuedrum.exceptions import (
+    BodyTooLarge,
+    DeadlinePassed,
+    Unavailable,
+    UnknownKey,
+    UnknownRoute,
+)
+from fescuedrum_gateway.request.call import Call
+
+# A process that starts gets its first configuration within about this time.
+UNCONFIGURED_RETRY_SECONDS = 0.5
+
+
+def find_route(http_request, table):
+    """Return the route of a request; raise UnknownRoute."""
+    path = http_request.raw_path.partition("?")[0]
+    host = (http_request.headers.get("Host") or "").partition(":")[0].lower()
+    route = table.find_route(host, path)
+    if route is None:
+        raise UnknownRoute(f"No route leads from {host}{path}.")
+    return route
+
+
+def authenticate(head, route, table):
+    """Return the organisation of a request's key, or None; raise UnknownKey."""
+    organisation = table.organisations_by_key.get(head.key) if head.key else None
+    if organisation is None and table.needs_keys and not route.public:
+        raise UnknownKey("The request's key belongs to no organisation.")
+    return organisation
+
+
+async def read_body(http_request, limit):
+    """Return the whole body; raise BodyTooLarge."""
+    if (http_request.content_length or 0) > limit:
+        raise BodyTooLarge(f"At most {limit} bytes are taken.")
+    if not http_request.can_read_body:
+        return b""
+    body = bytearray()
+    while chunk := await http_request.content.readany():
+        body.extend(chunk)
+        if len(body) > limit:
+            raise BodyTooLarge(f"At most {limit} bytes are taken.")
+    return bytes(body)
+
+
+def ends_at(arrived, head, route):
+    """Return when a caller, or the operators' timeout, gives the request up."""
+    patience = route.timeout if head.patience is None else head.patience
+    return arrived + min(patience, route.timeout)
+
+
+async def admit(http_request, head, gateway, arrived):
+    """Return the call of a request; raise a FescuedrumError that refuses it."""
+    table = gateway.configuration.table
+    if table is None:
+        raise Unavailable(
+            "No configuration is in force yet.", retry_after=UNCONFIGURED_RETRY_SECONDS
+        )
+    route = find_route(http_request, table)
+    organisation = authenticate(head, route, table)
+    body = await read_body(http_request, table.document.limits.maximum_body_bytes)
+    end = ends_at(arrived, head, route)
+    if asyncio.get_running_loop().time() >= end:
+        raise DeadlinePassed("The caller's time was over before it was read.")
+    has_rank = organisation is not None and organisation.priority is not None
+    return Call(
+        head=head,
+        route=route,
+        service=choose_service(route, gateway.random),
+        organisation=organisation.name if organisation else "",
+        priority=organisation.priority if has_rank else route.priority,
+        method=http_request.method,
+        target=http_request.raw_path,
+        body=body,
+        arrived=arrived,
+        ends_at=end,
+    )
--- /dev/null
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -0,0 +1,160 @@
+"""Choose endpoints for a call and send it, as often as the call allows."""
+
+import asyncio
+import logging
+
+from fescuedrum.decisions.placement import Chosen, RefusalCause, Refused
+from fescuedrum.exceptions import DeadlinePassed, Overloaded, Unavailable
+from fescuedrum_gateway.adapter import SendHead
+from fescuedrum_gateway.connection.endpoints import open_answer
+from fescuedrum_gateway.request.call import Lost, NotRun
+
+logger = logging.getLogger(__name__)
+
+# The answer needs the way back; what the endpoint does after it is wasted.
+WAY_SECONDS = 0.01
+# Work with less than this left would end late; a plain request takes some 20 ms.
+LEAST_SECONDS = 0.02
+# Time in which a list of endpoints fills up again, and a full endpoint ends a request.
+NONE_LISTED_RETRY_SECONDS = 1.0
+FULL_RETRY_SECONDS = 0.5
+# The endpoint at the address is another than the one that was meant.
+MISDIRECTED_STATUS = 421
+
+
+class Attempts:
+    """Send one call to one endpoint after the other."""
+
+    __slots__ = ("call", "gateway", "loop", "occupation", "sent", "tried")
+
+    def __init__(self, call, gateway):
+        self.call = call
+        self.gateway = gateway
+        self.loop = asyncio.get_running_loop()
+        # Sendings of which an endpoint may have seen something.
+        self.sent = 0
+        self.tried = set()
+        # What the endpoint of the newest sending is charged with.
+        self.occupation = None
+
+    async def send_until_settled(self, send_once, is_open):
+        """Send as often as is allowed; return the last result.
+
+        A repeat that finds no place must not hide what the sending before it came to:
+        the caller would be told that the request has not run.
+        """
+        last = None
+        while True:
+            try:
+                result = await send_once()
+            except (Overloaded, DeadlinePassed):
+                if last is None:
+                    raise
+                return last
+            if not is_open(result) or not self.may_send_again():
+                return result
+            last = result
+
+    def choose(self):
+        """Return an endpoint; raise Overloaded or Unavailable."""
+        directory = self.gateway.directory
+        match directory.place(self.call.service, self.tried):
+            case Chosen(endpoint, load):
+                self.log_choice(endpoint, load)
+                return endpoint
+            case Refused(RefusalCause.NONE_LISTED):
+                raise Unavailable(
+                    f"No endpoint of {self.call.service} may get work.",
+                    retry_after=NONE_LISTED_RETRY_SECONDS,
+                )
+            case Refused(cause):
+                raise Overloaded(
+                    f"{self.call.service}: {cause}.", retry_after=FULL_RETRY_SECONDS
+                )
+
+    def log_choice(self, endpoint, load):
+        extra = {
+            "request": self.call.head.request_id,
+            "endpoint": endpoint.name,
+            "attempt": len(self.tried) + 1,
+            "running_there": load.requests,
+            "version": self.gateway.configuration.version,
+        }
+        logger.info("request sent", extra=extra)
+
+    async def open(self, last_event_id=""):
+        """Send the call once: Opened, NotRun or Lost; raise when it can't be sent."""
+        call = self.call
+        endpoint = self.choose()
+        left = call.ends_at - self.loop.time() - WAY_SECONDS
+        if left < LEAST_SECONDS:
+            raise DeadlinePassed("Too little time is left to send it.")
+        send = SendHead(
+            endpoint_name=endpoint.name,
+            patience=left,
+            organisation=call.organisation,
+            priority=call.priority,
+            last_event_id=last_event_id or call.head.last_event_id,
+        )
+        self.release()
+        self.tried.add(endpoint.name)
+        self.occupation = self.gateway.directory.occupy(
+            endpoint, call.head.prompt_tokens
+        )
+        opened = await open_answer(
+            self.gateway.session, self.gateway.adapter, call, endpoint, send
+        )
+        self.settle(endpoint, opened)
+        return opened
+
+    def first_event(self):
+        """Note that the endpoint has read the prompt."""
+        self.occupation.prompt_read()
+
+    def release(self):
+        """Take the newest sending's charge off its endpoint."""
+        if self.occupation is not None:
+            self.occupation.release()
+            self.occupation = None
+
+    def settle(self, endpoint, opened):
+        """Note what the sending says of its endpoint."""
+        standing = self.gateway.directory.standing(endpoint)
+        match opened:
+            case NotRun(reason, answer):
+                if answer is None or answer.head.status == MISDIRECTED_STATUS:
+                    standing.failed(self.loop.time())
+                else:
+                    self.sent += 1
+                self.log_end(endpoint, "not run", reason)
+            case Lost(reason):
+                self.sent += 1
+                standing.failed(self.loop.time())
+                self.log_end(endpoint, "lost", reason)
+            case _:
+                self.sent += 1
+                standing.succeeded()
+
+    def log_end(self, endpoint, result, reason):
+        extra = {
+            "request": self.call.head.request_id,
+            "endpoint": endpoint.name,
+            "result": result,
+            "reason": reason,
+        }
+        logger.info("sending failed", extra=extra)
+
+    def may_send_again(self):
+        """Tell whether the route, the time and the service's budget allow another."""
+        call = self.call
+        if self.sent >= call.route.maximum_attempts:
+            return False
+        now = self.loop.time()
+        if call.ends_at - now - WAY_SECONDS < LEAST_SECONDS:
+            return False
+        if not self.sent:
+            # Nothing has arrived anywhere, so that it is no repeat.
+            return True
+        return self.gateway.retries[call.service].spend(
+            now, self.gateway.peers.count_entries()
+        )
--- /dev/null
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
@@ -0,0 +1,104 @@
+"""Answer callers over HTTP."""
+
+import asyncio
+import logging
+
+from aiohttp import web
+
+from fescuedrum.exceptions import BadRequest, FescuedrumError
+from fescuedrum_gateway.request.admission import admit
+from fescuedrum_gateway.request.call import Answered, StreamBroken, StreamEnded
+from fescuedrum_gateway.request.plain import PlainRun
+from fescuedrum_gateway.request.stream import StreamRun
+
+logger = logging.getLogger(__name__)
+
+
+class RequestHandler:
+    """Serve the callers of one gateway."""
+
+    __slots__ = ("gateway", "loop")
+
+    def __init__(self, gateway):
+        self.gateway = gateway
+        self.loop = asyncio.get_running_loop()
+
+    async def handle(self, http_request):
+        """Serve one request to its outcome."""
+        arrived = self.loop.time()
+        self.gateway.running += 1
+        try:
+            response = await self.answer(http_request, arrived)
+        except asyncio.CancelledError:
+            logger.info("caller left", extra={"seconds": self.loop.time() - arrived})
+            raise
+        finally:
+            self.gateway.running -= 1
+            self.gateway.last_arrival = arrived
+        if self.gateway.leaving:
+            # A kept connection would bring this caller's next request here as well.
+            response.force_close()
+        return response
+
+    async def answer(self, http_request, arrived):
+        request_id = ""
+        try:
+            head = self.gateway.adapter.read_call(http_request.headers)
+            request_id = head.request_id
+            call = await admit(http_request, head, self.gateway, arrived)
+            self.gateway.retries[call.service].request(arrived)
+            return await self.serve(http_request, call)
+        except FescuedrumError as error:
+            return self.refuse(error, request_id, arrived)
+        except ConnectionError:
+            raise
+        except Exception:
+            logger.exception("request broke the gateway", extra={"request": request_id})
+            return self.refuse(FescuedrumError(), request_id, arrived)
+
+    async def serve(self, http_request, call):
+        if not call.route.kind.is_stream:
+            return self.reply(call, await PlainRun(call, self.gateway).run())
+        run = StreamRun(call, self.gateway, http_request)
+        result = await run.run()
+        match result:
+            case Answered():
+                return self.reply(call, result)
+            case StreamBroken(reason):
+                self.log_end(call, f"cut: {reason}")
+                # Without its last chunk the caller sees that the answer is cut.
+                http_request.transport.close()
+            case StreamEnded():
+                self.log_end(call, "answered")
+        return run.response
+
+    def reply(self, call, answer):
+        self.log_end(call, f"answered {answer.head.status}")
+        return web.Response(
+            status=answer.head.status, headers=answer.head.headers, body=answer.body
+        )
+
+    def log_end(self, call, result):
+        extra = {
+            "request": call.head.request_id,
+            "result": result,
+            "seconds": round(self.loop.time() - call.arrived, 4),
+        }
+        logger.info("request ended", extra=extra)
+
+    def refuse(self, error, request_id, arrived):
+        extra = {
+            "request": request_id,
+            "code": error.code,
+            "detail": error.detail,
+            "status": error.status,
+            "retry_after": error.retry_after,
+            "seconds": round(self.loop.time() - arrived, 4),
+        }
+        logger.info("request refused", extra=extra)
+        headers = self.gateway.adapter.refusal_headers(request_id, error.retry_after)
+        response = web.Response(status=error.status, text=str(error), headers=headers)
+        if error.closes or isinstance(error, BadRequest):
+            # The rest of what the caller sends would be read as another request.
+            response.force_close()
+        return response
--- /dev/null
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/plain.py
@@ -0,0 +1,66 @@
+"""Carry out a request whose answer comes in one piece."""
+
+import asyncio
+
+from fescuedrum.exceptions import AnswerTooLate, OutcomeUnknownUnkeyed, Unavailable
+from fescuedrum_gateway.request.attempts import Attempts
+from fescuedrum_gateway.request.call import Answered, Lost, NotRun
+
+SERVER_ERRORS = range(500, 600)
+# An endpoint that could not be reached is tried again after a pause as long.
+UNREACHED_RETRY_SECONDS = 0.5
+
+
+class PlainRun:
+    """Send a call until an endpoint answers or no further sending is allowed."""
+
+    __slots__ = ("attempts", "call")
+
+    def __init__(self, call, gateway):
+        self.call = call
+        self.attempts = Attempts(call, gateway)
+
+    async def run(self):
+        """Return the endpoint's answer; raise a FescuedrumError instead."""
+        try:
+            async with asyncio.timeout_at(self.call.ends_at):
+                return settle(
+                    await self.attempts.send_until_settled(self.send_once, self.is_open)
+                )
+        except TimeoutError:
+            raise AnswerTooLate("No answer came in the caller's time.") from None
+        finally:
+            self.attempts.release()
+
+    async def send_once(self):
+        opened = await self.attempts.open()
+        if isinstance(opened, NotRun | Lost):
+            return opened
+        return await opened.read()
+
+    def is_open(self, result):
+        return is_open(result, self.call.route.kind)
+
+
+def is_open(result, kind):
+    """Tell whether sending a call again could give a better result."""
+    match result:
+        case NotRun():
+            return True
+        case Answered(head):
+            return kind.may_repeat and head.status in SERVER_ERRORS
+        case _:
+            return kind.may_repeat
+
+
+def settle(result):
+    """Return the answer that a caller gets; raise when there is none."""
+    match result:
+        case Answered():
+            return result
+        case NotRun(_, answer) if answer is not None:
+            return answer
+        case NotRun(reason):
+            raise Unavailable(reason, retry_after=UNREACHED_RETRY_SECONDS)
+        case Lost(reason):
+            raise OutcomeUnknownUnkeyed(f"Its last sending: {reason}.")
--- /dev/null
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/version/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what lives as long as one version of the configuration."""
--- /dev/null
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/version/configuration.py
@@ -0,0 +1,34 @@
+"""Hold the routing configuration in force at this process."""
+
+import logging
+
+logger = logging.getLogger(__name__)
+
+
+class RoutingConfiguration:
+    """Keep the newest routing table seen; its version only rises in one life."""
+
+    __slots__ = ("read_at", "table")
+
+    def __init__(self):
+        self.table = None
+        self.read_at = None
+
+    @property
+    def version(self):
+        return -1 if self.table is None else self.table.version
+
+    def offer(self, table, now):
+        """Put a table in force if it is newer; tell whether."""
+        if table.version <= self.version:
+            return False
+        extra = {
+            "from_version": self.version,
+            "to_version": table.version,
+            "routes": len(table.document.routes),
+            "organisations": len(table.document.organisations),
+        }
+        self.table = table
+        self.read_at = now
+        logger.info("configuration in force", extra=extra)
+        return True
--- a/packages/fescuedrum/src/fescuedrum/conf/rules.py
+++ b/packages/fescuedrum/src/fescuedrum/conf/rules.py
@@ -8,6 +8,7 @@
 from fescuedrum.tls import Certificates
 
 MINIMUM_SECRET_LENGTH = 32
+HIGHEST_PORT = 65535
 # One late heartbeat must not look like a silent connection.
 HEARTBEATS_IN_SILENCE = 2
 
@@ -21,6 +22,15 @@
         yield checks.error("settings.E010", path, f"{host!r} is no IP number.", hint)
 
 
+def check_listener(path, address):
+    """Report an address to listen on that is no HOST:PORT."""
+    host, _, port = address.rpartition(":")
+    yield from check_address(path, host)
+    if not port.isdecimal() or not 0 < int(port) <= HIGHEST_PORT:
+        hint = "Write it as HOST:PORT, such as 10.0.0.5:7000."
+        yield checks.error("settings.E020", path, f"{address!r} has no port.", hint)
+
+
 def check_url(path, url):
     """Report a base URL that can't be called."""
     parts = urllib.parse.urlsplit(url)
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/decisions/placement.py
@@ -0,0 +1,137 @@
+"""Choose the endpoint of a request among few endpoints that many entries share.
+
+Load pattern: a dozen engines advance in lock-step, and the fullest of them sets the
+pace of all. Entries choose independently; each knows what it sent itself at once, and
+what the others sent some tens of milliseconds later. A choice by own counts alone
+stacks requests of several entries on one engine, and every stream in the group slows
+down. The least loaded endpoint by the sum of all entries' counts is taken; among equals
+the one with the fewest prompt tokens still to be read, then chance, so that entries
+that choose at the same moment spread.
+
+An endpoint that can't be connected to is left out for a pause that doubles with each
+failure in a row, unless all are. A cold endpoint fails when it gets too many requests
+in a second; each entry keeps to its part of that bound.
+
+Grounds for the figures. FIRST_PAUSE_SECONDS: a restart takes about a second.
+LONGEST_PAUSE_SECONDS: a healed endpoint is missed for no longer than three outages of
+the list. COLD_PART: what the entries send in the same second arrives within another
+one, so a fifth of the bound is kept free.
+"""
+
+import enum
+from dataclasses import dataclass, field
+
+from fescuedrum.decisions.retries import SlidingCount
+
+FIRST_PAUSE_SECONDS = 0.5
+LONGEST_PAUSE_SECONDS = 4.0
+COLD_WINDOW_SECONDS = 1.0
+COLD_PART = 0.8
+
+
+@dataclass(slots=True)
+class Load:
+    """Count requests at one endpoint and the prompt tokens still to be read."""
+
+    requests: int = 0
+    unread_tokens: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Standing:
+    """Hold what this entry knows of one endpoint beyond its line in the list."""
+
+    own: Load = field(default_factory=Load)
+    failures: int = 0
+    avoided_until: float = 0.0
+    arrivals: SlidingCount = field(
+        default_factory=lambda: SlidingCount(COLD_WINDOW_SECONDS)
+    )
+
+    def failed(self, now):
+        """Leave the endpoint out for a pause that doubles with each failure."""
+        pause = min(FIRST_PAUSE_SECONDS * 2**self.failures, LONGEST_PAUSE_SECONDS)
+        self.failures = min(self.failures + 1, 10)
+        self.avoided_until = now + pause
+
+    def succeeded(self):
+        self.failures = 0
+        self.avoided_until = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Option:
+    """Offer one endpoint to a choice."""
+
+    endpoint: object
+    load: Load
+    standing: Standing
+    same_zone: bool
+
+
+class RefusalCause(enum.StrEnum):
+    """Name why no endpoint was chosen."""
+
+    NONE_LISTED = "none-listed"
+    ALL_FULL = "all-full"
+    ALL_AT_COLD_BOUND = "all-at-cold-bound"
+
+
+@dataclass(slots=True, frozen=True)
+class Chosen:
+    """Name the endpoint to send to."""
+
+    endpoint: object
+    load: Load
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """Say that no endpoint may get the request now."""
+
+    cause: RefusalCause
+
+
+@dataclass(slots=True, frozen=True)
+class PlacementLimits:
+    """Bound what an endpoint gets."""
+
+    # Requests at one endpoint above which new ones are refused; 0 for no bound.
+    requests: int = 0
+    # Requests that this entry may send one endpoint in a second; 0 for no bound.
+    cold_arrivals: float = 0.0
+
+
+def cold_part(cold_per_second, factor, slack, entries):
+    """Return how many requests a second one entry may send a cold endpoint."""
+    if cold_per_second <= 0:
+        return 0.0
+    bound = cold_per_second * factor + slack
+    # One a second must stay possible, or no endpoint ever gets warm.
+    return max(COLD_PART * bound / max(entries, 1), 1.0)
+
+
+def place(options, limits, now, random):
+    """Choose among options."""
+    if not options:
+        return Refused(RefusalCause.NONE_LISTED)
+    open_options = [each for each in options if has_cold_room(each, limits, now)]
+    if not open_options:
+        return Refused(RefusalCause.ALL_AT_COLD_BOUND)
+    sound = [each for each in open_options if each.standing.avoided_until <= now]
+    best = min(sound or open_options, key=lambda each: rank(each, random))
+    if limits.requests and best.load.requests >= limits.requests:
+        return Refused(RefusalCause.ALL_FULL)
+    return Chosen(best.endpoint, best.load)
+
+
+def has_cold_room(option, limits, now):
+    if not limits.cold_arrivals:
+        return True
+    return option.standing.arrivals.value(now) + 1 <= limits.cold_arrivals
+
+
+def rank(option, random):
+    """Return the order of preference; the least is best."""
+    load = option.load
+    return (load.requests, load.unread_tokens, not option.same_zone, random.random())
--- a/packages/fescuedrum/src/fescuedrum/decisions/retries.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/retries.py
@@ -17,11 +17,13 @@
 """
 
 import math
+from collections import deque
 
 RETRY_SHARE = 0.2
 HEDGE_SHARE = 0.05
 WINDOW_SECONDS = 10.0
 MINIMUM = 3.0
+SAFE_PART = 0.8
 HEDGE_QUANTILE = 0.95
 HEDGE_STEP = 0.05
 HEDGE_SAMPLES = 50
@@ -69,6 +71,54 @@
         return True
 
 
+class SlidingCount:
+    """Count the events of the last window of seconds."""
+
+    __slots__ = ("times", "window")
+
+    def __init__(self, window=WINDOW_SECONDS):
+        self.window = window
+        self.times = deque()
+
+    def value(self, now):
+        while self.times and self.times[0] <= now - self.window:
+            self.times.popleft()
+        return len(self.times)
+
+    def add(self, now):
+        self.times.append(now)
+
+
+class SharedRetryBudget:
+    """Allow repeats of one service up to this entry's part of a common bound.
+
+    The bound holds for the repeats of all entries in any window: share of the requests
+    plus slack. Each entry counts its own requests, and takes an even part of the slack
+    by the number of entries that there may be. The figures are the platform's.
+    """
+
+    __slots__ = ("repeats", "requests", "share", "slack")
+
+    def __init__(self, share, slack, window=WINDOW_SECONDS):
+        self.share = share
+        self.slack = slack
+        self.requests = SlidingCount(window)
+        self.repeats = SlidingCount(window)
+
+    def request(self, now):
+        """Note a request that a caller sent for the service."""
+        self.requests.add(now)
+
+    def spend(self, now, entries):
+        """Take one repeat from the budget; False when there is none."""
+        allowed = self.share * self.requests.value(now) + self.slack / max(entries, 1)
+        # The bound is common and entries start and end: a fifth is kept for that.
+        if self.repeats.value(now) + 1 > SAFE_PART * allowed:
+            return False
+        self.repeats.add(now)
+        return True
+
+
 class HedgeDelay:
     """Follow the delay that a given share of answers exceeds."""
 
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -196,6 +196,20 @@
     remedy = "Wait for the platform's service to return; a write may have happened."
 
 
+class HistoryLost(StoreUnavailable):
+    """Report that the store can't tell what changed after a version."""
+
+    code = "history-lost"
+    remedy = "Read the whole table and follow the changes from there."
+
+
+class RowNotUnderstood(FescuedrumError):  # noqa: N818 - tells a state, not a fault
+    """Report a row of the platform that is not of the shape that is known."""
+
+    code = "row-not-understood"
+    remedy = "Correct the named field of the row; until then it is left out."
+
+
 class ProtocolError(FescuedrumError):
     """Report a peer that breaks the framing rules."""
 
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/request/once.py
+++ b/packages/fescuedrum/src/fescuedrum/once.py
@@ -24,7 +24,7 @@
             raise SentBefore
 
 
-def open_session(*, keep_connections):
+def open_session(*, keep_connections, socket_factory=None):
     """Return an HTTP client session that sends each request at most once.
 
     A kept connection may be closed by the endpoint just as a request leaves on it.
@@ -41,7 +41,11 @@
     tracing.on_connection_create_start.append(note_connection)
     tracing.on_connection_reuseconn.append(note_connection)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=not keep_connections),
+        connector=aiohttp.TCPConnector(
+            limit=0,
+            force_close=not keep_connections,
+            socket_factory=socket_factory,
+        ),
         auto_decompress=False,
         trace_configs=[tracing],
     )
--- a/packages/fescuedrum/src/fescuedrum/platform/client.py
+++ b/packages/fescuedrum/src/fescuedrum/platform/client.py
@@ -1,26 +1,20 @@
 """Reach the platform's services over HTTP."""
 
-import json
+import base64
 import logging
 
-import aiohttp
-
 from fescuedrum.conf import schema
-from fescuedrum.exceptions import StoreUnavailable
-from fescuedrum.platform.interfaces import Instance, Row
+from fescuedrum.exceptions import HistoryLost, StoreUnavailable
+from fescuedrum.platform.caller import DEFAULT_TIMEOUT_SECONDS, PlatformCaller, decode
+from fescuedrum.platform.interfaces import Changes, Instance, Row, VersionedRow
 
 logger = logging.getLogger(__name__)
 
 CONFLICT = 409
+GONE = 410
 NOT_FOUND = 404
-
-
-def decode(body):
-    """Decode an answer; an answer that is no JSON is none."""
-    try:
-        return json.loads(body)
-    except ValueError as error:
-        raise StoreUnavailable(f"The platform's answer is no JSON: {error}.") from error
+# A call that waits for changes is answered within its wait and this.
+FEED_SLACK_SECONDS = 1.5
 
 
 def load_instances(lines):
@@ -40,36 +34,21 @@
 
 
 class PlatformClient:
-    """Implement Table, ObjectStore and InstanceList on one HTTP session."""
+    """Implement Table, ObjectStore, InstanceList and RowStore on one HTTP session."""
 
-    __slots__ = ("base_url", "instances", "listing", "session", "timeout")
+    __slots__ = ("caller", "instances", "listing")
 
-    def __init__(self, base_url, session, *, timeout=2.0):
-        self.base_url = base_url.rstrip("/")
-        self.session = session
+    def __init__(self, base_url, session, *, timeout=DEFAULT_TIMEOUT_SECONDS):
+        self.caller = PlatformCaller(base_url, session, timeout=timeout)
         # The list read last, as bytes and as instances.
         self.listing = b""
         self.instances = []
-        self.timeout = aiohttp.ClientTimeout(total=timeout)
-
-    async def call(self, method, path, *, accept=(), **arguments):
-        """Return (status, body); raise StoreUnavailable on any other ending."""
-        try:
-            async with self.session.request(
-                method, self.base_url + path, timeout=self.timeout, **arguments
-            ) as response:
-                body = await response.read()
-                if response.status == 200 or response.status in accept:
-                    return response.status, body
-                raise StoreUnavailable(f"The platform answered {response.status}.")
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise StoreUnavailable(
-                f"The platform gave no answer: {error!r}."
-            ) from error
+
+    async def call(self, method, path, **arguments):
+        return await self.caller.call(method, path, **arguments)
 
     async def call_json(self, method, path, **arguments):
-        _, body = await self.call(method, path, **arguments)
-        return decode(body)
+        return await self.caller.call_json(method, path, **arguments)
 
     async def get(self, key):
         row = await self.call_json("GET", "/table/row", params={"key": key})
@@ -100,3 +79,38 @@
             self.instances = load_instances(decode(listing))
             self.listing = listing
         return self.instances
+
+    async def read_table(self, table):
+        found = await self.call_json("GET", f"/tables/{table}")
+        return load_changes(found, whole=True)
+
+    async def wait_for_changes(self, table, after, wait_seconds):
+        status, body = await self.call(
+            "GET",
+            f"/tables/{table}/changes",
+            params={"after": str(after), "wait_seconds": str(wait_seconds)},
+            accept=(GONE,),
+            timeout=wait_seconds + FEED_SLACK_SECONDS,
+        )
+        if status == GONE:
+            raise HistoryLost(f"Changes of {table} after {after} are forgotten.")
+        return load_changes(decode(body), whole=False)
+
+    async def put_row(self, table, key, value):
+        await self.call("PUT", f"/tables/{table}/{key}", data=value)
+
+
+def load_changes(data, *, whole):
+    """Build changes from the platform's JSON; raise StoreUnavailable if malformed."""
+    try:
+        rows = [
+            VersionedRow(
+                row["key"],
+                None if row["value"] is None else base64.b64decode(row["value"]),
+                row["version"],
+            )
+            for row in data["rows"]
+        ]
+        return Changes(rows, data["version"], whole)
+    except (KeyError, TypeError, ValueError) as error:
+        raise StoreUnavailable(f"The platform's rows are odd: {error!r}.") from error
--- a/packages/fescuedrum/src/fescuedrum/platform/interfaces.py
+++ b/packages/fescuedrum/src/fescuedrum/platform/interfaces.py
@@ -72,3 +72,46 @@
     """Reach the lagging list of instances; raise StoreUnavailable on no answer."""
 
     async def list_instances(self) -> list[Instance]: ...
+
+
+@dataclass(slots=True, frozen=True)
+class VersionedRow:
+    """Hold a row as bytes; value None says that it was deleted.
+
+    version comes from one counter of the whole store, which rises with each change.
+    """
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+@dataclass(slots=True, frozen=True)
+class Changes:
+    """Hold rows of one table as of a version of the store."""
+
+    rows: list[VersionedRow]
+    version: int
+    # All rows of the table: what is absent does not exist.
+    whole: bool = False
+
+
+class RowStore(Protocol):
+    """Follow tables of rows; raise StoreUnavailable on no answer."""
+
+    async def read_table(self, table: str) -> Changes:
+        """Return all rows of a table."""
+        ...
+
+    async def wait_for_changes(
+        self, table: str, after: int, wait_seconds: float
+    ) -> Changes:
+        """Return rows changed after a version as soon as there are some.
+
+        Raise HistoryLost when the store no longer knows what has changed.
+        """
+        ...
+
+    async def put_row(self, table: str, key: str, value: bytes) -> None:
+        """Write a row; StoreUnavailable leaves open whether it took effect."""
+        ...
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/wire/gen/gateways/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/wire/idl/gateways.thrift
@@ -0,0 +1,28 @@
+// What gateway processes tell each other in datagrams.
+
+namespace py fescuedrum.wire.gen.gateways
+
+struct EndpointLoad {
+  1: optional string endpoint,
+  2: optional i32 requests,
+  3: optional i32 unread_tokens,
+}
+
+struct Beacon {
+  1: optional string instance,
+  2: optional i64 incarnation,
+  3: optional string host,
+  4: optional i64 sequence,
+  5: optional bool leaving,
+  // Whether the sender's last call to the platform's store was answered.
+  6: optional bool store_answers,
+  // Versions up to which the sender has the operators' table and the endpoints'.
+  7: optional i64 operators_version,
+  8: optional i64 endpoints_version,
+  // Endpoints at which the sender has requests; absent ones have none.
+  9: optional list<EndpointLoad> loads,
+  // Addresses of other gateways that the sender hears.
+  10: optional list<string> known_hosts,
+  // Unset in an answer, so that two processes don't answer each other for ever.
+  11: optional bool wants_answer,
+}
--- a/tests/unit/test_execution.py
+++ b/tests/unit/test_execution.py
@@ -6,11 +6,11 @@
 from aiohttp import web
 from support.builders import build_request
 
+from fescuedrum.once import open_session
 from fescuedrum.outcomes import Outcome
 from fescuedrum.wire.gen.frames.ttypes import Header
 from fescuedrum_agent.request.answer import Answer
 from fescuedrum_agent.request.execution import Execution
-from fescuedrum_agent.request.once import open_session
 
 
 async def test_the_endpoint_sees_path_and_headers_as_the_caller_sent_them():
