Test the decisions of the gateway and the switch of maps without a network

Cause: the code came with the thin path; its failures had no tests of their own.

The switch runs against a stand-in of a lock-step group whose orders are lost, come late, or whose leader dies, 60 seeds.

--- a/packages/fescuedrum/src/fescuedrum/platform/client.py
+++ b/packages/fescuedrum/src/fescuedrum/platform/client.py
@@ -48,7 +48,8 @@
         return await self.caller.call(method, path, **arguments)
 
     async def call_json(self, method, path, **arguments):
-        return await self.caller.call_json(method, path, **arguments)
+        _, body = await self.call(method, path, **arguments)
+        return decode(body)
 
     async def get(self, key):
         row = await self.call_json("GET", "/table/row", params={"key": key})
--- /dev/null
+++ b/tests/support/groups.py
@@ -0,0 +1,173 @@
+"""Stand in for a group of engines that advance in lock-step, with faulty orders."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from fescuedrum.groups.engines import (
+    ArmMap,
+    DisarmMap,
+    HoldPass,
+    OrderResult,
+    PrepareMap,
+    RankCounts,
+    RankMap,
+    RankReport,
+    ReleasePass,
+)
+
+PASS_SECONDS = 0.05
+REPORT_LAG_SECONDS = 0.2
+# A late order is carried out up to so many seconds after it was given.
+LATEST_SECONDS = (0.0, 6.0)
+
+
+@dataclass(slots=True)
+class StandInRank:
+    """Hold the state of one rank."""
+
+    map_version: int = 0
+    held: list = field(default_factory=list)
+    prepared: PrepareMap | None = None
+    highest_version: int = 0
+    armed: ArmMap | None = None
+    held_step: int | None = None
+
+
+class StandInGroup:
+    """Implement Engines for the ranks of one group; an address is (host, rank).
+
+    Each pass that begins with two maps is noted in mixed_passes.
+    """
+
+    def __init__(self, held, *, seed=1, late=0.0, lost=0.0):
+        self.random = random.Random(seed)
+        self.ranks = [
+            StandInRank(held=[layer[rank] for layer in held])
+            for rank in range(len(held[0]))
+        ]
+        self.step = 0
+        self.epoch = 1
+        # Shares of the orders that are carried out late, or never; neither is answered.
+        self.late = late
+        self.lost = lost
+        self.mixed_passes = []
+        self.passes_held = 0
+        self.history = []
+        self.counts = [0]
+        self.tasks = []
+
+    @property
+    def addresses(self):
+        return {rank: ("engine", rank) for rank in range(len(self.ranks))}
+
+    async def run(self):
+        """Begin a pass every PASS_SECONDS unless one is held."""
+        while True:
+            await asyncio.sleep(PASS_SECONDS)
+            self.history.append((asyncio.get_running_loop().time(), self.snapshot()))
+            if any(rank.held_step == self.step + 1 for rank in self.ranks):
+                self.passes_held += 1
+                continue
+            self.begin_pass()
+
+    def begin_pass(self):
+        self.step += 1
+        for rank in self.ranks:
+            if rank.armed is not None and rank.armed.step == self.step:
+                rank.map_version = rank.armed.version
+                rank.held = rank.prepared.held
+                rank.armed = rank.prepared = None
+        if len({rank.map_version for rank in self.ranks}) > 1:
+            self.mixed_passes.append(self.step)
+
+    def restart(self):
+        """Begin a new epoch: nothing of before holds."""
+        self.epoch += 1
+        self.ranks = [StandInRank() for _ in self.ranks]
+
+    # Engines
+
+    def snapshot(self):
+        return [self.report(number) for number in range(len(self.ranks))]
+
+    def report(self, number):
+        rank = self.ranks[number]
+        return RankReport(
+            group="g",
+            epoch=self.epoch,
+            rank=number,
+            ranks=len(self.ranks),
+            is_open=True,
+            step=self.step,
+            map_version=rank.map_version,
+            prepared_version=None if rank.prepared is None else rank.prepared.version,
+            armed_version=None if rank.armed is None else rank.armed.version,
+            held_step=rank.held_step,
+        )
+
+    async def read_report(self, address):
+        """Return a report as it was some passes ago."""
+        now = asyncio.get_running_loop().time()
+        past = [seen for at, seen in self.history if at <= now - REPORT_LAG_SECONDS]
+        return (past[-1] if past else self.snapshot())[address[1]]
+
+    async def read_counts(self, address):
+        return RankCounts(self.epoch, self.step, list(self.counts))
+
+    async def read_map(self, address):
+        rank = self.ranks[address[1]]
+        return RankMap(self.epoch, rank.map_version, rank.held)
+
+    async def give(self, address, epoch, order):
+        await asyncio.sleep(self.random.uniform(0.001, 0.004))
+        fate = self.random.random()
+        if fate < self.late:
+            delay = self.random.uniform(*LATEST_SECONDS)
+            self.tasks.append(
+                asyncio.create_task(self.take_late(delay, address[1], epoch, order))
+            )
+            await asyncio.sleep(0.25)
+            return OrderResult.UNANSWERED
+        if fate < self.late + self.lost:
+            await asyncio.sleep(0.25)
+            return OrderResult.UNANSWERED
+        return self.take(address[1], epoch, order)
+
+    async def take_late(self, delay, number, epoch, order):
+        await asyncio.sleep(delay)
+        self.take(number, epoch, order)
+
+    def take(self, number, epoch, order):
+        if epoch != self.epoch:
+            return OrderResult.REFUSED
+        taken = self.apply(self.ranks[number], order)
+        return OrderResult.TAKEN if taken else OrderResult.REFUSED
+
+    def apply(self, rank, order):
+        match order:
+            case PrepareMap(version) if rank.prepared == order:
+                return True
+            case PrepareMap(version):
+                if rank.armed is not None or version <= rank.highest_version:
+                    return False
+                rank.prepared = order
+                rank.highest_version = version
+            case ArmMap(version, step):
+                prepared = rank.prepared is not None and rank.prepared.version
+                if prepared != version or step <= self.step:
+                    return rank.armed == order
+                rank.armed = order
+            case DisarmMap(version):
+                if rank.map_version == version:
+                    return False
+                if rank.armed is not None and rank.armed.version == version:
+                    rank.armed = None
+            case HoldPass(step):
+                if step <= self.step or rank.held_step not in (None, step):
+                    return False
+                rank.held_step = step
+            case ReleasePass(step):
+                if rank.held_step == step:
+                    rank.held_step = None
+        return True
--- /dev/null
+++ b/tests/unit/test_placement.py
@@ -0,0 +1,126 @@
+"""Check the choice of an endpoint among those that many gateways share."""
+
+import collections
+import random
+
+from support.routing import build_endpoint
+
+from fescuedrum.decisions.placement import (
+    Chosen,
+    Load,
+    Option,
+    PlacementLimits,
+    RefusalCause,
+    Refusals,
+    Refused,
+    Standing,
+    cold_part,
+    place,
+)
+from fescuedrum.decisions.rooms import room
+
+
+def build_option(name, requests=0, tokens=0, *, same_zone=True, standing=None):
+    return Option(
+        build_endpoint(name),
+        Load(requests, tokens),
+        standing or Standing(),
+        same_zone,
+    )
+
+
+def choose(options, limits=None, now=0.0, seed=1):
+    return place(options, limits or PlacementLimits(), now, random.Random(seed))
+
+
+def test_the_fewest_requests_go_before_prompts_and_zones():
+    options = [
+        build_option("near", requests=2),
+        build_option("long", requests=1, tokens=900),
+        build_option("far", requests=1, tokens=100, same_zone=False),
+    ]
+    assert choose(options).endpoint.name == "far"
+
+
+def test_gateways_that_choose_at_the_same_moment_spread():
+    """Seven gateways choose at once, and one engine of twelve gets all seven requests.
+
+    Each sees the same loads; without chance among equals all take the first.
+    """
+    options = [build_option(f"e-{number}") for number in range(12)]
+    chosen = collections.Counter(
+        choose(options, seed=seed).endpoint.name for seed in range(70)
+    )
+    assert max(chosen.values()) <= 14
+
+
+def test_an_endpoint_that_fails_is_left_out_for_longer_each_time():
+    standing = Standing()
+    options = [build_option("bad", standing=standing), build_option("good", 3)]
+    standing.failed(now=10.0)
+    assert choose(options, now=10.4).endpoint.name == "good"
+    assert choose(options, now=10.6).endpoint.name == "bad"
+    standing.failed(now=10.6)
+    assert choose(options, now=11.5).endpoint.name == "good"
+    standing.succeeded()
+    assert choose(options, now=11.5).endpoint.name == "bad"
+
+
+def test_an_endpoint_that_failed_is_better_than_none():
+    standing = Standing()
+    standing.failed(now=0.0)
+    assert isinstance(choose([build_option("a", standing=standing)]), Chosen)
+
+
+def test_a_cold_endpoint_gets_no_more_than_this_gateways_part():
+    standing = Standing()
+    limits = PlacementLimits(cold_arrivals=2.0)
+    options = [build_option("a", standing=standing)]
+    for now in (0.0, 0.1):
+        assert isinstance(choose(options, limits, now), Chosen)
+        standing.arrivals.add(now)
+    assert choose(options, limits, 0.5) == Refused(RefusalCause.ALL_AT_COLD_BOUND)
+    assert isinstance(choose(options, limits, 1.05), Chosen)
+
+
+def test_all_parts_together_stay_under_the_cold_bound():
+    for entries in (1, 6, 7, 39):
+        assert entries * cold_part(26, 1.5, 5, entries) <= 26 * 1.5 + 5
+    assert cold_part(0, 1.5, 5, 7) == 0
+
+
+def test_new_callers_find_places_that_returned_ones_must_leave():
+    """After an outage no new caller is answered on time for as long as it lasted.
+
+    Everyone who was refused is back and fills all places; all of them are late anyway.
+    """
+
+    def limits(returned):
+        def bound(endpoint):
+            return room(endpoint.slots, is_engine=True, returned=returned)
+
+        return PlacementLimits(room=bound)
+
+    options = [build_option("a", 4), build_option("b", 5)]
+    assert choose(options, limits(True)) == Refused(RefusalCause.ALL_FULL)
+    assert choose(options, limits(False)).endpoint.name == "a"
+    full = [build_option("a", 8), build_option("b", 9)]
+    assert choose(full, limits(False)) == Refused(RefusalCause.ALL_FULL)
+
+
+def test_two_endpoints_that_refuse_stand_for_all_until_one_answers():
+    """A group is down, and each request is refused by one engine after the other.
+
+    One engine that refuses is its own trouble; two at the same time are the group's.
+    """
+    refusals = Refusals()
+    refusals.refused("a", now=1.0)
+    refusals.refused("a", now=1.1)
+    assert not refusals.is_everywhere(now=1.1)
+    refusals.refused("b", now=1.2)
+    assert refusals.is_everywhere(now=1.2)
+    assert not refusals.is_everywhere(now=1.8)
+    refusals.refused("a", now=2.0)
+    refusals.refused("b", now=2.0)
+    refusals.answered()
+    assert not refusals.is_everywhere(now=2.0)
--- /dev/null
+++ b/tests/unit/test_switching.py
@@ -0,0 +1,189 @@
+"""Check that a group never passes with two maps, whatever becomes of the orders."""
+
+import asyncio
+import random
+
+import pytest
+from support.clock import run_paused
+from support.groups import StandInGroup
+
+from fescuedrum.decisions.experts.even import initial_map
+from fescuedrum.groups.engines import ArmMap, HoldPass, OrderResult, PrepareMap
+from fescuedrum.groups.switching import (
+    HOLDING_RANK,
+    MapChange,
+    Switch,
+    SwitchResult,
+    settle,
+)
+
+RANKS = 4
+EXPERTS = 8
+
+
+def build_held(shift=0):
+    held = initial_map(EXPERTS, RANKS, 2)
+    moved = [layer[shift:] + layer[:shift] for layer in held]
+    return [[sorted(experts) for experts in layer] for layer in moved]
+
+
+def build_change(version=1000, shift=1):
+    return MapChange(version, build_held(shift), build_held(), copy_seconds=0.1)
+
+
+def play(story, **faults):
+    """Run story(group) beside the group's passes; return the group."""
+
+    async def run():
+        group = StandInGroup(build_held(), **faults)
+        passes = asyncio.create_task(group.run())
+        await asyncio.sleep(0.5)
+        await story(group)
+        # Orders that come late must find nothing that they could harm.
+        await asyncio.sleep(10)
+        passes.cancel()
+        return group
+
+    return run_paused(run())
+
+
+def versions(group):
+    return {rank.map_version for rank in group.ranks}
+
+
+def test_all_ranks_switch_at_one_pass_and_the_group_is_not_held_up():
+    async def story(group):
+        switch = Switch(group, group.addresses, 1, build_change())
+        assert await switch.run() is SwitchResult.SWITCHED
+
+    group = play(story)
+    assert versions(group) == {1000}
+    assert group.mixed_passes == []
+    assert group.passes_held == 0
+
+
+def test_an_arming_that_is_refused_leaves_the_old_map_everywhere():
+    """One rank can't switch, and a pass runs with two maps.
+
+    Every rank but one is armed; that one was given another map to prepare meanwhile.
+    The armed ranks must be disarmed before the pass may begin.
+    """
+
+    async def story(group):
+        switch = Switch(group, group.addresses, 1, build_change())
+        running = asyncio.create_task(switch.run())
+        await asyncio.sleep(0.05)
+        group.take(2, 1, PrepareMap(5000, build_held()))
+        assert await running is SwitchResult.ABANDONED
+
+    group = play(story)
+    assert versions(group) == {0}
+    assert group.mixed_passes == []
+
+
+def test_a_late_arming_is_void_when_its_pass_begins():
+    """A rank switches alone, seconds after the change was given up.
+
+    The arming of one rank gets no answer, and the change is abandoned. The order is
+    carried out just before the held pass begins. The rank has been given a newer map
+    to prepare by then, so the order names nothing that it has.
+    """
+
+    async def story(group):
+        give = group.give
+
+        async def lose_arming(address, epoch, order):
+            if isinstance(order, ArmMap) and address[1] == 3:
+                return OrderResult.UNANSWERED
+            return await give(address, epoch, order)
+
+        group.give = lose_arming
+        switch = Switch(group, group.addresses, 1, build_change())
+        assert await switch.run() is SwitchResult.ABANDONED
+        late = ArmMap(1000, group.step + 1)
+        assert group.take(3, 1, late) is OrderResult.REFUSED
+
+    group = play(story)
+    assert versions(group) == {0}
+    assert group.mixed_passes == []
+
+
+def test_a_hold_without_an_answer_does_not_leave_the_group_standing():
+    """A group stands still for good, and every request to it is lost.
+
+    The hold was carried out, but its answer was lost, and the change is given up.
+    """
+
+    async def story(group):
+        give = group.give
+
+        async def lose_answer(address, epoch, order):
+            result = await give(address, epoch, order)
+            return OrderResult.UNANSWERED if isinstance(order, HoldPass) else result
+
+        group.give = lose_answer
+        switch = Switch(group, group.addresses, 1, build_change())
+        assert await switch.run() is SwitchResult.ABANDONED
+
+    group = play(story)
+    assert group.ranks[HOLDING_RANK].held_step is None
+    assert group.step > 150
+
+
+def test_a_new_epoch_ends_a_change():
+    async def story(group):
+        switch = Switch(group, group.addresses, 1, build_change())
+        running = asyncio.create_task(switch.run())
+        await asyncio.sleep(0.05)
+        group.restart()
+        assert await running in (SwitchResult.ABANDONED, SwitchResult.EPOCH_ENDED)
+
+    group = play(story)
+    assert versions(group) == {0}
+    assert group.mixed_passes == []
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_passes_have_one_map_under_lost_and_late_orders(seed):
+    """Ranks of a group compute with two maps, and answers are wrong.
+
+    A third of the orders get no answer; some of these are carried out up to six
+    seconds later. Changes follow one another, and some end halfway because the process
+    that leads them dies; another one then settles what it finds.
+    """
+    chance = random.Random(seed)
+
+    async def story(group):
+        for number in range(1, 6):
+            change = build_change(number * 1000, shift=number % RANKS)
+            switch = Switch(group, group.addresses, 1, change)
+            running = asyncio.create_task(switch.run())
+            if chance.random() < 0.5:
+                await asyncio.sleep(chance.uniform(0.0, 0.6))
+                running.cancel()
+                await asyncio.gather(running, return_exceptions=True)
+                await settle_when_left(group)
+            else:
+                await running
+
+    group = play(story, seed=seed, late=0.2, lost=0.1)
+    assert group.mixed_passes == []
+    assert len(versions(group)) == 1
+
+
+async def settle_when_left(group):
+    """Do as a successor: settle a hold that stands for a while."""
+    for _ in range(20):
+        await asyncio.sleep(1.0)
+        report = await group.read_report(group.addresses[HOLDING_RANK])
+        if report.held_step is None:
+            return
+        reports = {
+            rank: await group.read_report(address)
+            for rank, address in group.addresses.items()
+        }
+        held = [
+            [group.ranks[rank].held[layer] for rank in range(RANKS)]
+            for layer in range(2)
+        ]
+        await settle(group, group.addresses, reports, held)
