Refuse at a stop what no longer fits; bound how long returned callers wait

Change: a stopping process takes requests while an answer still fits, refuses them after that, and ends once nothing runs. Returned callers wait 1.2 s at most.

Ruled out: closing the listener early: callers' connections would be reset in its queue.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -12,6 +12,7 @@
 from fescuedrum.conf.routing import RoutingDocument, RoutingTable
 from fescuedrum.decisions.retries import SharedRetryBudget
 from fescuedrum.decisions.returns import UsualPatience
+from fescuedrum.decisions.stopping import StopPlan
 from fescuedrum.exceptions import RowNotUnderstood, StoreUnavailable
 from fescuedrum.process import cancel, on_reload, stop_event
 from fescuedrum.wire.gen.gateways.ttypes import Beacon
@@ -29,12 +30,6 @@
 
 logger = logging.getLogger(__name__)
 
-# The balancer asks once a second and needs two misses; then new connections stop.
-UNREADY_SECONDS = 2.6
-# What is left of the stop's time for the last answers to leave.
-STOP_MARGIN_SECONDS = 0.6
-# Silence of callers after which no kept connection is likely to bring a request.
-QUIET_SECONDS = 0.5
 STOP_POLL_SECONDS = 0.05
 ANNOUNCE_RETRY_SECONDS = 1.0
 # Pause before a failed task runs again, so that a lasting fault does not fill the log.
@@ -52,8 +47,6 @@
         "directory",
         "followers",
         "incarnation",
-        "last_arrival",
-        "leaving",
         "patience",
         "peers",
         "random",
@@ -63,6 +56,7 @@
         "running",
         "session",
         "settings",
+        "stop_plan",
         "store",
         "store_session",
     )
@@ -85,9 +79,9 @@
         self.return_queues = collections.defaultdict(ReturnQueue)
         self.retries = collections.defaultdict(self.build_retries)
         self.followers = []
-        self.leaving = False
+        # Set once the process was told to stop.
+        self.stop_plan = None
         self.running = 0
-        self.last_arrival = 0.0
         self.session = None
         self.store = None
         self.store_session = None
@@ -160,6 +154,10 @@
         await start(callers, settings.callers_address)
         return callers, own
 
+    @property
+    def leaving(self):
+        return self.stop_plan is not None
+
     @property
     def ready(self):
         listed = self.followers and self.followers[1].replica.loaded
@@ -252,25 +250,14 @@
     # The end
 
     async def drain(self):
-        """Turn readiness down and let running requests end.
-
-        The balancer goes on sending until it has asked /readyz twice, and callers keep
-        their connections. A process that closed at once would cut them off, so answers
-        say that the connection ends, and the process waits until callers are quiet.
-        """
+        """Turn readiness down and let running requests end."""
         loop = asyncio.get_running_loop()
-        self.leaving = True
+        plan = self.stop_plan = StopPlan(loop.time(), self.settings.stop_seconds)
         self.peers.changed()
-        begin = loop.time()
         logger.info("gateway draining", extra={"running": self.running})
-        latest = begin + self.settings.stop_seconds - STOP_MARGIN_SECONDS
-        earliest = min(begin + UNREADY_SECONDS, latest)
-        while loop.time() < latest:
-            quiet = loop.time() - self.last_arrival >= QUIET_SECONDS
-            if loop.time() >= earliest and quiet and not self.running:
-                break
+        while not plan.may_end(loop.time(), self.running):
             await asyncio.sleep(STOP_POLL_SECONDS)
-        extra = {"running": self.running, "seconds": loop.time() - begin}
+        extra = {"running": self.running, "seconds": loop.time() - plan.began}
         logger.info("gateway drained", extra=extra)
 
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
@@ -15,6 +15,8 @@
 
 # A process that starts gets its first configuration within about this time.
 UNCONFIGURED_RETRY_SECONDS = 0.5
+# Another gateway takes the request at once.
+STOP_RETRY_SECONDS = 0.05
 
 
 def find_route(http_request, table):
@@ -63,8 +65,16 @@
     return priority + RETURNED_RANKS if returned else priority
 
 
+def check_stop(gateway, now):
+    """Refuse a request whose answer would be cut by the end of this process."""
+    plan = gateway.stop_plan
+    if plan is not None and not plan.takes(now):
+        raise Unavailable("This process stops.", retry_after=STOP_RETRY_SECONDS)
+
+
 async def admit(http_request, head, gateway, arrived):
     """Return the call of a request; raise a FescuedrumError that refuses it."""
+    check_stop(gateway, arrived)
     table = gateway.configuration.table
     if table is None:
         raise Unavailable(
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -16,9 +16,9 @@
 WAY_SECONDS = 0.01
 # Work with less than this left would end late; a plain request takes some 20 ms.
 LEAST_SECONDS = 0.02
-# Groups that lost a rank are back within two to five seconds, and who came back has
-# already waited for some of them.
-RETURN_WAIT_SECONDS = 2.5
+# Callers leave a stream when two seconds bring no event, and the first one takes up to
+# half a second after a place was found.
+RETURN_WAIT_SECONDS = 1.2
 # What is left must suffice for an answer; a stream takes one to two seconds.
 SERVICE_SECONDS = 2.0
 # The endpoint at the address is another than the one that was meant.
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
@@ -33,6 +33,8 @@
         """Serve one request to its outcome."""
         arrived = self.loop.time()
         self.gateway.running += 1
+        if self.gateway.leaving:
+            self.gateway.stop_plan.arrived(arrived)
         try:
             response = await self.answer(http_request, arrived)
         except asyncio.CancelledError:
@@ -40,7 +42,6 @@
             raise
         finally:
             self.gateway.running -= 1
-            self.gateway.last_arrival = arrived
         if self.gateway.leaving:
             # A kept connection would bring this caller's next request here as well.
             response.force_close()
--- a/packages/fescuedrum/src/fescuedrum/decisions/rooms.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/rooms.py
@@ -10,8 +10,8 @@
 free every some 30 ms in a group of a dozen engines, so one waiting request at each can
 still be answered on time. Callers who came back get only the places that new ones leave
 free. They have no further try, so they wait in order for such a place, also while a
-group is still down, as long as there is time to serve them; when more wait than can be
-served they are refused at once.
+group is still down, but no longer than their programs wait for a first event; when more
+wait than can be served they are refused at once.
 
 Plain services run requests of some tens of milliseconds; there a few rounds of waiting
 are short against the time that callers have.
@@ -19,14 +19,13 @@
 Grounds for the figures. WAITING: above. RETURNED_PART: with two of six places kept
 free, a new request found one in 19 of 20 cases at the usual load. PLAIN_ROUNDS: three
 rounds of 25 ms leave an answer within 100 ms. MAXIMUM_RETURNED: an entry's part of the
-spare places serves about two in a second, and callers who came back have two seconds
-more than their answer takes.
+spare places serves about two in a second, and after an outage many places are free.
 """
 
-WAITING = 2
-RETURNED_PART = 2 / 3
+WAITING = 4
+RETURNED_PART = 1 / 2
 PLAIN_ROUNDS = 3
-MAXIMUM_RETURNED = 8
+MAXIMUM_RETURNED = 6
 
 
 def room(slots, *, is_engine, returned):
