--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -14,7 +14,7 @@
 from fescuedrum.decisions.returns import UsualPatience
 from fescuedrum.decisions.stopping import StopPlan
 from fescuedrum.exceptions import RowNotUnderstood, StoreUnavailable
-from fescuedrum.process import cancel, on_reload, stop_event
+from fescuedrum.process import cancel, on_reload
 from fescuedrum.wire.gen.gateways.ttypes import Beacon
 from fescuedrum_gateway.connection.callers import build_server
 from fescuedrum_gateway.connection.endpoints import open_endpoint_session, open_socket
@@ -92,9 +92,8 @@
             settings.retry_share, settings.retry_slack, settings.retry_window_seconds
         )
 
-    async def run(self):
-        """Serve until a signal, then drain and stop."""
-        stop = stop_event()
+    async def run(self, stop):
+        """Serve until stop, an event, is set; then drain."""
         on_reload(self.reload)
         connector = aiohttp.TCPConnector(limit=0, socket_factory=open_socket)
         async with (
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/program.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/program.py
@@ -5,7 +5,13 @@
 import sys
 
 from fescuedrum.logs import configure_logging
-from fescuedrum.process import EXIT_FINDINGS, EXIT_OK, INCARNATION_BITS, load_settings
+from fescuedrum.process import (
+    EXIT_FINDINGS,
+    EXIT_OK,
+    INCARNATION_BITS,
+    load_settings,
+    stop_event,
+)
 from fescuedrum_gateway.conf import GatewaySettings
 from fescuedrum_gateway.process import clock
 from fescuedrum_gateway.process.gateway import Gateway
@@ -31,7 +37,7 @@
         return reload_settings(path)
 
     incarnation = secrets.randbits(INCARNATION_BITS)
-    await Gateway(settings, adapter, incarnation, reread).run()
+    await Gateway(settings, adapter, incarnation, reread).run(stop_event())
 
 
 def reload_settings(path):
--- /dev/null
+++ b/tests/support/dialect.py
@@ -0,0 +1,143 @@
+"""Speak a plain dialect of the gateway's adapter, on a store held in memory."""
+
+import asyncio
+import contextlib
+
+from fescuedrum.conf.routing import RoutingDocument
+from fescuedrum.decisions.presence import ListedEndpoint
+from fescuedrum.exceptions import HistoryLost, RowNotUnderstood, StoreUnavailable
+from fescuedrum.headers import end_to_end
+from fescuedrum.platform.interfaces import Changes, VersionedRow
+from fescuedrum_gateway.adapter import AnswerHead, CallHead, ZoneOut
+
+REPLACED = frozenset(
+    ("key", "patience", "last-event", "organisation", "endpoint", "content-length")
+)
+
+
+class MemoryRowStore:
+    """Implement RowStore; rows are Python objects kept beside their bytes."""
+
+    def __init__(self):
+        self.tables = {}
+        self.version = 0
+        self.away = False
+        self.forgotten = -1
+        self.changed = asyncio.Event()
+        self.objects = {}
+
+    def put(self, table, key, value):
+        """Write a row of any object."""
+        self.version += 1
+        raw = f"{table}/{key}/{self.version}".encode()
+        self.objects[raw] = value
+        row = VersionedRow(key, raw, self.version)
+        self.tables.setdefault(table, {})[key] = row
+        self.wake()
+
+    def delete(self, table, key):
+        self.version += 1
+        self.tables[table][key] = VersionedRow(key, None, self.version)
+        self.wake()
+
+    def wake(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def check(self):
+        if self.away:
+            raise StoreUnavailable("The store is away.")
+
+    async def read_table(self, table):
+        self.check()
+        rows = [
+            row for row in self.tables.get(table, {}).values() if row.value is not None
+        ]
+        return Changes(rows, self.version, whole=True)
+
+    async def wait_for_changes(self, table, after, wait_seconds):
+        self.check()
+        if after < self.forgotten:
+            raise HistoryLost
+        changed = self.changed
+        rows = self.changes(table, after)
+        if not rows:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(changed.wait(), wait_seconds)
+            self.check()
+            rows = self.changes(table, after)
+        return Changes(rows, self.version)
+
+    def changes(self, table, after):
+        rows = self.tables.get(table, {}).values()
+        return sorted(
+            (row for row in rows if row.version > after), key=lambda row: row.version
+        )
+
+    async def put_row(self, table, key, value):
+        self.check()
+        self.version += 1
+        self.tables.setdefault(table, {})[key] = VersionedRow(key, value, self.version)
+
+
+class PlainAdapter:
+    """Implement the gateway's Adapter with names of its own."""
+
+    operators_table = "operators"
+    endpoints_table = "endpoints"
+    gateways_table = "gateways"
+
+    def __init__(self, store):
+        self.store = store
+
+    def open_store(self, base_url, session):
+        return self.store
+
+    def open_engines(self, session):
+        return None
+
+    def read_operators_row(self, row):
+        value = self.store.objects[row.value]
+        return value if isinstance(value, RoutingDocument | ZoneOut) else None
+
+    def read_endpoint(self, row):
+        value = self.store.objects[row.value]
+        if not isinstance(value, ListedEndpoint):
+            raise RowNotUnderstood("The row is no endpoint.")
+        return value
+
+    def read_call(self, headers):
+        patience = headers.get("Patience")
+        return CallHead(
+            request_id=headers.get("Request-Id", ""),
+            key=headers.get("Key", ""),
+            patience=None if patience is None else float(patience),
+            prompt_tokens=int(headers.get("Prompt", 0)),
+            last_event_id=headers.get("Last-Event", ""),
+            headers=end_to_end(headers, without=REPLACED),
+        )
+
+    def write_call(self, head, send):
+        return [
+            *head.headers,
+            ("Endpoint", send.endpoint_name),
+            ("Patience", f"{send.patience:.3f}"),
+            ("Organisation", send.organisation),
+            ("Last-Event", send.last_event_id),
+        ]
+
+    def read_answer(self, status, headers):
+        return AnswerHead(
+            status=status,
+            request_id=headers.get("Request-Id"),
+            not_run="Not-Run" in headers,
+            signed="Signed" in headers,
+            encoded="Content-Encoding" in headers,
+            headers=end_to_end(headers, without=frozenset(("content-length",))),
+        )
+
+    def refusal_headers(self, request_id, retry_after):
+        headers = {"Request-Id": request_id}
+        if retry_after is not None:
+            headers["Retry-After"] = f"{retry_after:.3f}"
+        return headers
--- /dev/null
+++ b/tests/unit/test_platform_adapter.py
@@ -0,0 +1,287 @@
+"""Check what the adapter reads of the platform's rows, headers and answers."""
+
+import base64
+import json
+
+import pytest
+from multidict import CIMultiDict
+
+from fescuedrum.conf.routing import RequestKind
+from fescuedrum.decisions.presence import EndpointState
+from fescuedrum.exceptions import (
+    BadRequest,
+    HistoryLost,
+    RowNotUnderstood,
+    StoreUnavailable,
+)
+from fescuedrum.groups.engines import ArmMap, HoldPass, PrepareMap, ReleasePass
+from fescuedrum.platform.interfaces import VersionedRow
+from fescuedrum_gateway.adapter import SendHead, ZoneOut
+from fescuedrum_platform import documents, engines, headers, listing
+from fescuedrum_platform.store import PlatformStore
+
+ROUTE = {
+    "name": "r-1",
+    "host": "Club.example",
+    "prefix": "/a/",
+    "type": "stream",
+    "timeout_ms": 8000,
+    "slo_ms": 402,
+    "priority": 1,
+    "split": [{"service": "one", "weight": 90}, {"service": "two", "weight": 10}],
+    "max_attempts": 2,
+    "public": False,
+    "resumable": True,
+}
+ENGINE = {
+    "slots": 6,
+    "kv_capacity": 247000,
+    "sets": 4,
+    "experts": 72,
+    "placements": 8,
+    "spare": 3,
+    "expert_mb": 2200.0,
+    "link_mbps": 180000.0,
+}
+SERVICE = {"name": "one", "max_conns": 408, "cold_per_s": 36.0, "engine": ENGINE}
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [SERVICE],
+    "limits": {"max_body_bytes": 1000},
+    "tenants": [{"name": "club", "api_keys": ["k1", "k2"], "priority": 1}],
+}
+ENTRY = {
+    "service": "one",
+    "address": "10.0.0.9:8080",
+    "zone": "zone-1",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_left_ms": 1500,
+    "seq": 4,
+}
+
+
+def row(key, value):
+    raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return VersionedRow(key, raw, 1)
+
+
+def test_a_configuration_becomes_the_products_document():
+    document = documents.read_operators_row(row("config", CONFIG))
+    assert document.version == 7
+    (route,) = document.routes
+    assert route.host == "club.example"
+    assert route.kind is RequestKind.RESUMABLE_STREAM
+    assert route.timeout == 8.0
+    assert [share.service for share in route.shares] == ["one", "two"]
+    (service,) = document.services
+    assert service.engine.experts.copy_seconds == pytest.approx(0.0978, abs=1e-4)
+    assert document.organisations[0].keys == ("k1", "k2")
+    assert document.limits.maximum_body_bytes == 1000
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "expected"),
+    [
+        ("idempotent", False, RequestKind.IDEMPOTENT),
+        ("non_idempotent", False, RequestKind.NON_IDEMPOTENT),
+        ("stream", False, RequestKind.STREAM),
+    ],
+)
+def test_the_kind_says_what_may_be_repeated(kind, resumable, expected):
+    changed = ROUTE | {"type": kind, "resumable": resumable}
+    document = documents.read_operators_row(
+        row("config", CONFIG | {"routes": [changed]})
+    )
+    assert document.routes[0].kind is expected
+
+
+def test_a_zone_out_and_other_rows():
+    assert documents.read_operators_row(row("evacuate/zone-1", {})) == ZoneOut("zone-1")
+    assert documents.read_operators_row(row("else", {})) is None
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("type", "odd"), ("timeout_ms", None), ("prefix", 3), ("split", [])],
+)
+def test_an_odd_configuration_names_the_field(field, value):
+    changed = CONFIG | {"routes": [ROUTE | {field: value}]}
+    with pytest.raises(RowNotUnderstood, match=field):
+        documents.read_operators_row(row("config", changed))
+
+
+def test_an_entry_becomes_a_listed_endpoint():
+    endpoint = listing.read_endpoint(row("i-1", ENTRY | {"born": 17}))
+    assert endpoint.name == "i-1"
+    assert (endpoint.host, endpoint.port) == ("10.0.0.9", 8080)
+    assert endpoint.state is EndpointState.READY
+    assert endpoint.cold_seconds == 1.5
+    assert endpoint.started_at == 17
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\x00",
+        b"[]",
+        b"[" * 100000,
+        ENTRY | {"address": "10.0.0.9"},
+        ENTRY | {"address": "10.0.0.9:99999"},
+        ENTRY | {"slots": "6"},
+        ENTRY | {"slots": True},
+        ENTRY | {"state": "dreaming"},
+        {key: ENTRY[key] for key in ENTRY if key != "zone"},
+    ],
+)
+def test_an_odd_entry_names_no_endpoint(value):
+    with pytest.raises(RowNotUnderstood):
+        listing.read_endpoint(row("i-1", value))
+
+
+def test_a_caller_can_not_forge_what_gateways_say():
+    """A caller is served as another organisation.
+
+    It sends the headers that gateways set for engines.
+    """
+    told = CIMultiDict(
+        {
+            "Attempt-Id": "a",
+            "Api-Key": "k1",
+            "Tenant": "other",
+            "Expect-Instance": "i-9",
+            "Request-Urgency": "0",
+            "Deadline-Ms": "8050",
+            "Token-Count": "1460,80",
+            "Connection": "X-Hop",
+            "X-Hop": "1",
+            "X-Mine": "kept",
+        }
+    )
+    head = headers.read_call(told)
+    assert head.patience == 8.05
+    assert head.prompt_tokens == 1460
+    send = SendHead("i-1", 7.5, "club", 12, "")
+    sent = headers.write_call(head, send)
+    assert len({name.lower() for name, _ in sent}) == len(sent)
+    assert dict(sent) == {
+        "Attempt-Id": "a",
+        "Token-Count": "1460,80",
+        "X-Mine": "kept",
+        "Deadline-Ms": "7500",
+        "Expect-Instance": "i-1",
+        "Request-Urgency": "9",
+        "Tenant": "club",
+    }
+
+
+@pytest.mark.parametrize("told", [{}, {"Attempt-Id": "a", "Deadline-Ms": "soon"}])
+def test_a_request_that_can_not_be_understood_is_a_bad_one(told):
+    with pytest.raises(BadRequest):
+        headers.read_call(CIMultiDict(told))
+
+
+def test_what_an_answer_says():
+    told = {"Attempt-Id": "a", "Server-Stamp": "s", "Server-Load": "1,0,6"}
+    answer = headers.read_answer(200, CIMultiDict(told))
+    assert answer.signed
+    assert not answer.not_run
+    assert dict(answer.headers) == {"Attempt-Id": "a", "Server-Stamp": "s"}
+    assert headers.read_answer(503, CIMultiDict({"Not-Executed": "1"})).not_run
+    assert headers.read_answer(421, CIMultiDict()).not_run
+    assert not headers.read_answer(503, CIMultiDict()).not_run
+    assert headers.read_answer(200, CIMultiDict({"Content-Encoding": "br"})).encoded
+
+
+REPORT = {
+    "group": {"name": "g", "epoch": 2, "rank": 3, "state": "open"},
+    "size": 12,
+    "step": 50,
+    "mapping": 0,
+    "prepared": None,
+    "enabled": None,
+    "held": None,
+}
+
+
+def test_a_report_of_a_rank():
+    report = engines.decode_report(REPORT | {"held": 90, "prepared": 5})
+    assert (report.group, report.epoch, report.rank) == ("g", 2, 3)
+    assert report.is_open
+    assert report.held_step == 90
+    assert report.prepared_version == 5
+    assert report.armed_version is None
+    armed = engines.decode_report(REPORT | {"enabled": {"version": 5, "step": 9}})
+    assert armed.armed_version == 5
+
+
+def test_orders_are_written_as_the_platform_names_them():
+    assert engines.encode_order(PrepareMap(4, [[[0, 2], [1]]])) == {
+        "op": "prepare",
+        "version": 4,
+        "mapping": [[[0, 2], [1]]],
+    }
+    assert engines.encode_order(ArmMap(4, 9)) == {"op": "arm", "version": 4, "step": 9}
+    assert engines.encode_order(HoldPass(9)) == {"op": "retention", "step": 9}
+    assert engines.encode_order(ReleasePass(9)) == {"op": "go", "step": 9}
+
+
+class Answering:
+    """Give pages in turn in place of HTTP calls."""
+
+    def __init__(self, *pages):
+        self.pages = [*pages]
+        self.params = []
+
+    async def call_json(self, method, path, params):
+        self.params.append(params)
+        return self.pages.pop(0)
+
+    async def call(self, method, path, **arguments):
+        self.params.append(arguments)
+        return self.pages.pop(0)
+
+
+def page(*keys, version, more=False):
+    rows = [
+        {
+            "key": key,
+            "value": base64.b64encode(b"x").decode(),
+            "schema_version": version,
+        }
+        for key in keys
+    ]
+    return {"rows": rows, "has_more": more, "schema_version": version}
+
+
+def build_store(*pages):
+    store = PlatformStore("http://x", None)
+    store.caller = Answering(*pages)
+    return store
+
+
+async def test_a_table_of_several_pages_is_read_whole():
+    store = build_store(page("a", "b", version=5, more=True), page("c", version=6))
+    changes = await store.read_table("t")
+    assert [each.key for each in changes.rows] == ["a", "b", "c"]
+    assert changes.version == 5
+    assert changes.whole
+    assert store.caller.params[1]["from"] == "b\0"
+
+
+async def test_deleted_rows_and_lost_history():
+    gone = {"rows": [{"key": "a", "schema_version": 9, "deleted": True}]}
+    body = json.dumps(gone | {"schema_version": 9}).encode()
+    store = build_store((200, body), (410, b""))
+    changes = await store.wait_for_changes("t", 5, 20.0)
+    assert changes.rows == [VersionedRow("a", None, 9)]
+    with pytest.raises(HistoryLost):
+        await store.wait_for_changes("t", 5, 20.0)
+
+
+@pytest.mark.parametrize("answer", [[], {}, {"rows": [3], "schema_version": 1}])
+async def test_an_answer_that_is_odd_is_an_outage(answer):
+    with pytest.raises(StoreUnavailable):
+        await build_store(answer).read_table("t")
