Change maps only for passes at least 1.5 times as short

Change: the least improvement is 1.5 instead of 1.25; two new requests may wait at an engine instead of four, as in lasting overload all who wait are late.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
@@ -30,7 +30,7 @@
 SEARCH_SECONDS = 0.3
 # A change must make passes shorter by this factor: copies slow the group for half a
 # second, and counts of half a second miss the true demand by a tenth.
-LEAST_IMPROVEMENT = 1.25
+LEAST_IMPROVEMENT = 1.5
 # New experts for a rank, in each layer, in one change: the copies of more take longer
 # than the demand that they are meant for may last.
 SPARE = 1
--- a/packages/fescuedrum/src/fescuedrum/decisions/rooms.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/rooms.py
@@ -21,7 +21,7 @@
 spare places serves about two in a second, and after an outage many places are free.
 """
 
-WAITING = 4
+WAITING = 2
 RETURNED_PART = 2 / 3
 PLAIN_ROUNDS = 3
 MAXIMUM_RETURNED = 6
