Follow demand at ranks that get requests; settle holds after a change

The test written for it found a second fault: a hold left by a dead process was never released when a map had been changed before, as the version in use can't be disarmed and the order was repeated for ever.

Ruled out: the store, which two gateways had lost meanwhile (they learned from peers), and the burst of that time: with maps that follow, the same load is served.

Change: counts that don't grow send the reader to the next rank; a settled hold takes back what the ranks have prepared, not what they use.

Both tests fail on the code before.

Conclusion: a sample must be taken where there is something to sample.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
@@ -23,8 +23,6 @@
 # Looks between reads of counts: demand may change every few seconds, and a read of an
 # engine's counts from afar is dear.
 LOOKS_PER_READ = 2
-# Ranks whose counts are read; callers are spread over ranks, so that each is a sample.
-SAMPLED_RANKS = 1
 # Time between looks for groups while one is missing or not whole. A group of a dozen
 # ranks forms within a second of its last rank's return.
 SEARCH_SECONDS = 0.3
@@ -57,6 +55,8 @@
     held_step: int | None = None
     held_since: float = 0.0
     looks: int = 0
+    # Rank whose counts are read: requests are spread over ranks, so each is a sample.
+    sampled: int = 0
 
 
 class GroupKeeper:
@@ -190,24 +190,26 @@
         if group.looks % LOOKS_PER_READ:
             return True
         counts = await self.read_counts(group)
-        if counts is None:
-            return True
-        if group.demand.observe(counts, self.experts.layers):
+        if counts is not None and group.demand.observe(counts, self.experts.layers):
             return await self.improve(group, group.demand.mean)
+        await self.sample_next(group)
         return True
 
     async def read_counts(self, group):
-        """Return the sampled ranks' counts, summed up; None when one is missing."""
-        ranks = len(group.addresses)
-        sample = range(0, ranks, max(ranks // SAMPLED_RANKS, 1))
-        found = await asyncio.gather(
-            *(self.engines.read_counts(group.addresses[rank]) for rank in sample)
-        )
-        if any(each is None or each.epoch != group.epoch for each in found):
+        """Return the sampled rank's counts; None when it gives no usable answer."""
+        counts = await self.engines.read_counts(group.addresses[group.sampled])
+        if counts is None or counts.epoch != group.epoch:
             return None
-        return [
-            sum(column) for column in zip(*(each.counts for each in found), strict=True)
-        ]
+        return counts.counts
+
+    async def sample_next(self, group):
+        """Go on with the counts of the next rank.
+
+        A rank whose zone is out of service gets no requests, and its counts stand
+        still. Demand would seem never to move, and the map would stay as it is.
+        """
+        group.sampled = (group.sampled + 1) % len(group.addresses)
+        await self.restart_demand(group)
 
     async def watch_hold(self, group, report):
         """Settle a hold that its process has left behind."""
--- a/packages/fescuedrum/src/fescuedrum/groups/switching.py
+++ b/packages/fescuedrum/src/fescuedrum/groups/switching.py
@@ -185,11 +185,17 @@
             await asyncio.sleep(ROUND_SECONDS)
         return await self.release(SwitchResult.ABANDONED)
 
+    def disarmed_version(self, rank):
+        """Return the version that a rank may be armed with; None for none."""
+        return self.change.version
+
     async def disarm(self, rank, armed):
         """Make sure that a rank isn't armed and won't be; tell whether it is so."""
-        disarmed = await self.give(rank, DisarmMap(self.change.version))
-        if disarmed is not OrderResult.TAKEN:
-            return False
+        version = self.disarmed_version(rank)
+        if version is not None:
+            disarmed = await self.give(rank, DisarmMap(version))
+            if disarmed is not OrderResult.TAKEN:
+                return False
         if armed is OrderResult.TAKEN:
             return True
         # The arming that got no answer may come yet: void what it names.
@@ -197,6 +203,29 @@
         return await self.give(rank, void) is OrderResult.TAKEN
 
 
+class LeftSwitch(Switch):
+    """Take over a change that another process has left halfway."""
+
+    __slots__ = ("reports",)
+
+    def __init__(self, engines, addresses, reports, held):
+        newest = max(newest_version(report) for report in reports.values())
+        first = reports[HOLDING_RANK]
+        change = MapChange(newest, held, held, 0.0)
+        super().__init__(engines, addresses, first.epoch, change)
+        self.step = first.held_step
+        self.reports = reports
+
+    def disarmed_version(self, rank):
+        """Return what the rank has prepared.
+
+        The version in use can't be disarmed: the order would be refused for ever, and
+        the group stand still as long.
+        """
+        report = self.reports[rank]
+        return report.armed_version or report.prepared_version
+
+
 async def settle(engines, addresses, reports, held):
     """Release a group that was left held; tell whether it goes on.
 
@@ -207,10 +236,7 @@
     """
     first = reports[HOLDING_RANK]
     logger.warning("held group settled", extra={"step": first.held_step})
-    newest = max(newest_version(report) for report in reports.values())
-    change = MapChange(newest, held, held, 0.0)
-    switch = Switch(engines, addresses, first.epoch, change)
-    switch.step = first.held_step
+    switch = LeftSwitch(engines, addresses, reports, held)
     if all(report.armed_version is not None for report in reports.values()):
         return await switch.release(SwitchResult.SWITCHED)
     return await switch.abandon(dict.fromkeys(addresses, OrderResult.UNANSWERED))
--- a/tests/support/groups.py
+++ b/tests/support/groups.py
@@ -54,7 +54,8 @@
         self.mixed_passes = []
         self.passes_held = 0
         self.history = []
-        self.counts = [0]
+        # Counts of each rank; tests let them grow.
+        self.counts = [[0] for _ in self.ranks]
         self.tasks = []
 
     @property
@@ -73,10 +74,10 @@
 
     def begin_pass(self):
         self.step += 1
-        for rank in self.ranks:
+        for number, rank in enumerate(self.ranks):
             if rank.armed is not None and rank.armed.step == self.step:
                 rank.map_version = rank.armed.version
-                rank.held = rank.prepared.held
+                rank.held = [layer[number] for layer in rank.prepared.held]
                 rank.armed = rank.prepared = None
         if len({rank.map_version for rank in self.ranks}) > 1:
             self.mixed_passes.append(self.step)
@@ -113,7 +114,7 @@
         return (past[-1] if past else self.snapshot())[address[1]]
 
     async def read_counts(self, address):
-        return RankCounts(self.epoch, self.step, list(self.counts))
+        return RankCounts(self.epoch, self.step, list(self.counts[address[1]]))
 
     async def read_map(self, address):
         rank = self.ranks[address[1]]
--- /dev/null
+++ b/tests/unit/test_group_keeper.py
@@ -0,0 +1,159 @@
+"""Check that the map of a group follows demand, whatever its ranks and leaders do."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+from support.clock import run_paused
+from support.groups import StandInGroup
+from support.routing import build_endpoint
+
+from fescuedrum.conf.routing import EngineProfile, ExpertProfile, RoutedService
+from fescuedrum.decisions.experts import even
+from fescuedrum.decisions.presence import Presences
+from fescuedrum.groups.engines import HoldPass, PrepareMap
+from fescuedrum_gateway.process.groups import GroupKeeper
+
+RANKS = 4
+EXPERTS = 16
+LAYERS = 2
+PROFILE = ExpertProfile(LAYERS, EXPERTS, places=6, spare=3, copy_seconds=0.1)
+# One expert of four ranks' sixteen carries half of the load.
+HOT = [50 if expert == 0 else 3 for expert in range(EXPERTS)]
+
+
+def build_keeper(group):
+    service = RoutedService("advice", engine=EngineProfile(6, experts=PROFILE))
+    presences = Presences()
+    for rank in range(RANKS):
+        presences.listed(build_endpoint(f"e-{rank}", host="engine", port=rank))
+    gateway = SimpleNamespace(
+        configuration=SimpleNamespace(
+            table=SimpleNamespace(services={"advice": service})
+        ),
+        directory=SimpleNamespace(presences=presences),
+        random=random.Random(1),
+    )
+    return GroupKeeper(gateway, group, "advice")
+
+
+def build_group(**faults):
+    held = even.initial_map(EXPERTS, RANKS, LAYERS)
+    group = StandInGroup([[sorted(each) for each in layer] for layer in held], **faults)
+    group.counts = [[0] * EXPERTS * LAYERS for _ in range(RANKS)]
+    return group
+
+
+async def grow(group, ranks, loads=None):
+    """Let the counts of some ranks grow as requests come in."""
+    while True:
+        await asyncio.sleep(0.05)
+        for rank in ranks:
+            grown = (loads or HOT) * LAYERS
+            group.counts[rank] = [
+                count + 100 * more
+                for count, more in zip(group.counts[rank], grown, strict=True)
+            ]
+
+
+def play(story, group_faults=None, ranks=range(RANKS)):
+    async def run():
+        group = build_group(**group_faults or {})
+        keeper = build_keeper(group)
+        tasks = [
+            asyncio.create_task(group.run()),
+            asyncio.create_task(grow(group, ranks)),
+        ]
+        await asyncio.sleep(0.5)
+        await story(keeper, group)
+        for task in tasks:
+            task.cancel()
+        return group
+
+    return run_paused(run())
+
+
+async def look_for(keeper, seconds):
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    while loop.time() < until:
+        await asyncio.sleep(0.25)
+        await keeper.step()
+
+
+def hosts(group, expert, layer=0):
+    return sum(expert in rank.held[layer] for rank in group.ranks)
+
+
+def test_a_hot_expert_gets_replicas_soon():
+    async def story(keeper, group):
+        await look_for(keeper, 2.5)
+
+    group = play(story)
+    assert hosts(group, 0) > 1
+    assert group.mixed_passes == []
+
+
+def test_demand_is_seen_though_the_first_rank_gets_no_requests():
+    """Every stream is late from when a zone is taken out until it is back.
+
+    The counts are read at one rank, and that rank's zone is out: it gets no requests,
+    and its counts stand still while demand moves.
+    """
+
+    async def story(keeper, group):
+        await look_for(keeper, 4.0)
+
+    group = play(story, ranks=(2, 3))
+    assert hosts(group, 0) > 1
+
+
+def test_a_group_that_begins_anew_gets_a_good_map_again():
+    async def story(keeper, group):
+        await look_for(keeper, 2.5)
+        assert hosts(group, 0) > 1
+        group.restart()
+        held = even.initial_map(EXPERTS, RANKS, LAYERS)
+        for number, rank in enumerate(group.ranks):
+            rank.held = [sorted(layer[number]) for layer in held]
+        await look_for(keeper, 3.0)
+        assert hosts(group, 0) > 1
+
+    assert play(story).mixed_passes == []
+
+
+def test_a_group_that_was_left_held_goes_on():
+    """A group stands still for good.
+
+    The process that changed its map froze between holding the pass and releasing it;
+    one rank had been armed already.
+    """
+
+    async def story(keeper, group):
+        await look_for(keeper, 0.3)
+        step = group.step + 5
+        held = [[[0]] * RANKS] * LAYERS
+        assert group.take(0, 1, PrepareMap(9000, held))
+        assert group.take(0, 1, HoldPass(step))
+        await look_for(keeper, 4.0)
+        assert group.step > step
+
+    assert play(story).mixed_passes == []
+
+
+def test_an_even_demand_changes_nothing():
+    async def story(keeper, group):
+        await look_for(keeper, 3.0)
+
+    async def run():
+        group = build_group()
+        keeper = build_keeper(group)
+        passes = asyncio.create_task(group.run())
+        growing = asyncio.create_task(grow(group, range(RANKS), [5] * EXPERTS))
+        await story(keeper, group)
+        passes.cancel()
+        growing.cancel()
+        return group
+
+    group = run_paused(run())
+    assert {rank.map_version for rank in group.ranks} == {0}
