Write bounded log lines to standard output; serve the gateway's metrics

Cause: the users' engineers have only logs and metrics. The gateway logged to standard error through a handler that waits for its reader, without a bound, and had no metrics.

Counters, histograms and ages on /metrics. The command line checks settings.

Ruled out: a thread for the log: it would need a bound as well, and memory.

--- a/packages/fescuedrum-bench/src/fescuedrum_bench/commands/docs.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/commands/docs.py
@@ -12,6 +12,8 @@
 from fescuedrum_agent.process.metrics import AgentMetrics
 from fescuedrum_entry.conf import EntrySettings
 from fescuedrum_entry.process.metrics import EntryMetrics
+from fescuedrum_gateway.conf import GatewaySettings
+from fescuedrum_gateway.process.metrics import GatewayMetrics
 
 DOCUMENT_TITLE = "Configuration document"
 DOCUMENT_INTRODUCTION = """\
@@ -23,12 +25,17 @@
 file that `--settings` names; `--check-settings` lists every fault at once, each with
 the field's path and the remedy, and starts nothing. A field that is not known is a
 fault, so a misspelt one is never passed over."""
+GATEWAY_INTRODUCTION = """\
+Made from the settings class by `make docs`. On the users' machines the settings are
+rendered from `deploy/gateway.json`; `python -m fescuedrum_platform --settings FILE
+--check-settings` lists every fault at once and starts nothing."""
 METRICS_INTRODUCTION = """\
-Made from the registries by `make docs`. Both processes also export the client
+Made from the registries by `make docs`. All processes also export the client
 library's `process_*` metrics. No label takes a value that a caller or a peer chose, so
 the number of time series is bounded by the configuration. The entry serves `/metrics`
 on its port to operators (`Authorization: Bearer <token>`, role viewer); the agent
-serves it on `operations_port`, without names of organisations."""
+serves it on `operations_port` and the gateway on `ready_address` and `peer_port`, both
+without names of organisations."""
 
 
 def build_pages():
@@ -49,16 +56,24 @@
             "Settings of the agent",
             SETTINGS_INTRODUCTION.format(binary="`fescuedrum-agent`"),
         ),
+        "settings-gateway.md": reference_page(
+            GatewaySettings, "Settings of the gateway", GATEWAY_INTRODUCTION
+        ),
         "metrics.md": describe_metrics(),
     }
 
 
 def describe_metrics():
-    entry, agent = EntryMetrics(), AgentMetrics()
+    entry, agent, gateway = EntryMetrics(), AgentMetrics(), GatewayMetrics()
     # Gauges are only declared here: nobody reads them, so they need no process.
     entry.watch(None)
     agent.watch(None)
-    catalogues = [("Entry", entry.catalogue), ("Agent", agent.catalogue)]
+    gateway.watch(None)
+    catalogues = [
+        ("Entry", entry.catalogue),
+        ("Agent", agent.catalogue),
+        ("Gateway", gateway.catalogue),
+    ]
     return describe_page("Metrics", METRICS_INTRODUCTION, catalogues)
 
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -22,6 +22,7 @@
 from fescuedrum_gateway.process.directory import Directory
 from fescuedrum_gateway.process.followers import Follower
 from fescuedrum_gateway.process.groups import GroupDuty
+from fescuedrum_gateway.process.metrics import GatewayMetrics
 from fescuedrum_gateway.process.peers import ENDPOINTS, OPERATORS, Peers, loads_of
 from fescuedrum_gateway.process.returns import ReturnQueue
 from fescuedrum_gateway.request.handler import RequestHandler
@@ -47,6 +48,7 @@
         "directory",
         "followers",
         "incarnation",
+        "metrics",
         "patience",
         "peers",
         "random",
@@ -81,6 +83,8 @@
         self.followers = []
         # Set once the process was told to stop.
         self.stop_plan = None
+        self.metrics = GatewayMetrics()
+        self.metrics.watch(self)
         self.running = 0
         self.session = None
         self.store = None
@@ -143,6 +147,7 @@
         settings = self.settings
         control = web.Application()
         control.router.add_get("/readyz", self.readyz)
+        control.router.add_get("/metrics", self.expose_metrics)
         followers.add_routes(control, self.followers)
         callers = web.ServerRunner(
             build_server(RequestHandler(self).handle, settings), shutdown_timeout=0.1
@@ -166,6 +171,17 @@
         body = {"ready": bool(self.ready), "version": self.configuration.version}
         return web.json_response(body, status=200 if self.ready else 503)
 
+    async def expose_metrics(self, _):
+        text, content_type = self.metrics.catalogue.expose()
+        return web.Response(body=text, headers={"Content-Type": content_type})
+
+    def configuration_age(self):
+        """Return for how many seconds the configuration has been in force."""
+        read_at = self.configuration.read_at
+        if read_at is None:
+            return -1.0
+        return asyncio.get_running_loop().time() - read_at
+
     # What the platform and peers tell
 
     def take_operators_rows(self, rows):
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
@@ -256,6 +256,7 @@
         result = await switch.run()
         seconds = round(self.loop.time() - began, 3)
         extra = {**extra, "result": result.value, "seconds": seconds}
+        self.gateway.metrics.map_changes.labels(result.value).inc()
         logger.info("map change ended", extra={**extra, "step": switch.step})
         group.version = change.version + 1
         if result is SwitchResult.SWITCHED:
--- /dev/null
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
@@ -0,0 +1,100 @@
+"""Declare the gateway's metrics and count what its requests come to."""
+
+from fescuedrum.metrics import SERVICE, Catalogue, Label
+
+NO_SERVICE = "none"
+RESULT = Label("result", "5: answered, failed, cut, refused, left")
+SENDING = Label("result", "3: opened, not-run, lost")
+CODE = Label("code", "the error codes of the callers' interface")
+CHANGE = Label("result", "3: switched, abandoned, epoch-ended")
+
+
+class GatewayMetrics:
+    """Own the gateway's metrics; each method counts one kind of event."""
+
+    __slots__ = (
+        "catalogue",
+        "first_event",
+        "map_changes",
+        "refusals",
+        "requests",
+        "seconds",
+        "sendings",
+    )
+
+    def __init__(self):
+        catalogue = self.catalogue = Catalogue()
+        self.requests = catalogue.counter(
+            "fescuedrum_gateway_requests_total",
+            "Requests that came to an end.",
+            SERVICE,
+            RESULT,
+        )
+        self.seconds = catalogue.histogram(
+            "fescuedrum_gateway_request_seconds",
+            "Time from a request's head to the end of its answer.",
+            SERVICE,
+        )
+        self.first_event = catalogue.histogram(
+            "fescuedrum_gateway_first_event_seconds",
+            "Time from a request's head to the first event of its stream.",
+            SERVICE,
+        )
+        self.sendings = catalogue.counter(
+            "fescuedrum_gateway_sendings_total",
+            "Sendings to endpoints; more than requests by repeats.",
+            SENDING,
+        )
+        self.refusals = catalogue.counter(
+            "fescuedrum_gateway_refusals_total", "Refusals of the gateway's own.", CODE
+        )
+        self.map_changes = catalogue.counter(
+            "fescuedrum_gateway_map_changes_total",
+            "Changes of expert maps that this gateway led.",
+            CHANGE,
+        )
+
+    def watch(self, gateway):
+        """Declare the gauges that are read from the gateway's parts."""
+        readings = (
+            ("running_requests", "Requests that run now.", lambda: gateway.running),
+            (
+                "configuration_version",
+                "Version of the configuration that is in force here; -1 for none.",
+                lambda: gateway.configuration.version,
+            ),
+            (
+                "configuration_age_seconds",
+                "Time since that version came in force; -1 for none.",
+                lambda: gateway.configuration_age(),
+            ),
+            (
+                "endpoints",
+                "Endpoints known.",
+                lambda: len(gateway.directory.presences.by_name),
+            ),
+            (
+                "gateways_sharing",
+                "Gateways that share the common bounds, this one included.",
+                lambda: gateway.peers.count_entries(),
+            ),
+            (
+                "store_answers",
+                "1 while the platform's store answers this gateway.",
+                lambda: any(each.answers for each in gateway.followers),
+            ),
+            ("leaving", "1 while the process stops.", lambda: gateway.leaving),
+        )
+        for name, text, read in readings:
+            self.catalogue.reading(f"fescuedrum_gateway_{name}", text, read)
+
+    def ended(self, service, result, seconds):
+        self.requests.labels(service or NO_SERVICE, result).inc()
+        if service:
+            self.seconds.labels(service).observe(seconds)
+
+    def refused(self, code):
+        self.refusals.labels(code).inc()
+
+    def sent(self, result):
+        self.sendings.labels(result).inc()
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/program.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/program.py
@@ -4,12 +4,13 @@
 import secrets
 import sys
 
-from fescuedrum.logs import configure_logging
+from fescuedrum.logs import configure_bounded_logging
 from fescuedrum.process import (
     EXIT_FINDINGS,
     EXIT_OK,
     INCARNATION_BITS,
     load_settings,
+    run_check,
     stop_event,
 )
 from fescuedrum_gateway.conf import GatewaySettings
@@ -19,7 +20,7 @@
 logger = logging.getLogger(__name__)
 
 
-def run_gateway(path, adapter):
+def run_gateway(path, adapter, *, only_check=False):
     """Run a gateway that speaks through an adapter; return its exit code."""
     loaded = load_settings(GatewaySettings, path)
     if loaded.is_err():
@@ -27,7 +28,14 @@
             print(finding, file=sys.stderr)
         return EXIT_FINDINGS
     settings = loaded.ok_value
-    configure_logging(settings.log_level, instance=settings.name, zone=settings.zone)
+    if only_check:
+        return run_check(settings)
+    configure_bounded_logging(
+        settings.log_level,
+        settings.log_lines_per_second,
+        instance=settings.name,
+        zone=settings.zone,
+    )
     clock.run(serve(settings, adapter, path))
     return EXIT_OK
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -93,6 +93,7 @@
             "attempt": len(self.tried) + 1,
             "running_there": load.requests,
             "version": self.gateway.configuration.version,
+            "routine": True,
         }
         logger.info("request sent", extra=extra)
 
@@ -130,6 +131,8 @@
 
     def first_event(self):
         """Note that the endpoint has read the prompt."""
+        seconds = self.loop.time() - self.call.arrived
+        self.gateway.metrics.first_event.labels(self.call.service).observe(seconds)
         self.occupation.prompt_read()
 
     def release(self):
@@ -148,13 +151,16 @@
                 else:
                     self.sent += 1
                     self.refusals.refused(endpoint.name, self.loop.time())
+                self.gateway.metrics.sent("not-run")
                 self.log_end(endpoint, "not run", reason)
             case Lost(reason):
                 self.sent += 1
                 standing.failed(self.loop.time())
+                self.gateway.metrics.sent("lost")
                 self.log_end(endpoint, "lost", reason)
             case _:
                 self.sent += 1
+                self.gateway.metrics.sent("opened")
                 standing.succeeded()
                 self.refusals.answered()
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
@@ -14,6 +14,13 @@
 
 logger = logging.getLogger(__name__)
 
+REQUEST_ID = web.RequestKey("request_id", str)
+# What becomes of a request.
+ANSWERED = "answered"
+FAILED = "failed"
+CUT = "cut"
+REFUSED = "refused"
+LEFT = "left"
 # A caller that says nothing is taken to wait as long as most programs do.
 DEFAULT_PATIENCE_SECONDS = 10.0
 # A full endpoint ends one of its requests within about this time.
@@ -38,7 +45,10 @@
         try:
             response = await self.answer(http_request, arrived)
         except asyncio.CancelledError:
-            logger.info("caller left", extra={"seconds": self.loop.time() - arrived})
+            extra = {"request": http_request.get(REQUEST_ID, "")}
+            extra["seconds"] = round(self.loop.time() - arrived, 4)
+            logger.info("caller left", extra=extra)
+            self.gateway.metrics.ended("", LEFT, extra["seconds"])
             raise
         finally:
             self.gateway.running -= 1
@@ -52,7 +62,7 @@
         patience = DEFAULT_PATIENCE_SECONDS
         try:
             head = self.gateway.adapter.read_call(http_request.headers)
-            request_id = head.request_id
+            request_id = http_request[REQUEST_ID] = head.request_id
             patience = patience if head.patience is None else head.patience
             call = await admit(http_request, head, self.gateway, arrived)
             self.gateway.retries[call.service].request(arrived)
@@ -75,24 +85,30 @@
             case Answered():
                 return self.reply(call, result)
             case StreamBroken(reason):
-                self.log_end(call, f"cut: {reason}")
+                self.end(call, CUT, reason)
                 # Without its last chunk the caller sees that the answer is cut.
                 http_request.transport.close()
             case StreamEnded():
-                self.log_end(call, "answered")
+                self.end(call, ANSWERED, "stream")
         return run.response
 
     def reply(self, call, answer):
-        self.log_end(call, f"answered {answer.head.status}")
+        result = ANSWERED if answer.head.succeeded else FAILED
+        self.end(call, result, f"status {answer.head.status}")
         return web.Response(
             status=answer.head.status, headers=answer.head.headers, body=answer.body
         )
 
-    def log_end(self, call, result):
+    def end(self, call, result, detail):
+        """Count and log the end of a request that was sent."""
+        seconds = round(self.loop.time() - call.arrived, 4)
+        self.gateway.metrics.ended(call.service, result, seconds)
         extra = {
             "request": call.head.request_id,
             "result": result,
-            "seconds": round(self.loop.time() - call.arrived, 4),
+            "detail": detail,
+            "seconds": seconds,
+            "routine": result == ANSWERED,
         }
         logger.info("request ended", extra=extra)
 
@@ -115,6 +131,8 @@
             "seconds": round(self.loop.time() - arrived, 4),
         }
         logger.info("request refused", extra=extra)
+        self.gateway.metrics.refused(error.code)
+        self.gateway.metrics.ended("", REFUSED, extra["seconds"])
         headers = self.gateway.adapter.refusal_headers(request_id, error.retry_after)
         response = web.Response(status=error.status, text=str(error), headers=headers)
         if error.closes or isinstance(error, BadRequest):
--- a/tests/unit/test_group_keeper.py
+++ b/tests/unit/test_group_keeper.py
@@ -13,6 +13,7 @@
 from fescuedrum.decisions.presence import Presences
 from fescuedrum.groups.engines import HoldPass, PrepareMap
 from fescuedrum_gateway.process.groups import GroupKeeper
+from fescuedrum_gateway.process.metrics import GatewayMetrics
 
 RANKS = 4
 EXPERTS = 16
@@ -33,6 +34,7 @@
         ),
         directory=SimpleNamespace(presences=presences),
         random=random.Random(1),
+        metrics=GatewayMetrics(),
     )
     return GroupKeeper(gateway, group, "advice")
 
