--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
@@ -33,7 +33,7 @@
 # than the demand that they are meant for may last.
 SPARE = 1
 # A hold that stands for so long has been left behind: a switch takes a fraction of it.
-LEFT_SECONDS = 0.8
+LEFT_SECONDS = 0.5
 # Versions of one process's change, and of the map that voids it, lie in such a block;
 # the place in the block keeps apart processes that take the same block.
 VERSION_BLOCK = 1000
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/plain.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/plain.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from fescuedrum.exceptions import (
-    AnswerTooLate,
+    AnswerLost,
+    AnswerOverdue,
     GroupDown,
-    OutcomeUnknownUnkeyed,
     Unavailable,
 )
 from fescuedrum_gateway.request.attempts import Attempts
@@ -31,7 +31,7 @@
                     await self.attempts.send_until_settled(self.send_once, self.is_open)
                 )
         except TimeoutError:
-            raise AnswerTooLate("No answer came in the caller's time.") from None
+            raise AnswerOverdue("No answer came in the caller's time.") from None
         finally:
             self.attempts.release()
 
@@ -66,4 +66,4 @@
         case NotRun(reason):
             raise Unavailable(reason)
         case Lost(reason):
-            raise OutcomeUnknownUnkeyed(f"Its last sending: {reason}.")
+            raise AnswerLost(f"Its last sending: {reason}.")
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
@@ -6,7 +6,7 @@
 import aiohttp
 from aiohttp import web
 
-from fescuedrum.exceptions import AnswerTooLate
+from fescuedrum.exceptions import AnswerOverdue
 from fescuedrum_gateway.request import plain
 from fescuedrum_gateway.request.attempts import Attempts
 from fescuedrum_gateway.request.call import (
@@ -52,7 +52,7 @@
                 )
         except TimeoutError:
             if self.response is None:
-                raise AnswerTooLate("No event came in the caller's time.") from None
+                raise AnswerOverdue("No event came in the caller's time.") from None
             return StreamBroken("the caller's time was over")
         finally:
             self.attempts.release()
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -167,6 +167,20 @@
     remedy = "Look at the endpoint's own records; send an Idempotency-Key next time."
 
 
+class AnswerLost(OutcomeUnknown):
+    """Tell the caller that an endpoint got the request and its answer is lost."""
+
+    code = "answer-lost"
+    remedy = "It may have run: look at the endpoint's own records before you repeat it."
+
+
+class AnswerOverdue(AnswerLost):
+    """Tell the caller that the request was at an endpoint when its time was over."""
+
+    code = "answer-overdue"
+    status = 504
+
+
 class KeyNotChecked(Overloaded):
     """Refuse a keyed request whose key the platform's table could not show."""
 
--- a/packages/fescuedrum/src/fescuedrum/groups/switching.py
+++ b/packages/fescuedrum/src/fescuedrum/groups/switching.py
@@ -33,14 +33,19 @@
 # Passes between the last one known and the one of the switch. Reports lag by up to
 # four passes, and the orders to all ranks take less than another two.
 STEPS_AHEAD = 6
-# Tries of an order that gets no answer, or of a hold whose pass had begun already.
-TRIES = 4
+# Tries of an order that gets no answer: when a third are lost, one change of a dozen
+# ranks in a hundred then fails for it.
+TRIES = 8
+# Tries of a hold whose pass had begun already.
+HOLD_TRIES = 4
 # Pause before an order is tried again.
-RETRY_SECONDS = 0.05
+RETRY_SECONDS = 0.02
 # Pause between rounds of orders that must succeed sooner or later. Ranks that began
 # anew refuse at once, and their reports show it a fifth of a second later; without a
 # pause thousands of orders are given in that time.
 ROUND_SECONDS = 0.25
+# Pause before a rank that still copies is armed again.
+ARM_SECONDS = 0.05
 # Beyond the computed time of the copies, a rank gets this long to finish them.
 COPY_SLACK_SECONDS = 0.5
 
@@ -115,7 +120,7 @@
 
     async def hold(self):
         """Hold a pass that is still to come; tell whether that is certain."""
-        for _ in range(TRIES):
+        for _ in range(HOLD_TRIES):
             report = await self.engines.read_report(self.addresses[HOLDING_RANK])
             if report is None or report.epoch != self.epoch:
                 return False
@@ -164,7 +169,7 @@
             result = await self.give(rank, order)
             if result is not OrderResult.REFUSED or self.loop.time() >= latest:
                 return result
-            await asyncio.sleep(RETRY_SECONDS)
+            await asyncio.sleep(ARM_SECONDS)
 
     async def abandon(self, armed):
         """Take all armings back before the pass may begin."""
