--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
@@ -4,6 +4,7 @@
 import logging
 from dataclasses import dataclass, field
 
+from fescuedrum.decisions.pacing import beat_interval
 from fescuedrum.decisions.placement import Load
 from fescuedrum.exceptions import ProtocolError
 from fescuedrum.wire.datagrams import decode, encode
@@ -19,6 +20,8 @@
 # Changes within this time go out together: a request is chosen for some five times a
 # second at a gateway, and a choice elsewhere that is later than this has seen it.
 CHANGE_SECONDS = 0.01
+# A gateway is silent when this many beacons did not come.
+MISSED_BEACONS = 2.5
 # Loads of a gateway that was silent for so long no longer hold.
 LOAD_SECONDS = 1.5
 # A gateway silent for so long no longer leads: two beacons did not come.
@@ -56,6 +59,7 @@
         "incarnation",
         "loop",
         "pending",
+        "sent_at",
         "sequence",
         "settings",
         "transport",
@@ -67,6 +71,7 @@
         self.loop = asyncio.get_running_loop()
         self.hosts = {}
         self.sequence = 0
+        self.sent_at = float("-inf")
         self.transport = None
         self.pending = None
         # describe() fills a beacon; heard(peer) is told of each one that came.
@@ -89,6 +94,10 @@
         if self.transport is not None:
             self.transport.close()
 
+    @property
+    def beacon_interval(self):
+        return beat_interval(BEACON_SECONDS, len(self.hosts))
+
     # What is known
 
     def add_host(self, host):
@@ -97,9 +106,13 @@
             self.hosts[host] = PeerGateway(host)
             self.send_to(self.hosts[host], wants_answer=True)
 
+    def is_heard(self, peer, seconds):
+        """Tell whether a gateway was heard so lately; longer if beacons are paced."""
+        silence = max(seconds, MISSED_BEACONS * self.beacon_interval)
+        return self.loop.time() - peer.heard_at <= silence
+
     def heard_within(self, seconds):
-        since = self.loop.time() - seconds
-        return [each for each in self.hosts.values() if each.heard_at >= since]
+        return [each for each in self.hosts.values() if self.is_heard(each, seconds)]
 
     def count_entries(self):
         """Return how many gateways may share a bound, this one included.
@@ -141,21 +154,30 @@
         """Send a beacon at least every BEACON_SECONDS."""
         while True:
             self.send_all()
-            await asyncio.sleep(BEACON_SECONDS)
+            await asyncio.sleep(self.beacon_interval)
 
     def changed(self):
-        """Send soon what has changed, together with what else changes till then."""
-        if self.pending is None and self.transport is not None:
-            self.pending = self.loop.call_later(CHANGE_SECONDS, self.send_all)
+        """Send soon what has changed, together with what else changes till then.
+
+        Beacons go to all gateways: without a pace their number would grow with the
+        square of the fleet. Where they are many, loads are told less often.
+        """
+        if self.pending is not None or self.transport is None:
+            return
+        now = self.loop.time()
+        paced = self.sent_at + beat_interval(CHANGE_SECONDS, len(self.hosts))
+        self.pending = self.loop.call_at(
+            max(paced, now + CHANGE_SECONDS), self.send_all
+        )
 
     def send_all(self):
         if self.pending is not None:
             self.pending.cancel()
             self.pending = None
-        now = self.loop.time()
+        now = self.sent_at = self.loop.time()
         payload = self.build(wants_answer=False)
         for peer in self.hosts.values():
-            if now - peer.heard_at < LOAD_SECONDS:
+            if self.is_heard(peer, LOAD_SECONDS):
                 self.transport.sendto(payload, (peer.host, self.settings.peer_port))
             elif now - peer.probed_at >= PROBE_SECONDS:
                 self.send_to(peer, wants_answer=True)
