Read no counts while a group is idle

Change: a group whose passes stand still is not read.

Ruled out: reading less often: half of a second's demand would be told later.

The test fails without the guard.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
@@ -55,6 +55,8 @@
     held_step: int | None = None
     held_since: float = 0.0
     looks: int = 0
+    # Pass of the newest report.
+    seen_step: int = -1
     # Rank whose counts are read: requests are spread over ranks, so each is a sample.
     sampled: int = 0
 
@@ -183,6 +185,10 @@
         if report.held_step is not None:
             return await self.watch_hold(group, report)
         group.held_step = None
+        if report.step == group.seen_step:
+            # An idle group makes no passes: nothing is in demand, and reads are dear.
+            return True
+        group.seen_step = report.step
         if group.demand.last is None:
             await self.restart_demand(group)
             return True
--- a/tests/unit/test_group_keeper.py
+++ b/tests/unit/test_group_keeper.py
@@ -143,6 +143,29 @@
     assert play(story).mixed_passes == []
 
 
+def test_an_idle_group_is_not_read():
+    """Counts are paid for all night, though nothing is asked for.
+
+    An idle group makes no passes, and its counts stand still at every rank.
+    """
+    reads = []
+
+    async def run():
+        group = build_group()
+        keeper = build_keeper(group)
+        read_counts = group.read_counts
+
+        async def count(address):
+            reads.append(address)
+            return await read_counts(address)
+
+        group.read_counts = count
+        await look_for(keeper, 10.0)
+
+    run_paused(run())
+    assert len(reads) <= 2
+
+
 def test_an_even_demand_changes_nothing():
     async def story(keeper, group):
         await look_for(keeper, 3.0)
