Don't let a refused repeat hide that the first sending may have run

Cause: found by reading: an idempotent request whose first sending was lost and whose repeat was refused was answered 503, which promises that it has not run.

Change: the result that tells most is what the caller gets; a refusal only where every sending was refused.

Ruled out: requests that may run once: they are never repeated after a lost sending.

Measured: the new test fails without the change (503 among eight calls) and passes.

Conclusion: 'not run' is said of all sendings of a request, not of the last one.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -40,21 +40,23 @@
         self.occupation = None
 
     async def send_until_settled(self, send_once, is_open):
-        """Send as often as is allowed; return the last result.
+        """Send as often as is allowed; return the result that tells most.
 
-        A repeat that finds no place must not hide what the sending before it came to:
-        the caller would be told that the request has not run.
+        A repeat that is refused, or finds no place, must not hide that the sending
+        before it may have run: the caller would be told that it has not.
         """
-        last = None
+        ran = last = None
         while True:
             try:
                 result = await send_once()
             except (Overloaded, DeadlinePassed):
                 if last is None:
                     raise
-                return last
+                return ran or last
+            if not isinstance(result, NotRun):
+                ran = result
             if not is_open(result) or not self.may_send_again():
-                return result
+                return ran or result
             last = result
 
     async def choose(self):
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -101,6 +101,23 @@
     assert refusing.seen
 
 
+async def test_a_refused_repeat_does_not_hide_that_the_first_sending_may_have_run():
+    """A caller is told that its request has not run, though an endpoint ran it.
+
+    The first endpoint closes the connection without an answer, and the second one
+    refuses the repeat.
+    """
+    first = StandInEndpoint("e-1", engines.hang_up)
+    second = StandInEndpoint("e-2", engines.refusing())
+    async with site(first, second) as (running, session):
+        statuses = []
+        for _ in range(8):
+            statuses.append((await call(running, session))[0])
+            running.gateway.directory.standings.clear()
+    assert first.seen
+    assert set(statuses) == {502}
+
+
 async def test_a_service_that_refuses_everywhere_is_left_alone_with_a_time_to_return():
     refusing = [StandInEndpoint(f"e-{n}", engines.refusing()) for n in range(3)]
     async with site(*refusing) as (running, session):
