Make every rank forget the version of a map change that was given up

A rank whose second arming was answered had been disarmed; its first arming, unanswered, was carried out 2 to 12 s later, while the pass was held, and the pass began with that rank on the new map. Only ranks whose last arming got no answer were made to forget the version.

Ruled out: a second leader (one led throughout), the epoch (the same).

Change: every rank is disarmed and given a newer map to prepare, whatever its arming came to; a version that is refused is raised until it is taken.

Conclusion: an answer to one order says nothing of an earlier one that got none.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
@@ -264,7 +264,7 @@
         extra = {**extra, "result": result.value, "seconds": seconds}
         self.gateway.metrics.map_changes.labels(result.value).inc()
         logger.info("map change ended", extra={**extra, "step": switch.step})
-        group.version = change.version + 1
+        group.version = switch.void_version
         if result is SwitchResult.SWITCHED:
             group.held = planned
         if result is SwitchResult.EPOCH_ENDED:
--- a/packages/fescuedrum/src/fescuedrum/groups/switching.py
+++ b/packages/fescuedrum/src/fescuedrum/groups/switching.py
@@ -44,6 +44,8 @@
 # anew refuse at once, and their reports show it a fifth of a second later; without a
 # pause thousands of orders are given in that time.
 ROUND_SECONDS = 0.25
+# How much higher the version of a map is that is given after a refused one.
+VOID_STEP = 1000
 # Pause before a rank that still copies is armed again.
 ARM_SECONDS = 0.05
 # Beyond the computed time of the copies, a rank gets this long to finish them.
@@ -73,7 +75,15 @@
 class Switch:
     """Carry out one change of one group; addresses are by rank."""
 
-    __slots__ = ("addresses", "change", "engines", "epoch", "loop", "step")
+    __slots__ = (
+        "addresses",
+        "change",
+        "engines",
+        "epoch",
+        "loop",
+        "step",
+        "void_version",
+    )
 
     def __init__(self, engines, addresses, epoch, change):
         self.engines = engines
@@ -82,6 +92,8 @@
         self.change = change
         self.loop = asyncio.get_running_loop()
         self.step = 0
+        # Highest version given so far; ranks refuse one that isn't higher than all.
+        self.void_version = change.version + 1
 
     async def run(self):
         """Prepare, hold, arm and release; return the SwitchResult."""
@@ -174,37 +186,36 @@
     async def abandon(self, armed):
         """Take all armings back before the pass may begin."""
         logger.warning("map change abandoned", extra={"armed": armed})
-        waiting = [
-            rank for rank, result in armed.items() if result is not OrderResult.REFUSED
-        ]
-        while waiting:
-            results = await asyncio.gather(
-                *(self.disarm(rank, armed[rank]) for rank in waiting)
-            )
-            done = dict(zip(waiting, results, strict=True))
-            waiting = [rank for rank in waiting if not done[rank]]
+        waiting = sorted(self.addresses)
+        while True:
+            done = await asyncio.gather(*(self.disarm(rank) for rank in waiting))
+            waiting = [
+                rank for rank, is_done in zip(waiting, done, strict=True) if not is_done
+            ]
             if not waiting:
-                break
+                return await self.release(SwitchResult.ABANDONED)
             if await self.epoch_ended():
                 return SwitchResult.EPOCH_ENDED
+            # A rank that was given a higher version by another process refuses ours.
+            self.void_version += VOID_STEP
             await asyncio.sleep(ROUND_SECONDS)
-        return await self.release(SwitchResult.ABANDONED)
 
     def disarmed_version(self, rank):
         """Return the version that a rank may be armed with; None for none."""
         return self.change.version
 
-    async def disarm(self, rank, armed):
-        """Make sure that a rank isn't armed and won't be; tell whether it is so."""
+    async def disarm(self, rank):
+        """Make sure that a rank isn't armed and won't be; tell whether it is so.
+
+        An arming that got no answer may come yet, also where a second one was answered
+        or refused: every rank is made to forget the version that it names.
+        """
         version = self.disarmed_version(rank)
         if version is not None:
             disarmed = await self.give(rank, DisarmMap(version))
             if disarmed is not OrderResult.TAKEN:
                 return False
-        if armed is OrderResult.TAKEN:
-            return True
-        # The arming that got no answer may come yet: void what it names.
-        void = PrepareMap(self.change.version + 1, self.change.before)
+        void = PrepareMap(self.void_version, self.change.before)
         return await self.give(rank, void) is OrderResult.TAKEN
 
 
@@ -244,7 +255,7 @@
     switch = LeftSwitch(engines, addresses, reports, held)
     if all(report.armed_version is not None for report in reports.values()):
         return await switch.release(SwitchResult.SWITCHED)
-    return await switch.abandon(dict.fromkeys(addresses, OrderResult.UNANSWERED))
+    return await switch.abandon({})
 
 
 def newest_version(report):
--- a/tests/unit/test_switching.py
+++ b/tests/unit/test_switching.py
@@ -149,6 +149,59 @@
     assert group.mixed_passes == []
 
 
+def test_a_late_arming_is_void_though_the_rank_was_armed_by_a_second_order():
+    """Ranks of a group compute with two maps, and answers are wrong.
+
+    One rank is cut off, so that the change is given up, and the pass stays held until
+    the rank is back. Another rank's first arming got no answer, its second one did, and
+    it was disarmed; then the first order is carried out, while the pass is held.
+    """
+
+    async def story(group):
+        give = group.give
+        loop = asyncio.get_running_loop()
+        cut_until = loop.time() + 4.0
+        late = []
+
+        async def give_faultily(address, epoch, order):
+            is_cut = address[1] == 3 and loop.time() < cut_until
+            if is_cut and not isinstance(order, PrepareMap):
+                await asyncio.sleep(0.08)
+                return OrderResult.UNANSWERED
+            if address[1] == 2 and isinstance(order, ArmMap) and not late:
+                task = group.take_late(2.5, 2, epoch, order)
+                late.append(asyncio.create_task(task))
+                return OrderResult.UNANSWERED
+            return await give(address, epoch, order)
+
+        group.give = give_faultily
+        switch = Switch(group, group.addresses, 1, build_change())
+        assert await switch.run() is SwitchResult.ABANDONED
+        assert late[0].done()
+
+    group = play(story)
+    assert group.mixed_passes == []
+    assert versions(group) == {0}
+
+
+def test_a_rank_with_a_higher_version_does_not_hold_the_group_for_good():
+    """A group stands still because one rank refuses to forget a map it never had.
+
+    Another process gave that rank a higher version meanwhile.
+    """
+
+    async def story(group):
+        switch = Switch(group, group.addresses, 1, build_change())
+        running = asyncio.create_task(switch.run())
+        await asyncio.sleep(0.05)
+        group.take(2, 1, PrepareMap(3500, build_held()))
+        async with asyncio.timeout(5):
+            assert await running is SwitchResult.ABANDONED
+        assert switch.void_version > 3500
+
+    assert play(story).mixed_passes == []
+
+
 def test_ranks_that_began_anew_are_not_flooded_with_orders():
     """A group's engines are kept busy by thousands of orders a second.
 
