Let six gateways follow the store and the others learn from them

Ruled out: longer waits (the calls come from changes, not from waits that end); fewer tables.

Change: a gateway that hears six others before it, in an order that all share, which the store answers, leaves the store alone and pulls what changes from them. Beacons of changed tables go out at once. A call for changes waits 10 s instead of 20, so that a store that takes calls and answers none is noticed sooner.

Conclusion: calls grow with changes, not with the fleet.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
@@ -13,9 +13,12 @@
 
 logger = logging.getLogger(__name__)
 
-# Longest wait of one call for changes; a call costs, and a silent one is noticed by
-# the connection's probes.
-WAIT_SECONDS = 20.0
+# Longest wait of one call for changes. A call costs; a store that takes calls of one
+# machine and answers none of them is noticed when the wait is over.
+WAIT_SECONDS = 10.0
+# Time between looks of a gateway that rests at whether others still follow the store:
+# as long as the longest time between two of their beacons.
+REST_SECONDS = 0.4
 # Pauses between calls to a store that does not answer: within the two seconds in which
 # a configuration must be in force there is room for several.
 FIRST_RETRY_SECONDS = 0.1
@@ -37,6 +40,7 @@
         "name",
         "peers",
         "pulling",
+        "random",
         "replica",
         "session",
         "settings",
@@ -45,26 +49,32 @@
         "take",
     )
 
-    def __init__(self, name, replica, store, peers, session, settings):
+    def __init__(self, name, replica, store, peers, session, settings, random):
         self.name = name
         self.replica = replica
         self.store = store
         self.peers = peers
         self.session = session
         self.settings = settings
+        self.random = random
         self.loop = asyncio.get_running_loop()
-        # Whether the store's last call was answered.
-        self.answers = False
+        # Whether the store's last call was answered; None while others follow it.
+        self.answers = None
         self.pulling = None
         self.take = lambda rows: None
         # Called before rows are taken when the store falls silent or answers again.
         self.store_changed = lambda: None
 
     async def run(self):
-        """Follow the store for ever."""
+        """Follow the store for ever, but while enough others do so."""
         pause = FIRST_RETRY_SECONDS
         whole = True
         while True:
+            if self.replica.loaded and not self.peers.must_follow_store():
+                self.rest()
+                whole = False
+                await asyncio.sleep(REST_SECONDS)
+                continue
             try:
                 whole = await self.step(whole)
                 pause = FIRST_RETRY_SECONDS
@@ -96,6 +106,12 @@
         self.apply(changes, "store")
         return False
 
+    def rest(self):
+        """Leave the store to others."""
+        if self.answers is not None:
+            logger.info("store left to others", extra={"table": self.name})
+            self.answers = None
+
     def note_answers(self, answers, detail=""):
         if answers == self.answers:
             return
@@ -129,9 +145,12 @@
 
     async def pull(self):
         try:
-            if self.replica.loaded:
+            if self.answers:
                 await asyncio.sleep(PEER_GRACE_SECONDS)
-            for peer in self.peers.ahead_of(self.name, self.replica.version):
+            ahead = self.peers.ahead_of(self.name, self.replica.version)
+            # All that rest hear of a change at the same moment.
+            self.random.shuffle(ahead)
+            for peer in ahead:
                 if await self.pull_from(peer):
                     return
         finally:
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -140,6 +140,7 @@
                 self.peers,
                 self.store_session,
                 self.settings,
+                self.random,
             )
             follower.take = take
             follower.store_changed = self.judge_store
@@ -191,7 +192,7 @@
     def take_operators_rows(self, rows):
         for row in rows:
             self.take_operators_row(row)
-        self.peers.changed()
+        self.peers.versions_changed()
 
     def take_operators_row(self, row):
         try:
@@ -208,7 +209,7 @@
 
     def take_endpoint_rows(self, rows):
         self.directory.take_endpoint_rows(rows)
-        self.peers.changed()
+        self.peers.versions_changed()
 
     def judge_store(self):
         """Tell the directory whether the store is away for all gateways heard."""
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
@@ -4,6 +4,7 @@
 import logging
 from dataclasses import dataclass, field
 
+from fescuedrum.decisions.following import must_read
 from fescuedrum.decisions.pacing import beat_interval
 from fescuedrum.decisions.placement import Load
 from fescuedrum.exceptions import ProtocolError
@@ -145,6 +146,14 @@
     def store_answers_elsewhere(self):
         return any(each.store_answers for each in self.heard_within(LOAD_SECONDS))
 
+    def must_follow_store(self):
+        """Tell whether too few others follow the store for this gateway to rest."""
+        heard = self.heard_within(LOAD_SECONDS)
+        answered = (
+            each.host for each in heard if each.store_answers and not each.leaving
+        )
+        return must_read(self.settings.host, answered)
+
     def ahead_of(self, table, version):
         """Return the gateways whose copy of a table is newer than version."""
         return [
@@ -175,6 +184,14 @@
             max(paced, now + CHANGE_SECONDS), self.send_all
         )
 
+    def versions_changed(self):
+        """Send at once that a table has changed: most others learn it from here.
+
+        Changes of tables are few, and a configuration has to be in force in seconds.
+        """
+        if self.transport is not None:
+            self.send_all()
+
     def send_all(self):
         if self.pending is not None:
             self.pending.cancel()
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -50,9 +50,9 @@
     def url(self):
         return f"http://{self.gateway.settings.callers_address}"
 
-    async def until(self, condition):
+    async def until(self, condition, seconds=READY_SECONDS):
         """Wait until condition(gateway) holds; fail when it never does."""
-        async with asyncio.timeout(READY_SECONDS):
+        async with asyncio.timeout(seconds):
             while not condition(self.gateway):
                 if self.task.done():
                     self.task.result()
