Add a soak that runs real gateways under random faults

Change: tests/soak runs real gateway processes, a stand-in of the platform's store and of endpoints, callers and operators, with a proxy before each dependency; faults and planned work are drawn from a seed, overlap, and come in series. A judge compares what callers and endpoints saw with the promises.

Ruled out: a stand-in adapter in place of the platform's (the real program is run).

--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,58 @@
+"""Play seeds from the command line: python -m soak --seeds 50."""
+
+import argparse
+import asyncio
+import random
+import signal
+import sys
+from pathlib import Path
+
+from soak.run import play
+
+HIGHEST_SEED = 10**9
+
+
+def add_arguments(parser):
+    parser.add_argument("--seed", type=int, help="the one seed to play")
+    parser.add_argument("--seeds", type=int, default=1, help="how many fresh seeds")
+    parser.add_argument("--seconds", type=float, default=20.0, help="length of each")
+    parser.add_argument(
+        "--logs", type=Path, default=Path("build/soak"), help="where logs are kept"
+    )
+
+
+def handle(options):
+    """Play the seeds one after the other; return how many broke a promise."""
+    drawn = random.SystemRandom()
+    seeds = [options.seed]
+    if options.seed is None:
+        seeds = [drawn.randrange(HIGHEST_SEED) for _ in range(options.seeds)]
+    broken = 0
+    for seed in seeds:
+        directory = options.logs / str(seed)
+        result = asyncio.run(play(seed, options.seconds, directory))
+        broken += bool(result.findings)
+        print(f"seed {seed}: {len(result.findings)} findings, {result.endings}")
+        for line in result.findings:
+            print(f"  {line}")
+        (directory / "faults.txt").write_text("\n".join(result.faults) + "\n")
+        sys.stdout.flush()
+    print(f"{len(seeds)} seeds, {broken} with findings")
+    return broken
+
+
+def end_on(number, _):
+    """Leave as on Ctrl-C, so that the processes of the run are ended, too."""
+    raise KeyboardInterrupt(signal.Signals(number).name)
+
+
+def main():
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, end_on)
+    parser = argparse.ArgumentParser(prog="python -m soak", description=__doc__)
+    add_arguments(parser)
+    return 1 if handle(parser.parse_args()) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/endpoints.py
@@ -0,0 +1,107 @@
+"""Stand in for endpoints that note what they run."""
+
+import asyncio
+import contextlib
+import hashlib
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from fescuedrum_bench.faultproxy import FaultProxy
+from soak import wire
+
+RUN_SECONDS = 0.03
+EVENTS = 12
+EVENT_SECONDS = 0.04
+# What an endpoint that fails a part of its requests makes of one in so many.
+FAILING_ONE_IN = 4
+
+
+def whole_body(request_id):
+    """Return the only right answer to a plain request."""
+    return hashlib.sha256(request_id.encode()).hexdigest().encode() * 8
+
+
+def event(request_id, number):
+    """Return one event of a request's stream, as bytes."""
+    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+
+
+@dataclass(slots=True, frozen=True)
+class Run:
+    """Say that an endpoint began to work on a request; at is loop time."""
+
+    request_id: str
+    endpoint: str
+    zone: str
+    at: float
+
+
+@dataclass(slots=True)
+class Journal:
+    """Hold what all endpoints have run."""
+
+    runs: list[Run] = field(default_factory=list)
+
+
+class StandInEndpoint:
+    """Run requests of one service behind a proxy of its own."""
+
+    def __init__(self, name, service, zone, journal):
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.journal = journal
+        self.fails = False
+        self.refuses = False
+        self.proxy = None
+        self.runner = None
+        self.listed_address = ""
+
+    async def start(self):
+        application = web.Application()
+        application.router.add_route("*", "/{path:.*}", self.serve)
+        self.runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        self.proxy = FaultProxy("127.0.0.1", self.runner.addresses[0][1])
+        await self.proxy.start("127.0.0.1", 0)
+        port = self.proxy.server.sockets[0].getsockname()[1]
+        self.listed_address = f"127.0.0.1:{port}"
+
+    async def stop(self):
+        await self.proxy.stop()
+        await self.runner.cleanup()
+
+    async def serve(self, request):
+        request_id = request.headers[wire.REQUEST_ID]
+        own = {wire.REQUEST_ID: request_id}
+        if request.headers[wire.ENDPOINT_NAME] != self.name:
+            return web.Response(status=wire.MISDIRECTED_STATUS, headers=own)
+        await request.read()
+        if self.refuses:
+            return web.Response(status=503, headers=own | {wire.NOT_RUN: "1"})
+        now = asyncio.get_running_loop().time()
+        run = Run(request_id, self.name, self.zone, now)
+        self.journal.runs.append(run)
+        if self.fails and len(self.journal.runs) % FAILING_ONE_IN == 0:
+            request.transport.abort()
+            raise web.HTTPInternalServerError
+        headers = own | {wire.SIGNATURE: "soak"}
+        if request.path.startswith("/stream/"):
+            return await self.stream(request, request_id, headers)
+        await asyncio.sleep(RUN_SECONDS)
+        return web.Response(body=whole_body(request_id), headers=headers)
+
+    async def stream(self, request, request_id, headers):
+        response = web.StreamResponse(headers=headers)
+        response.enable_chunked_encoding()
+        first = int(request.headers.get(wire.LAST_EVENT) or 0) + 1
+        # Whoever reads may be gone: faults see to that.
+        with contextlib.suppress(ConnectionError):
+            await response.prepare(request)
+            for number in range(first, EVENTS + 1):
+                await asyncio.sleep(EVENT_SECONDS)
+                await response.write(event(request_id, number))
+            await response.write_eof()
+        return response
--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,136 @@
+"""Start, signal and end real gateway processes."""
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass
+
+import aiohttp
+
+from fescuedrum_bench.faultproxy import FaultProxy
+
+START_SECONDS = 15.0
+READY_POLL_SECONDS = 0.1
+KILL_SECONDS = 3.0
+STOP_SECONDS = 2.5
+
+
+@dataclass(slots=True, frozen=True)
+class Ports:
+    """Hold the ports that all gateways share, each at an address of its own."""
+
+    callers: int
+    ready: int
+    peers: int
+
+
+class GatewayProcess:
+    """Own one gateway process and the proxy between it and the store."""
+
+    def __init__(self, number, ports, directory):
+        self.name = f"gateway-{number}"
+        self.host = f"127.0.1.{number + 1}"
+        self.zone = f"zone-{number % 3 + 1}"
+        self.ports = ports
+        self.directory = directory
+        self.store_proxy = None
+        self.process = None
+        # Whether the process is meant to run.
+        self.wanted = False
+        self.starts = 0
+
+    @property
+    def url(self):
+        return f"http://{self.host}:{self.ports.callers}"
+
+    @property
+    def ready_url(self):
+        return f"http://{self.host}:{self.ports.ready}/readyz"
+
+    async def open(self, store_port, seeds):
+        """Open the way to the store and write the settings."""
+        self.store_proxy = FaultProxy("127.0.0.1", store_port)
+        await self.store_proxy.start("127.0.0.1", 0)
+        port = self.store_proxy.server.sockets[0].getsockname()[1]
+        settings = {
+            "name": self.name,
+            "zone": self.zone,
+            "host": self.host,
+            "callers_address": f"{self.host}:{self.ports.callers}",
+            "ready_address": f"{self.host}:{self.ports.ready}",
+            "peer_port": self.ports.peers,
+            "platform_url": f"http://127.0.0.1:{port}",
+            "seeds": [f"{host}:1" for host in seeds],
+            "stop_seconds": STOP_SECONDS,
+        }
+        self.settings_path.write_text(json.dumps(settings))
+
+    @property
+    def settings_path(self):
+        return self.directory / f"{self.name}.json"
+
+    @property
+    def log_path(self):
+        return self.directory / f"{self.name}.log"
+
+    def start(self):
+        self.wanted = True
+        self.starts += 1
+        command = [sys.executable, "-m", "fescuedrum_platform"]
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [*command, "--settings", str(self.settings_path)],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    @property
+    def running(self):
+        return self.process is not None and self.process.poll() is None
+
+    @property
+    def ended_by_itself(self):
+        return self.wanted and not self.running
+
+    def send_signal(self, number):
+        if self.running:
+            self.process.send_signal(number)
+
+    async def until_ready(self, session):
+        async with asyncio.timeout(START_SECONDS):
+            while not await self.is_ready(session):
+                await asyncio.sleep(READY_POLL_SECONDS)
+
+    async def is_ready(self, session):
+        return (await self.read_version(session))[0]
+
+    async def read_version(self, session):
+        """Return (ready, version of the configuration); (False, None) unanswered."""
+        timeout = aiohttp.ClientTimeout(total=0.5)
+        try:
+            async with session.get(self.ready_url, timeout=timeout) as answer:
+                body = await answer.json()
+                return answer.status == 200, body["version"]
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return False, None
+
+    async def end(self, how=signal.SIGTERM, seconds=STOP_SECONDS + KILL_SECONDS):
+        """Tell the process to end and wait for it; kill it when it does not."""
+        self.wanted = False
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(how)
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + seconds
+        while self.running and loop.time() < latest:
+            await asyncio.sleep(0.02)
+        if self.running:
+            self.process.kill()
+            self.process.wait()
+            return False
+        return True
+
+    async def close(self):
+        await self.end(signal.SIGKILL)
+        await self.store_proxy.stop()
--- /dev/null
+++ b/tests/soak/wire.py
@@ -0,0 +1,76 @@
+"""Encode rows as the platform's store holds them, and name its headers."""
+
+import base64
+import json
+
+REQUEST_ID = "Attempt-Id"
+KEY = "Api-Key"
+PATIENCE = "Deadline-Ms"
+LAST_EVENT = "Last-Event-Id"
+ENDPOINT_NAME = "Expect-Instance"
+NOT_RUN = "Not-Executed"
+SIGNATURE = "Server-Stamp"
+MISDIRECTED_STATUS = 421
+
+OPERATORS = "op"
+ENDPOINTS = "servers"
+DOCUMENT = "config"
+
+
+def encode_row(table, key, value, version):
+    """Return a row as the store tells it; a value of None is a deletion."""
+    row = {"table": table, "part": "", "key": key, "schema_version": version}
+    if value is None:
+        return row | {"deleted": True}
+    return row | {"value": base64.b64encode(value).decode()}
+
+
+def encode_document(document):
+    """Return the operators' configuration as they write it."""
+    routes = [
+        {
+            "name": route.name,
+            "host": "soak.example",
+            "prefix": route.prefix,
+            "type": route.kind,
+            "resumable": True,
+            "service": route.service,
+            "timeout_ms": 4000,
+            "slo_ms": 500,
+            "priority": 1,
+            "max_attempts": 2,
+        }
+        for route in document.routes
+    ]
+    services = [{"name": name, "max_conns": 200} for name in document.services]
+    organisations = [{"name": "club", "api_keys": sorted(document.keys)}]
+    return json.dumps(
+        {
+            "version": document.version,
+            "routes": routes,
+            "services": services,
+            "tenants": organisations,
+            "limits": {},
+        }
+    ).encode()
+
+
+def encode_endpoint(endpoint, *, draining):
+    """Return an endpoint's line in the list."""
+    return json.dumps(
+        {
+            "service": endpoint.service,
+            "address": endpoint.listed_address,
+            "zone": endpoint.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if draining else "ready",
+            "cold_left_ms": 0,
+            "seq": 0,
+            "born": 1,
+        }
+    ).encode()
+
+
+def zone_out_key(zone):
+    return f"evacuate/{zone}"
