Add the command that explains how a request ended from logs

Cause: whoever explains a failure had to join the lines of several processes by hand.

Change: fescuedrum explain ID FILE... joins a request's lines in order, adds what processes came to believe in the three seconds before, and says in a sentence how it ended and why. It reads lines that stand behind a prefix, and passes over what is no log line.

Ruled out: reading only the lines with the id (why a group is down is told by its leader).

--- /dev/null
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/commands/explain.py
@@ -0,0 +1,55 @@
+"""Say how a request ended and why, from the logs of several processes."""
+
+import sys
+
+from fescuedrum.explaining import explain, parse_line
+from fescuedrum.process import EXIT_FINDINGS, EXIT_OK, EXIT_USAGE
+
+
+class Command:
+    help = "say how a request ended and why, from the logs of several processes"
+
+    def add_arguments(self, parser):
+        parser.add_argument("request", help="the request's id")
+        parser.add_argument(
+            "files", nargs="+", help="files of log lines; - is standard input"
+        )
+
+    def handle(self, arguments):
+        try:
+            lines = [line for path in arguments.files for line in read_lines(path)]
+        except OSError as error:
+            print(f"{error}. Name files that can be read.", file=sys.stderr)
+            return EXIT_USAGE
+        explanation = explain(arguments.request, lines)
+        if explanation is None:
+            print(
+                f"No line names {arguments.request}. Give the logs of all gateways of"
+                " the time; 'lines left out' tells of lines that were dropped.",
+                file=sys.stderr,
+            )
+            return EXIT_FINDINGS
+        print_explanation(explanation)
+        return EXIT_OK
+
+
+def read_lines(path):
+    """Return the log lines of a file; what is no log line is passed over."""
+    if path == "-":
+        return parse_all(sys.stdin)
+    with open(path, encoding="utf-8", errors="replace") as file:
+        return parse_all(file)
+
+
+def parse_all(texts):
+    return [line for line in map(parse_line, texts) if line is not None]
+
+
+def print_explanation(explanation):
+    for line in explanation.lines:
+        print(line.describe())
+    if explanation.beliefs:
+        print("\nwhat processes came to believe around it:")
+    for line in explanation.beliefs:
+        print(line.describe())
+    print(f"\n{explanation.conclusion}")
--- /dev/null
+++ b/tests/unit/test_explaining.py
@@ -0,0 +1,121 @@
+"""Check that a request's end and its cause are told from log lines."""
+
+import json
+
+import pytest
+
+from fescuedrum.explaining import explain, parse_line
+from fescuedrum.process import EXIT_FINDINGS, EXIT_OK, EXIT_USAGE
+from fescuedrum_entry.management import main
+
+
+def build_line(second, message, prefix="", instance="gateway-1", **fields):
+    told = {
+        "time": f"2026-01-08T04:57:{second:06.3f}+00:00",
+        "message": message,
+        "instance": instance,
+    }
+    return prefix + json.dumps(told | fields)
+
+
+def tell(request_id, *texts):
+    lines = [parse_line(text) for text in texts]
+    return explain(request_id, [line for line in lines if line is not None])
+
+
+SENT = {"request": "r-1", "endpoint": "e-1", "attempt": 1}
+
+
+def test_a_refusal_is_told_with_its_cause_and_what_led_to_it():
+    """A club was refused, and the engineer on call has only the logs.
+
+    A rank of the group left; the group stalled, and two endpoints refused.
+    """
+    told = tell(
+        "r-1",
+        build_line(
+            4.0, "request refused", request="r-1", code="group-down", detail="x"
+        ),
+        build_line(2.0, "request sent", **SENT),
+        build_line(
+            3.9, "sending failed", **SENT, result="not run", reason="refused with 503"
+        ),
+        build_line(1.5, "group began anew", instance="gateway-2", group="g"),
+        build_line(2.5, "request sent", request="r-2", endpoint="e-1"),
+    )
+    assert [line.message for line in told.lines] == [
+        "request sent",
+        "sending failed",
+        "request refused",
+    ]
+    assert [line.message for line in told.beliefs] == ["group began anew"]
+    assert "group was down" in told.conclusion
+    assert "e-1 not run: refused with 503" in told.conclusion
+
+
+def test_one_that_may_have_run_is_told_as_such():
+    told = tell(
+        "r-1",
+        build_line(2.0, "request sent", **SENT),
+        build_line(
+            2.1, "sending failed", **SENT | {"result": "lost", "reason": "reset"}
+        ),
+        build_line(2.2, "request refused", request="r-1", code="answer-lost"),
+    )
+    assert "answer was lost" in told.conclusion
+    assert "e-1 lost: reset" in told.conclusion
+
+
+def test_a_stream_that_was_cut_names_its_last_event():
+    told = tell(
+        "r-1",
+        build_line(2.0, "request sent", **SENT),
+        build_line(2.5, "stream broken", request="r-1", last_event="8", reason="reset"),
+        build_line(3.0, "request ended", request="r-1", result="cut", seconds=1.0),
+    )
+    assert "cut after 1.0 s" in told.conclusion
+    assert "behind event 8: reset" in told.conclusion
+
+
+@pytest.mark.parametrize(
+    ("message", "fields", "words"),
+    [
+        ("request ended", {"result": "answered", "seconds": 0.2}, "Answered after 0.2"),
+        ("request ended", {"result": "failed", "detail": "status 500"}, "status 500"),
+        ("caller left", {"seconds": 0.7}, "left after 0.7 s"),
+        ("request refused", {"code": "new-code", "retry_after": 0.5}, "after 0.50 s"),
+        ("request sent", {"endpoint": "e-1"}, "not logged"),
+    ],
+)
+def test_each_end_has_its_sentence(message, fields, words):
+    told = tell("r-1", build_line(1.0, message, request="r-1", **fields))
+    assert words in told.conclusion
+
+
+def test_only_the_leave_of_its_own_endpoint_bears_on_a_request():
+    told = tell(
+        "r-1",
+        build_line(1.0, "endpoint unlisted", row="e-1"),
+        build_line(1.0, "endpoint unlisted", row="e-2"),
+        build_line(1.1, "request sent", **SENT),
+    )
+    assert [line.fields["row"] for line in told.beliefs] == ["e-1"]
+
+
+def test_the_command_reads_prefixed_lines_and_passes_over_others(tmp_path, capsys):
+    path = tmp_path / "log"
+    path.write_text(
+        "\n".join(
+            (
+                "Traceback (most recent call last):",
+                '  {"time": "cut off',
+                build_line(1.0, "request sent", prefix="  1.0 edge-1 ", **SENT),
+                build_line(1.5, "request ended", request="r-1", result="answered"),
+            )
+        )
+    )
+    assert main(["explain", "r-1", str(path)]) == EXIT_OK
+    assert "Answered" in capsys.readouterr().out
+    assert main(["explain", "r-9", str(path)]) == EXIT_FINDINGS
+    assert "No line names r-9" in capsys.readouterr().err
+    assert main(["explain", "r-1", str(tmp_path / "none")]) == EXIT_USAGE
