Hold a reload signal that comes while the gateway is loading

Cause: found by the soak: a gateway told to reload 0.4 s after its start was still loading its libraries; the handler came later, and without one the signal ends the process. Such an end counts as the process's own fault.

Ruled out: a fault in reloading (the log ends before the handler was installed).

The soak sends the signal once the program has begun: the interpreter's own start, some 30 ms, can't be guarded by a program.

Conclusion: the entry's and the agent's binaries load in the same way and still lack this.

--- a/packages/fescuedrum/src/fescuedrum/process.py
+++ b/packages/fescuedrum/src/fescuedrum/process.py
@@ -13,6 +13,7 @@
 from fescuedrum import checks
 from fescuedrum.conf import schema
 from fescuedrum.logs import configure_logging
+from fescuedrum.signals import held_reload
 
 logger = logging.getLogger(__name__)
 
@@ -84,13 +85,16 @@
 
 
 def on_reload(*callbacks):
-    """Call each callback on SIGHUP."""
+    """Call each callback on SIGHUP, and at once if it came while loading."""
 
     def reload():
         for callback in callbacks:
             callback()
 
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+    if held_reload.asked:
+        held_reload.asked = False
+        reload()
 
 
 def stop_on_failure(tasks, stop):
--- /dev/null
+++ b/packages/fescuedrum/src/fescuedrum/signals.py
@@ -0,0 +1,30 @@
+"""Hold signals that come while a program is still loading.
+
+This module imports next to nothing, so that it can be used before all others.
+"""
+
+import signal
+
+
+class HeldReload:
+    """Remember that a reload was asked for before anyone could do it."""
+
+    __slots__ = ("asked",)
+
+    def __init__(self):
+        self.asked = False
+
+    def take(self, *_):
+        self.asked = True
+
+
+held_reload = HeldReload()
+
+
+def hold_reload():
+    """Keep the signal to reload for later.
+
+    Loading the libraries takes some tenths of a second. Without a handler the signal
+    ends the process in that time, and the platform sees one that fails by itself.
+    """
+    signal.signal(signal.SIGHUP, held_reload.take)
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 from types import SimpleNamespace
 
+import pytest
 from soak.callers import Ending, Kind, Record
 from soak.endpoints import Run
 from soak.judge import CONTACT_SECONDS, Judge, Reading
@@ -11,6 +12,11 @@
 
 SHORT_SECONDS = 8.0
 SEED = 1
+USUAL_SECONDS = 20.0
+# Seeds that broke a promise, each with its cause.
+REGRESSIONS = {
+    820043039: "a reload signal ended a gateway that was still loading",
+}
 
 
 def build_record(kind=Kind.ONCE, ending=Ending.ANSWERED, **changes):
@@ -83,6 +89,12 @@
     assert judge(readings=again, changes=changes) == []
 
 
+@pytest.mark.parametrize("seed", REGRESSIONS)
+async def test_seeds_that_broke_a_promise_do_so_no_more(seed, tmp_path):
+    result = await asyncio.wait_for(play(seed, USUAL_SECONDS, tmp_path), 100)
+    assert result.findings == []
+
+
 async def test_a_short_run_of_random_faults_breaks_no_promise(tmp_path):
     result = await asyncio.wait_for(play(SEED, SHORT_SECONDS, tmp_path), 60)
     assert result.findings == []
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 from dataclasses import dataclass
+from pathlib import Path
 
 import aiohttp
 
@@ -98,6 +99,12 @@
         if self.running:
             self.process.send_signal(number)
 
+    def holds(self, number):
+        """Tell whether the process has a handler for a signal, as the kernel says."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        (mask,) = (line for line in status.splitlines() if line.startswith("SigCgt"))
+        return bool(int(mask.split()[1], 16) >> (number - 1) & 1)
+
     async def until_ready(self, session):
         async with asyncio.timeout(START_SECONDS):
             while not await self.is_ready(session):
