--- /dev/null
+++ b/tests/unit/test_platform_orders.py
@@ -0,0 +1,62 @@
+"""Check how long the adapter waits for an engine's answer to an order."""
+
+import asyncio
+import json
+
+import aiohttp
+from aiohttp import web
+
+from fescuedrum.groups.engines import HoldPass, OrderResult, PrepareMap
+from fescuedrum_platform.engines import PlatformEngines
+
+RANKS = 63
+LAYERS = 8
+EXPERTS = 252
+# What a map for all ranks takes on a link of 20 Mbit/s.
+SLOW_SECONDS = 0.3
+
+
+def build_map():
+    experts = [list(range(rank, EXPERTS, RANKS)) for rank in range(RANKS)]
+    return [experts] * LAYERS
+
+
+async def give(order, delay):
+    """Give an order to an engine that answers late; return (result, body it got)."""
+    bodies = []
+
+    async def answer(request):
+        bodies.append(await request.json())
+        await asyncio.sleep(delay)
+        return web.Response(status=202)
+
+    application = web.Application()
+    application.router.add_post("/order", answer)
+    runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    async with aiohttp.ClientSession() as session:
+        engines = PlatformEngines(session)
+        address = ("127.0.0.1", runner.addresses[0][1])
+        result = await engines.give(address, 1, order)
+    await runner.cleanup()
+    return result, bodies[0]
+
+
+async def test_a_large_map_is_waited_for():
+    """No map is changed all day, and every stream of a large group is late.
+
+    The gateway that leads has a narrow link: the map for all ranks takes a third of a
+    second on it. Each order was given up after a tenth, given again, and refused, as
+    the rank had taken it the first time.
+    """
+    order = PrepareMap(4, build_map())
+    result, body = await give(order, SLOW_SECONDS)
+    assert result is OrderResult.TAKEN
+    assert body == {"op": "prepare", "version": 4, "mapping": order.held, "epoch": 1}
+    assert len(json.dumps(body)) > 10_000
+
+
+async def test_a_short_order_that_gets_no_answer_is_noticed_soon():
+    result, _ = await give(HoldPass(9), SLOW_SECONDS)
+    assert result is OrderResult.UNANSWERED
