Count a misdirected sending as a repeat when it is sent again

A zone loses power while the store is silent: its 21 endpoints are back under other names, and each gateway sends to the old names until it hears of the new ones.

Ruled out: sendings without a connection (nothing arrives, and they stay free).

Change: whatever an endpoint has seen makes the next sending a repeat, for which the service's shared budget must have room. It still does not count as one of the route's attempts.

Measured: the test of the story fails before (two arrivals without any budget) and passes after (one); the other tests of the gateway pass.

Conclusion: a bound over all gateways must count what arrives, not what runs.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -27,14 +27,16 @@
 class Attempts:
     """Send one call to one endpoint after the other."""
 
-    __slots__ = ("call", "gateway", "loop", "occupation", "sent", "tried")
+    __slots__ = ("arrived", "call", "gateway", "loop", "occupation", "sent", "tried")
 
     def __init__(self, call, gateway):
         self.call = call
         self.gateway = gateway
         self.loop = asyncio.get_running_loop()
-        # Sendings of which an endpoint may have seen something.
+        # Sendings that an endpoint may have run, or has refused to run.
         self.sent = 0
+        # Whether any endpoint may have seen the request, be it another than was meant.
+        self.arrived = False
         self.tried = set()
         # What the endpoint of the newest sending is charged with.
         self.occupation = None
@@ -148,6 +150,7 @@
         standing = self.gateway.directory.standing(endpoint)
         match opened:
             case NotRun(reason, answer):
+                self.arrived |= answer is not None
                 if answer is None or answer.head.status == MISDIRECTED_STATUS:
                     standing.failed(self.loop.time())
                 else:
@@ -156,11 +159,13 @@
                 self.gateway.metrics.sent("not-run")
                 self.log_end(endpoint, "not run", reason)
             case Lost(reason):
+                self.arrived = True
                 self.sent += 1
                 standing.failed(self.loop.time())
                 self.gateway.metrics.sent("lost")
                 self.log_end(endpoint, "lost", reason)
             case _:
+                self.arrived = True
                 self.sent += 1
                 self.gateway.metrics.sent("opened")
                 standing.succeeded()
@@ -183,7 +188,7 @@
         now = self.loop.time()
         if call.ends_at - now - WAY_SECONDS < LEAST_SECONDS:
             return False
-        if not self.sent:
+        if not self.arrived:
             # Nothing has arrived anywhere, so that it is no repeat.
             return True
         return self.gateway.retries[call.service].spend(
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -341,3 +341,18 @@
         waiting.cancel()
         await second.until(lambda gateway: gateway.peers.loads()["busy"].requests == 0)
     busy.server.close()
+
+
+async def test_a_misdirected_sending_counts_as_a_repeat():
+    """Endpoints get three times the repeats that their service bears.
+
+    A zone lost power while the store was away: other endpoints stand at its addresses,
+    and each request was sent on from one to the next, as none of them ran it.
+    """
+    other = StandInEndpoint("e-1", engines.refusing(421))
+    also = StandInEndpoint("e-2", engines.refusing(421))
+    bounds = {"retry_share": 0.0, "retry_slack": 0.0}
+    async with site(other, also, **bounds) as (running, session):
+        status, _, _ = await call(running, session)
+    assert status == 503
+    assert len(other.seen) + len(also.seen) == 1
