Say why a process of a site did not come up

Cause: test_restarts failed once because a process did not listen for 20 s; its log was deleted with the site, so that the cause could not be traced.

Change: the error names the process, its state and the last lines of its log.

Ruled out, by runs: load alone.

Conclusion: still not traced; the next time it will tell.

--- a/packages/fescuedrum-bench/src/fescuedrum_bench/member.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/member.py
@@ -7,6 +7,8 @@
 PORT = 7000
 GUARD_PORT = 6999
 STOP_SECONDS = 70.0
+# Last lines of a log that tell why a process did not come up.
+LOG_LINES = 20
 
 
 def reserve_network():
@@ -26,6 +28,19 @@
         return prefix, guard
 
 
+class MemberNotUpError(Exception):
+    """Report a process that takes no connections, with the end of what it logged.
+
+    A site's logs are deleted with it, and nobody could tell why it did not come up.
+    """
+
+    def __init__(self, member):
+        lines = member.log_path.read_text().splitlines()[-LOG_LINES:]
+        state = f"code {member.process.returncode}; None is running"
+        told = "\n".join(lines) or "nothing"
+        super().__init__(f"{member.name} at {member.host} ({state}) logged:\n{told}")
+
+
 class Member:
     """Own one process of the site."""
 
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -19,7 +19,13 @@
 from fescuedrum.platform.interfaces import Instance
 from fescuedrum.versions.apply import Applier, Proposal
 from fescuedrum_bench.faultproxy import FaultProxy
-from fescuedrum_bench.member import PORT, Member, listens, reserve_network
+from fescuedrum_bench.member import (
+    PORT,
+    Member,
+    MemberNotUpError,
+    listens,
+    reserve_network,
+)
 from fescuedrum_entry.operators.accounts import Account, Role
 
 PEER_PORT = 7001
@@ -348,9 +354,12 @@
 
     async def wait_listening(self, member):
         """Wait until a process takes connections: entries are often up first."""
-        async with asyncio.timeout(READY_SECONDS):
-            while not await listens(member.host):
-                await asyncio.sleep(0.05)
+        try:
+            async with asyncio.timeout(READY_SECONDS):
+                while not await listens(member.host):
+                    await asyncio.sleep(0.05)
+        except TimeoutError:
+            raise MemberNotUpError(member) from None
 
     async def answers(self, url):
         try:
