Hold a reload signal in entries and agents, too, while they load

Change: both hold the signal before they load their libraries. A command that reloads nothing gives it back: a terminal that closes ends it.

Ruled out: holding it in every command, which would outlive its terminal.

Measured: the tests of both programs and of a command fail without the change and pass with it; those of the console, restarts, operability and processes pass (42 with them).

Conclusion: none of the three programs ends by itself for that signal.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/management.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/management.py
@@ -4,9 +4,7 @@
 import sys
 
 from fescuedrum import __version__
-from fescuedrum.process import add_settings_arguments, run_process
-from fescuedrum_agent.conf import AgentSettings
-from fescuedrum_agent.process.agent import Agent
+from fescuedrum.signals import hold_reload
 
 EPILOG = """\
 settings: one JSON object, for instance
@@ -28,6 +26,8 @@
 
 
 def build_parser():
+    from fescuedrum.process import add_settings_arguments
+
     parser = argparse.ArgumentParser(
         prog="fescuedrum-agent",
         description="Run the agent beside one endpoint.",
@@ -41,6 +41,12 @@
 
 def main(argv=None):
     """Run the command and return its exit code."""
+    hold_reload()
+    # These load the libraries, which takes longer than all before.
+    from fescuedrum.process import run_process
+    from fescuedrum_agent.conf import AgentSettings
+    from fescuedrum_agent.process.agent import Agent
+
     arguments = build_parser().parse_args(argv)
     return run_process(AgentSettings, arguments, Agent)
 
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/commands/serve.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/commands/serve.py
@@ -25,6 +25,7 @@
 class Command:
     epilog = EPILOG
     help = "serve callers and operators until SIGTERM"
+    reloads = True
 
     def add_arguments(self, parser):
         add_settings_arguments(parser)
--- a/packages/fescuedrum/src/fescuedrum/management.py
+++ b/packages/fescuedrum/src/fescuedrum/management.py
@@ -5,6 +5,7 @@
 import pkgutil
 
 from fescuedrum import __version__
+from fescuedrum.signals import hold_reload, release_reload
 
 EPILOG = """\
 exit codes:
@@ -48,7 +49,14 @@
 
 
 def execute(package, *, prog, description, argv=None):
-    """Run one command and return its exit code."""
+    """Run one command and return its exit code.
+
+    Only a command that reloads its settings holds the signal to do so.
+    """
+    hold_reload()
     found = load_commands(package)
     arguments = build_parser(found, prog, description).parse_args(argv)
-    return found[arguments.command].handle(arguments)
+    command = found[arguments.command]
+    if not getattr(command, "reloads", False):
+        release_reload()
+    return command.handle(arguments)
--- a/packages/fescuedrum/src/fescuedrum/signals.py
+++ b/packages/fescuedrum/src/fescuedrum/signals.py
@@ -3,6 +3,7 @@
 This module imports next to nothing, so that it can be used before all others.
 """
 
+import os
 import signal
 
 
@@ -28,3 +29,10 @@
     ends the process in that time, and the platform sees one that fails by itself.
     """
     signal.signal(signal.SIGHUP, held_reload.take)
+
+
+def release_reload():
+    """Let the signal end the process, as the terminal that closes means it to."""
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    if held_reload.asked:
+        os.kill(os.getpid(), signal.SIGHUP)
--- a/tests/unit/test_reload_signal.py
+++ b/tests/unit/test_reload_signal.py
@@ -1,8 +1,11 @@
 """Check that a signal to reload ends no process that is still loading."""
 
+import signal
 import subprocess
 import sys
 
+import pytest
+
 RELOADED = """
 import asyncio, os, signal
 from fescuedrum.signals import hold_reload
@@ -17,16 +20,42 @@
 """
 LOADED = """
 import sys
-import fescuedrum_platform.__main__
+import {module}
 print("aiohttp" in sys.modules)
 """
+COMMAND = """
+import os, signal
+from fescuedrum import management
 
+class Command:
+    help = "do"
+    reloads = {reloads}
 
-def run(program):
-    """Return what a program prints; fail when it ends by a signal."""
-    ended = subprocess.run(
+    def add_arguments(self, parser):
+        pass
+
+    def handle(self, arguments):
+        print("handled")
+
+def load_commands(package):
+    os.kill(os.getpid(), signal.SIGHUP)
+    return {{"do": Command()}}
+
+management.load_commands = load_commands
+management.execute(None, prog="p", description="d", argv=["do"])
+"""
+
+
+def end(program):
+    """Run a program to its end."""
+    return subprocess.run(
         [sys.executable, "-c", program], capture_output=True, text=True, timeout=30
     )
+
+
+def run(program):
+    """Return what a program prints; fail when it ends by a signal."""
+    ended = end(program)
     assert ended.returncode == 0, ended.stderr
     return ended.stdout.split()
 
@@ -40,5 +69,22 @@
     assert run(RELOADED) == ["reloaded"]
 
 
-def test_the_gateway_holds_the_signal_before_it_loads_its_libraries():
-    assert run(LOADED) == ["False"]
+@pytest.mark.parametrize(
+    "module",
+    [
+        "fescuedrum_platform.__main__",
+        "fescuedrum_entry.management",
+        "fescuedrum_agent.management",
+    ],
+)
+def test_programs_hold_the_signal_before_they_load_their_libraries(module):
+    assert run(LOADED.format(module=module)) == ["False"]
+
+
+def test_a_command_that_reloads_lives_on_and_another_ends():
+    """A terminal closes, and a command that was left in it goes on for ever.
+
+    The signal that tells of it is the one that lets a process reload its settings.
+    """
+    assert run(COMMAND.format(reloads=True)) == ["handled"]
+    assert end(COMMAND.format(reloads=False)).returncode == -signal.SIGHUP
