Leave signals alone in a command that runs in a thread

Cause: since a command holds the signal to reload while it loads, one that is called in a thread of another program raised ValueError: only the main thread may set handlers.

Ruled out: calling the commands in the main thread of those tests; a program that runs a command beside its other work must go on working as before.

Conclusion: a guest command has no handlers of its own.

--- a/tests/unit/test_reload_signal.py
+++ b/tests/unit/test_reload_signal.py
@@ -45,6 +45,27 @@
 management.execute(None, prog="p", description="d", argv=["do"])
 """
 
+GUEST = """
+import asyncio, signal
+from fescuedrum import management
+
+class Command:
+    help = "do"
+
+    def add_arguments(self, parser):
+        pass
+
+    def handle(self, arguments):
+        return 7
+
+management.load_commands = lambda package: {"do": Command()}
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+code = asyncio.run(asyncio.to_thread(
+    management.execute, None, prog="p", description="d", argv=["do"]
+))
+print(code, signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)
+"""
+
 
 def end(program):
     """Run a program to its end."""
@@ -88,3 +109,12 @@
     """
     assert run(COMMAND.format(reloads=True)) == ["handled"]
     assert end(COMMAND.format(reloads=False)).returncode == -signal.SIGHUP
+
+
+def test_a_command_in_a_thread_runs_and_leaves_the_signal_alone():
+    """A program that runs a command beside its other work gets a ValueError instead.
+
+    It calls the command in a thread, as the command blocks; only the main thread may
+    set a handler, and the handler there is the program's own.
+    """
+    assert run(GUEST) == ["7", "True"]
