Find a group anew when its map was changed by another gateway

Ruled out: versions (they rose each time), orders without answers (none was logged then).

Change: a report from behind the pass of the last known change that names another version of the map, and any change that was given up, make the leader find the group and read its map.

Measured: the new test fails without the change (the expert in demand keeps one host for four seconds) and passes with it.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
@@ -24,6 +24,10 @@
     addresses: dict[int, tuple[str, int]]
     # held[layer][rank]: the map in force, as sets.
     held: list[list[set[int]]]
+    # Its version, and the pass from which on it is in force.
+    map_version: int
+    map_step: int
+    # Highest version that any rank was given.
     version: int
     # Pass of the newest report.
     seen_step: int
@@ -35,6 +39,13 @@
     def ranks(self):
         return len(self.addresses)
 
+    def has_other_map(self, report):
+        """Tell whether a report shows that another process has changed the map.
+
+        Reports lag: one from before the pass of the own change tells of the old map.
+        """
+        return report.step >= self.map_step and report.map_version != self.map_version
+
 
 class GroupFinder:
     """Know the groups of one service; endpoints() lists its endpoints."""
@@ -93,7 +104,16 @@
         if held is None:
             return
         version = max(newest_version(report) for _, report in members.values())
-        self.groups[name] = Group(name, epoch, addresses, held, version, first.step)
+        self.groups[name] = Group(
+            name=name,
+            epoch=epoch,
+            addresses=addresses,
+            held=held,
+            map_version=first.map_version,
+            map_step=first.step,
+            version=version,
+            seen_step=first.step,
+        )
         extra = {"group": name, "epoch": epoch, "ranks": len(members)}
         logger.info("group found", extra={**extra, "map": first.map_version})
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/keeper.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/keeper.py
@@ -100,6 +100,12 @@
         if report.held_step is not None:
             return await self.watch_hold(group, report)
         group.held_step = None
+        if group.has_other_map(report):
+            # Plans by the map that was would be refused for ever: they bring ranks
+            # more new experts than these take.
+            extra = {"group": group.name, "map": report.map_version}
+            logger.info("group has another map", extra=extra)
+            return False
         if report.step == group.seen_step:
             # An idle group makes no passes: nothing is in demand, and reads are dear.
             return True
@@ -107,7 +113,7 @@
         return await self.follow_counts(group)
 
     async def follow_counts(self, group):
-        """Read counts where it is time to; False on a new epoch."""
+        """Read counts where it is time to; False when the group must be found anew."""
         if group.sample.demand.mean is None:
             return await self.measure(group)
         now = self.loop.time()
@@ -121,7 +127,7 @@
         return await self.improve(group)
 
     async def measure(self, group):
-        """Learn the demand anew and follow it; False on a new epoch."""
+        """Learn the demand anew and follow it; False when it must be found anew."""
         if await self.reader.measure(group):
             return await self.improve(group)
         return True
@@ -150,7 +156,10 @@
     # Changing
 
     async def improve(self, group):
-        """Switch to a better map if one is worth its copies; False on a new epoch."""
+        """Switch to a better map if one is worth its copies.
+
+        Return False when the group must be found anew.
+        """
         loads = group.sample.demand.mean
         least = least_improvement(self.profile)
         now = even.skew(group.held, loads)
@@ -172,7 +181,11 @@
         return mender.held
 
     async def switch(self, group, planned, extra):
-        """Put a planned map in force; False on a new epoch."""
+        """Put a planned map in force; False when the group must be found anew.
+
+        A change is given up where ranks refuse its orders: another process may have
+        changed the map, or is about to.
+        """
         change = self.build_change(group, planned)
         extra = {
             "group": group.name,
@@ -190,10 +203,13 @@
         logger.info("map change ended", extra={**extra, "step": switch.step})
         group.version = switch.void_version
         group.sample.read_at = self.loop.time()
-        if result is SwitchResult.SWITCHED:
-            group.held = planned
-            self.pace.restart()
-        return result is not SwitchResult.EPOCH_ENDED
+        if result is not SwitchResult.SWITCHED:
+            return False
+        group.held = planned
+        group.map_version = change.version
+        group.map_step = switch.step
+        self.pace.restart()
+        return True
 
     def build_change(self, group, planned):
         block = group.version // VERSION_BLOCK + 1
--- a/packages/fescuedrum/src/fescuedrum/explaining.py
+++ b/packages/fescuedrum/src/fescuedrum/explaining.py
@@ -21,6 +21,7 @@
         "gateway started",
         "group began anew",
         "group found",
+        "group has another map",
         "group not whole",
         "held group settled",
         "map change begun",
--- a/tests/support/groups.py
+++ b/tests/support/groups.py
@@ -40,7 +40,7 @@
     Each pass that begins with two maps is noted in mixed_passes.
     """
 
-    def __init__(self, held, *, seed=1, late=0.0, lost=0.0):
+    def __init__(self, held, *, seed=1, late=0.0, lost=0.0, spare=None):
         self.random = random.Random(seed)
         self.ranks = [
             StandInRank(held=[layer[rank] for layer in held])
@@ -51,6 +51,8 @@
         # Shares of the orders that are carried out late, or never; neither is answered.
         self.late = late
         self.lost = lost
+        # Most experts of a layer that a change may bring a rank; None for any number.
+        self.spare = spare
         self.mixed_passes = []
         self.passes_held = 0
         self.history = []
@@ -152,6 +154,8 @@
             case PrepareMap(version):
                 if rank.armed is not None or version <= rank.highest_version:
                     return False
+                if self.spare is not None and self.brings(rank, order) > self.spare:
+                    return False
                 rank.prepared = order
                 rank.highest_version = version
             case ArmMap(version, step):
@@ -172,3 +176,11 @@
                 if rank.held_step == step:
                     rank.held_step = None
         return True
+
+    def brings(self, rank, order):
+        """Return the most experts that a map brings a rank in any layer."""
+        number = self.ranks.index(rank)
+        return max(
+            len(set(layer[number]) - set(held))
+            for layer, held in zip(order.held, rank.held, strict=True)
+        )
--- a/tests/unit/test_group_keeper.py
+++ b/tests/unit/test_group_keeper.py
@@ -12,6 +12,7 @@
 from fescuedrum.decisions.experts.pace import PassPace
 from fescuedrum.decisions.presence import Presences
 from fescuedrum.groups.engines import HoldPass, PrepareMap
+from fescuedrum.groups.switching import MapChange, Switch, SwitchResult
 from fescuedrum_gateway.process.keeper import build_keeper
 from fescuedrum_gateway.process.metrics import GatewayMetrics
 
@@ -19,8 +20,11 @@
 EXPERTS = 16
 LAYERS = 2
 PROFILE = ExpertProfile(LAYERS, EXPERTS, places=6, spare=3, copy_seconds=0.1)
-# One expert of four ranks' sixteen carries half of the load.
-HOT = [50 if expert == 0 else 3 for expert in range(EXPERTS)]
+
+
+def hot_loads(hot):
+    """Return loads in which one of sixteen experts carries half of all."""
+    return [50 if expert == hot else 3 for expert in range(EXPERTS)]
 
 
 def build(group):
@@ -37,6 +41,8 @@
     held = even.initial_map(EXPERTS, RANKS, LAYERS)
     group = StandInGroup([[sorted(each) for each in layer] for layer in held], **faults)
     group.counts = [[0] * EXPERTS * LAYERS for _ in range(RANKS)]
+    # The expert that is in demand.
+    group.hot = 0
     return group
 
 
@@ -45,7 +51,7 @@
     while True:
         await asyncio.sleep(0.05)
         for rank in ranks:
-            grown = (loads or HOT) * LAYERS
+            grown = (loads or hot_loads(group.hot)) * LAYERS
             group.counts[rank] = [
                 count + 100 * more
                 for count, more in zip(group.counts[rank], grown, strict=True)
@@ -137,6 +143,31 @@
     assert play(story).mixed_passes == []
 
 
+def test_a_leader_that_slept_takes_up_the_map_that_is_in_force_now():
+    """Every stream is late for twenty seconds, until the group begins anew by chance.
+
+    A leader's machine sleeps; another gateway leads meanwhile and changes the map. The
+    first wakes, and plans by the map that it left behind: its changes bring a rank more
+    new experts than it takes, and each one is refused.
+    """
+
+    async def story(keeper, group):
+        await look_for(keeper, 2.5)
+        before = [[rank.held[layer] for rank in group.ranks] for layer in range(LAYERS)]
+        # All ranks take on the experts of the rank beside them.
+        other = [layer[1:] + layer[:1] for layer in before]
+        group.spare = None
+        change = MapChange(50_000, other, before, copy_seconds=0.1)
+        switch = Switch(group, group.addresses, 1, change)
+        assert await switch.run() is SwitchResult.SWITCHED
+        group.spare = PROFILE.spare
+        group.hot = 7
+        await look_for(keeper, 4.0)
+        assert hosts(group, 7) > 1
+
+    assert play(story, {"spare": PROFILE.spare}).mixed_passes == []
+
+
 def test_an_idle_group_is_not_read():
     """Counts are paid for all night, though nothing is asked for.
 
