Let the widest link lead the groups, and wait for orders by the own link

Cause: where the leader has a link of 40 Mbit/s, a change of a map of 63 ranks takes 0.43 to 0.49 s, on one of 200 Mbit/s 0.21 to 0.23 s; the leader was the first by its address.

Ruled out: that the ranks copy for so long (0.1 s).

Change: gateways tell the width of their links (a setting, rendered from the platform's), the widest leads; the wait for an order follows from the own link and the number of ranks.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/adapter.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/adapter.py
@@ -78,7 +78,9 @@
 
     def open_store(self, base_url: str, session) -> RowStore: ...
 
-    def open_engines(self, session) -> Engines: ...
+    def open_engines(self, session, link_megabits: float) -> Engines:
+        """Return the engines as they are reached over a link of so many Mbit/s."""
+        ...
 
     def read_operators_row(self, row: VersionedRow) -> RoutingDocument | ZoneOut | None:
         """Decode a row of operators; None for one that says nothing to a gateway.
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/conf.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/conf.py
@@ -42,6 +42,9 @@
     cold_slack: float = setting(
         0.0, help="Requests a second that it bears beyond that.", minimum=0.0
     )
+    link_megabits: float = setting(
+        1000.0, help="Width of this machine's link.", minimum=0.1, unit="Mbit/s"
+    )
     idle_seconds: float = setting(
         75.0, help="Longest time a caller may send no request.", minimum=0.1, unit="s"
     )
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -117,7 +117,10 @@
             await self.peers.open()
             runners = await self.listen()
             lasting = [each.run for each in self.followers]
-            duty = GroupDuty(self, self.adapter.open_engines(self.store_session))
+            engines = self.adapter.open_engines(
+                self.store_session, self.settings.link_megabits
+            )
+            duty = GroupDuty(self, engines)
             lasting += [self.peers.run, self.announce, duty.run]
             tasks = [asyncio.create_task(keep_running(work)) for work in lasting]
             logger.info("gateway started", extra={"release": __version__})
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
@@ -5,6 +5,7 @@
 import logging
 from dataclasses import dataclass, field
 
+from fescuedrum.decisions import leading
 from fescuedrum.decisions.following import must_read
 from fescuedrum.decisions.pacing import beat_interval
 from fescuedrum.decisions.placement import Load
@@ -47,6 +48,7 @@
     sequence: int = -1
     leaving: bool = False
     store_answers: bool = False
+    link_megabits: float = 0.0
     versions: dict[str, int] = field(default_factory=dict)
     loads: dict[str, Load] = field(default_factory=dict)
 
@@ -131,8 +133,13 @@
 
     def is_first(self):
         """Tell whether this gateway is the first of those that are heard and stay."""
-        heard = self.heard_within(LEAD_SECONDS)
-        return all(each.leaving or each.host > self.settings.host for each in heard)
+        own = leading.Candidate(self.settings.host, self.settings.link_megabits)
+        others = (
+            leading.Candidate(each.host, each.link_megabits)
+            for each in self.heard_within(LEAD_SECONDS)
+            if not each.leaving
+        )
+        return leading.is_first(own, others)
 
     def loads(self):
         """Sum up what the other gateways have at each endpoint, by its name."""
@@ -218,6 +225,7 @@
         beacon.incarnation = self.incarnation
         beacon.host = self.settings.host
         beacon.sequence = self.sequence
+        beacon.link_megabits = self.settings.link_megabits
         beacon.wants_answer = wants_answer or None
         known = self.heard_within(FORGOTTEN_SECONDS) if wants_answer else ()
         beacon.known_hosts = [each.host for each in known][:MAXIMUM_KNOWN_HOSTS]
@@ -255,6 +263,7 @@
         peer.sequence = beacon.sequence or 0
         peer.leaving = bool(beacon.leaving)
         peer.store_answers = bool(beacon.store_answers)
+        peer.link_megabits = beacon.link_megabits or 0.0
         peer.loads = {
             each.endpoint: Load(each.requests or 0, each.unread_tokens or 0)
             for each in beacon.loads or ()
--- a/packages/fescuedrum/src/fescuedrum/signals.py
+++ b/packages/fescuedrum/src/fescuedrum/signals.py
@@ -46,7 +46,7 @@
 def may_handle_signals():
     """Tell whether this thread may set handlers.
 
-    Only the main thread may, and setting one elsewhere raises ValueError. A command that
-    runs in another thread is a guest in a program that handles its own signals.
+    Only the main thread may, and setting one elsewhere raises ValueError. A command
+    that runs in another thread is a guest in a program that handles its own signals.
     """
     return threading.current_thread() is threading.main_thread()
--- a/packages/fescuedrum/src/fescuedrum/wire/gen/gateways/ttypes.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/gen/gateways/ttypes.py
@@ -122,6 +122,7 @@
      - loads
      - known_hosts
      - wants_answer
+     - link_megabits
 
     """
 
@@ -137,10 +138,11 @@
         'loads',
         'known_hosts',
         'wants_answer',
+        'link_megabits',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, host=None, sequence=None, leaving=None, store_answers=None, operators_version=None, endpoints_version=None, loads=None, known_hosts=None, wants_answer=None,):
+    def __init__(self, instance=None, incarnation=None, host=None, sequence=None, leaving=None, store_answers=None, operators_version=None, endpoints_version=None, loads=None, known_hosts=None, wants_answer=None, link_megabits=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.host = host
@@ -152,6 +154,7 @@
         self.loads = loads
         self.known_hosts = known_hosts
         self.wants_answer = wants_answer
+        self.link_megabits = link_megabits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -228,6 +231,11 @@
                     self.wants_answer = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.DOUBLE:
+                    self.link_megabits = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -288,6 +296,10 @@
             oprot.writeFieldBegin('wants_answer', TType.BOOL, 11)
             oprot.writeBool(self.wants_answer)
             oprot.writeFieldEnd()
+        if self.link_megabits is not None:
+            oprot.writeFieldBegin('link_megabits', TType.DOUBLE, 12)
+            oprot.writeDouble(self.link_megabits)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -332,6 +344,7 @@
     (9, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 9
     (10, TType.LIST, 'known_hosts', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.BOOL, 'wants_answer', None, None, ),  # 11
+    (12, TType.DOUBLE, 'link_megabits', None, None, ),  # 12
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/fescuedrum/src/fescuedrum/wire/idl/gateways.thrift
+++ b/packages/fescuedrum/src/fescuedrum/wire/idl/gateways.thrift
@@ -25,4 +25,6 @@
   10: optional list<string> known_hosts,
   // Unset in an answer, so that two processes don't answer each other for ever.
   11: optional bool wants_answer,
+  // Width of the sender's link: the widest leads the groups.
+  12: optional double link_megabits,
 }
--- a/tests/support/dialect.py
+++ b/tests/support/dialect.py
@@ -93,7 +93,7 @@
     def open_store(self, base_url, session):
         return self.store
 
-    def open_engines(self, session):
+    def open_engines(self, session, link_megabits):
         return None
 
     def read_operators_row(self, row):
--- a/tests/unit/test_platform_orders.py
+++ b/tests/unit/test_platform_orders.py
@@ -14,6 +14,8 @@
 EXPERTS = 252
 # What a map for all ranks takes on a link of 20 Mbit/s.
 SLOW_SECONDS = 0.3
+NARROW_MEGABITS = 20.0
+WIDE_MEGABITS = 200.0
 
 
 def build_map():
@@ -21,7 +23,7 @@
     return [experts] * LAYERS
 
 
-async def give(order, delay):
+async def give(order, delay, link_megabits):
     """Give an order to an engine that answers late; return (result, body it got)."""
     bodies = []
 
@@ -36,7 +38,7 @@
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
     async with aiohttp.ClientSession() as session:
-        engines = PlatformEngines(session)
+        engines = PlatformEngines(session, link_megabits)
         address = ("127.0.0.1", runner.addresses[0][1])
         result = await engines.give(address, 1, order)
     await runner.cleanup()
@@ -51,12 +53,23 @@
     the rank had taken it the first time.
     """
     order = PrepareMap(4, build_map())
-    result, body = await give(order, SLOW_SECONDS)
+    result, body = await give(order, SLOW_SECONDS, NARROW_MEGABITS)
     assert result is OrderResult.TAKEN
     assert body == {"op": "prepare", "version": 4, "mapping": order.held, "epoch": 1}
     assert len(json.dumps(body)) > 10_000
 
 
 async def test_a_short_order_that_gets_no_answer_is_noticed_soon():
-    result, _ = await give(HoldPass(9), SLOW_SECONDS)
+    result, _ = await give(HoldPass(9), SLOW_SECONDS, NARROW_MEGABITS)
+    assert result is OrderResult.UNANSWERED
+
+
+async def test_on_a_wide_link_a_map_that_gets_no_answer_is_noticed_soon():
+    """Streams are late for two seconds and more after each move of demand.
+
+    One order in ten gets no answer. A map takes hundredths of a second on this link,
+    and yet each round of orders waited for half a second, as on the narrowest one.
+    """
+    order = PrepareMap(4, build_map())
+    result, _ = await give(order, SLOW_SECONDS, WIDE_MEGABITS)
     assert result is OrderResult.UNANSWERED
