Notice moves of demand that come during a change, and switch sooner when passes are long

What was usual for passes was the median of the last 1.5 s and was forgotten at each change; while orders were lost a change took over a second, so that slow passes became the usual ones (a trial logged 117 ms as usual where even passes take 62 to 72 ms). Besides, a switch was set six passes ahead of the last report: 0.5 s with passes of 110 ms.

Ruled out: too few streams at the leader (a dozen events in the window), counts (the two reads showed each move once they were made).

Change: what is usual follows only passes that are not slow, outlives a change, and is set anew where a fresh measure shows that the map suits the demand. Events of passes that still have the old map are passed over. The switch is set as many passes ahead as a report of the configured lag can be behind at the present pace, and one more.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/keeper.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/keeper.py
@@ -11,6 +11,7 @@
     Switch,
     SwitchResult,
     settle,
+    steps_ahead,
 )
 from fescuedrum_gateway.process.demand import DemandReader
 from fescuedrum_gateway.process.groups import GroupFinder
@@ -28,6 +29,8 @@
 SETTLE_SECONDS = 0.4
 # A hold that stands for so long has been left behind: a switch takes a fraction of it.
 LEFT_SECONDS = 0.5
+# Length of a calm pass, where no streams pass through this process that tell it.
+USUAL_PASS_SECONDS = 0.05
 # Versions of one process's change, and of the map that voids it, lie in such a block;
 # the place in the block keeps apart processes that take the same block.
 VERSION_BLOCK = 1000
@@ -128,9 +131,14 @@
 
     async def measure(self, group):
         """Learn the demand anew and follow it; False when it must be found anew."""
-        if await self.reader.measure(group):
-            return await self.improve(group)
-        return True
+        if not await self.reader.measure(group):
+            return True
+        planned = await self.plan_better(group)
+        if planned is None:
+            # The map suits the demand: passes are as long as the load makes them.
+            self.pace.accept(self.loop.time())
+            return True
+        return await self.switch(group, planned)
 
     async def watch_hold(self, group, report):
         """Settle a hold that its process has left behind."""
@@ -156,21 +164,22 @@
     # Changing
 
     async def improve(self, group):
-        """Switch to a better map if one is worth its copies.
+        """Switch to a better map if there is one.
 
         Return False when the group must be found anew.
         """
+        planned = await self.plan_better(group)
+        return planned is None or await self.switch(group, planned)
+
+    async def plan_better(self, group):
+        """Return a map that is worth its copies; None when there is none."""
         loads = group.sample.demand.mean
         least = least_improvement(self.profile)
         now = even.skew(group.held, loads)
         if now < least:
-            return True
+            return None
         planned = await self.plan(group, loads)
-        then = even.skew(planned, loads)
-        if now / then < least:
-            return True
-        extra = {"skew_before": round(now, 3), "skew_after": round(then, 3)}
-        return await self.switch(group, planned, extra)
+        return planned if now / even.skew(planned, loads) >= least else None
 
     async def plan(self, group, loads):
         """Return a mended map; other tasks run in between."""
@@ -180,18 +189,22 @@
             await asyncio.sleep(0)
         return mender.held
 
-    async def switch(self, group, planned, extra):
+    async def switch(self, group, planned):
         """Put a planned map in force; False when the group must be found anew.
 
         A change is given up where ranks refuse its orders: another process may have
         changed the map, or is about to.
         """
-        change = self.build_change(group, planned)
+        pass_seconds = self.pace.current(self.loop.time()) or USUAL_PASS_SECONDS
+        change = self.build_change(group, planned, pass_seconds)
+        loads = group.sample.demand.mean
         extra = {
             "group": group.name,
             "version": change.version,
             "copy_seconds": round(change.copy_seconds, 3),
-            **extra,
+            "steps_ahead": change.steps_ahead,
+            "skew_before": round(even.skew(group.held, loads), 3),
+            "skew_after": round(even.skew(planned, loads), 3),
         }
         logger.info("map change begun", extra=extra)
         began = self.loop.time()
@@ -208,15 +221,21 @@
         group.held = planned
         group.map_version = change.version
         group.map_step = switch.step
-        self.pace.restart()
+        self.pace.map_changed(self.loop.time() + change.steps_ahead * pass_seconds)
         return True
 
-    def build_change(self, group, planned):
+    def build_change(self, group, planned, pass_seconds):
         block = group.version // VERSION_BLOCK + 1
         place = self.random.randrange(VERSION_BLOCK - 1)
         version = block * VERSION_BLOCK + place
         seconds = most_copies(group.held, planned) * self.profile.copy_seconds
-        return MapChange(version, as_lists(planned), as_lists(group.held), seconds)
+        return MapChange(
+            version=version,
+            held=as_lists(planned),
+            before=as_lists(group.held),
+            copy_seconds=seconds,
+            steps_ahead=steps_ahead(self.profile.report_lag, pass_seconds),
+        )
 
 
 def build_keeper(service, engines, presences, pace, metrics, random):
--- a/packages/fescuedrum/src/fescuedrum/conf/routing.py
+++ b/packages/fescuedrum/src/fescuedrum/conf/routing.py
@@ -67,6 +67,8 @@
     spare: int
     # Time that a rank takes to copy one expert, in seconds.
     copy_seconds: float
+    # How old what a rank says of itself may be, in seconds.
+    report_lag: float
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/fescuedrum/src/fescuedrum/groups/switching.py
+++ b/packages/fescuedrum/src/fescuedrum/groups/switching.py
@@ -15,6 +15,7 @@
 import asyncio
 import enum
 import logging
+import math
 from dataclasses import dataclass
 
 from fescuedrum.groups.engines import (
@@ -30,9 +31,11 @@
 
 # Rank whose hold guards the group; all processes must take the same one.
 HOLDING_RANK = 0
-# Passes between the last one known and the one of the switch. Reports lag by up to
-# four passes, and the orders to all ranks take less than another two.
+# Passes between the last one known and the one of the switch, where their length is
+# not known: a report of a fifth of a second ago is four calm passes old.
 STEPS_AHEAD = 6
+# The same at the least: the pass that is under way can't be held.
+LEAST_STEPS_AHEAD = 2
 # Tries of an order that gets no answer: when a third are lost, one change of a dozen
 # ranks in a hundred then fails for it.
 TRIES = 8
@@ -70,6 +73,21 @@
     held: list[list[list[int]]]
     before: list[list[list[int]]]
     copy_seconds: float
+    # Passes between the last one known and the first one with the new map.
+    steps_ahead: int = STEPS_AHEAD
+
+
+def steps_ahead(report_lag, pass_seconds):
+    """Return how many passes to hold ahead of the last one that a report tells of.
+
+    Both are in seconds; pass_seconds is None when unknown. Each pass more is one more
+    with the old map, and passes are long just then. One fewer than have begun only
+    costs another order: the hold of a pass that has begun is refused.
+    """
+    if pass_seconds is None:
+        return STEPS_AHEAD
+    begun = math.ceil(report_lag / pass_seconds)
+    return min(max(begun + 1, LEAST_STEPS_AHEAD), STEPS_AHEAD)
 
 
 class Switch:
@@ -136,7 +154,7 @@
             report = await self.engines.read_report(self.addresses[HOLDING_RANK])
             if report is None or report.epoch != self.epoch:
                 return False
-            self.step = max(report.step, self.step) + STEPS_AHEAD
+            self.step = max(report.step, self.step) + self.change.steps_ahead
             match await self.give(HOLDING_RANK, HoldPass(self.step)):
                 case OrderResult.TAKEN:
                     return True
