Tell of each request's end, of processes that stood still, and of how old beliefs are

Four ended with their process; for one the gateway had slept, and writing to a caller who had left raised an error that was passed on without a line; two others named an end whose cause stood nowhere (a caller who left after 8 ms, as its gateway had been frozen; one who left a stream, without a word of when its last event had come).

Ruled out: lines left out by the budget (none was).

Change: a failed write to a caller is the caller's leave. A leave names the last event and the time since it. A process whose timer is late by 0.2 s says so, and gateways have the histogram of that. explain says whether the process ended, and for how long it stood still. Gauges: ages of both tables since the store or a gateway that it answers confirmed them, repeats left.

Tests: each of these; the one of a failed write fails without its change.

Conclusion: the four requests that reached no gateway stay unexplained by logs.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
@@ -41,6 +41,7 @@
 
     __slots__ = (
         "answers",
+        "confirmed_at",
         "loop",
         "name",
         "peers",
@@ -65,6 +66,8 @@
         self.loop = asyncio.get_running_loop()
         # Whether the store's last call was answered; None while others follow it.
         self.answers = None
+        # When the store, or a gateway that it answers, last told what the copy has.
+        self.confirmed_at = None
         self.pulling = None
         self.take = lambda rows: None
         # Called before rows are taken when the store falls silent or answers again.
@@ -127,7 +130,15 @@
             tell(logger, events.StoreLost(self.name, detail))
         self.store_changed()
 
+    @property
+    def age(self):
+        """Return the seconds since the copy was last confirmed; -1 for never."""
+        if self.confirmed_at is None:
+            return -1.0
+        return self.loop.time() - self.confirmed_at
+
     def apply(self, changes, source):
+        self.confirmed_at = self.loop.time()
         before = self.replica.version
         rows = self.replica.apply(changes)
         if not rows:
@@ -146,9 +157,12 @@
 
     def peer_heard(self, peer):
         """Learn from a peer that is ahead, unless the store brings it at once."""
-        ahead = peer.versions.get(self.name, -1) > self.replica.version
-        if ahead and self.pulling is None:
-            self.pulling = asyncio.create_task(self.pull())
+        told = peer.versions.get(self.name, -1)
+        if told > self.replica.version:
+            if self.pulling is None:
+                self.pulling = asyncio.create_task(self.pull())
+        elif told == self.replica.version and peer.store_answers:
+            self.confirmed_at = self.loop.time()
 
     async def pull(self):
         try:
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -26,6 +26,7 @@
 )
 from fescuedrum.events.tables import OperatorsRowNotUnderstood
 from fescuedrum.exceptions import RowNotUnderstood, StoreUnavailable
+from fescuedrum.metrics import watch_loop
 from fescuedrum.process import cancel, on_reload
 from fescuedrum.wire.gen.gateways.ttypes import Beacon
 from fescuedrum_gateway.connection.callers import build_server
@@ -132,7 +133,7 @@
                 self.store_session, self.settings.link_megabits
             )
             duty = GroupDuty(self, engines)
-            lasting += [self.peers.run, self.announce, duty.run]
+            lasting += [self.peers.run, self.announce, duty.run, self.watch_loop]
             tasks = [asyncio.create_task(keep_running(work)) for work in lasting]
             tell(logger, GatewayStarted(__version__))
             await stop.wait()
@@ -203,6 +204,12 @@
             return -1.0
         return asyncio.get_running_loop().time() - read_at
 
+    def retries_left(self):
+        """Return the repeats left to the service that has the fewest; -1 for none."""
+        now, entries = asyncio.get_running_loop().time(), self.peers.count_entries()
+        left = [budget.left(now, entries) for budget in self.retries.values()]
+        return min(left, default=-1.0)
+
     # What the platform and peers tell
 
     def take_operators_rows(self, rows):
@@ -297,6 +304,9 @@
                 tell(logger, AddressNotWritten(error.detail))
                 await asyncio.sleep(ANNOUNCE_RETRY_SECONDS)
 
+    async def watch_loop(self):
+        await watch_loop(self.metrics.loop_delay)
+
     # The end
 
     async def drain(self):
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
@@ -1,6 +1,6 @@
 """Declare the gateway's metrics and count what its requests come to."""
 
-from fescuedrum.metrics import SERVICE, Catalogue, Label
+from fescuedrum.metrics import LOOP_DELAY_BUCKETS, SERVICE, Catalogue, Label
 
 NO_SERVICE = "none"
 RESULT = Label("result", "5: answered, failed, cut, refused, left")
@@ -15,6 +15,7 @@
     __slots__ = (
         "catalogue",
         "first_event",
+        "loop_delay",
         "map_changes",
         "refusals",
         "requests",
@@ -48,6 +49,11 @@
         self.refusals = catalogue.counter(
             "fescuedrum_gateway_refusals_total", "Refusals of the gateway's own.", CODE
         )
+        self.loop_delay = catalogue.histogram(
+            "fescuedrum_gateway_loop_delay_seconds",
+            "How late the event loop runs a timer.",
+            buckets=LOOP_DELAY_BUCKETS,
+        )
         self.map_changes = catalogue.counter(
             "fescuedrum_gateway_map_changes_total",
             "Changes of expert maps that this gateway led.",
@@ -68,6 +74,21 @@
                 "Time since that version came in force; -1 for none.",
                 lambda: gateway.configuration_age(),
             ),
+            (
+                "operators_age_seconds",
+                "Time since the operators' table was last confirmed; -1 for never.",
+                lambda: gateway.followers[0].age,
+            ),
+            (
+                "endpoints_age_seconds",
+                "Time since the list of endpoints was last confirmed; -1 for never.",
+                lambda: gateway.followers[1].age,
+            ),
+            (
+                "retries_left",
+                "Repeats that the service with the fewest left may send; -1 for none.",
+                lambda: gateway.retries_left(),
+            ),
             (
                 "endpoints",
                 "Endpoints known.",
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
@@ -23,6 +23,7 @@
 logger = logging.getLogger(__name__)
 
 REQUEST_ID = web.RequestKey("request_id", str)
+STREAM = web.RequestKey("stream", StreamRun)
 # What becomes of a request, beside that it is answered.
 FAILED = "failed"
 CUT = "cut"
@@ -51,10 +52,10 @@
             self.gateway.stop_plan.arrived(arrived)
         try:
             response = await self.answer(http_request, arrived)
-        except asyncio.CancelledError:
-            seconds = round(self.loop.time() - arrived, 4)
-            tell(logger, CallerLeft(http_request.get(REQUEST_ID, ""), seconds))
-            self.gateway.metrics.ended("", LEFT, seconds)
+        except (asyncio.CancelledError, ConnectionError):
+            # A process that woke writes to a caller who is long gone before it is told
+            # of that: the write fails, and no handler is cancelled.
+            self.caller_left(http_request, arrived)
             raise
         finally:
             self.gateway.running -= 1
@@ -63,6 +64,21 @@
             response.force_close()
         return response
 
+    def caller_left(self, http_request, arrived):
+        """Count and log that a caller's connection was gone before its answer was."""
+        now = self.loop.time()
+        last_event = silent = None
+        if (run := http_request.get(STREAM)) and run.event_at is not None:
+            last_event, silent = run.last_id, round(now - run.event_at, 4)
+        event = CallerLeft(
+            request=http_request.get(REQUEST_ID, ""),
+            seconds=round(now - arrived, 4),
+            last_event=last_event,
+            silent_seconds=silent,
+        )
+        tell(logger, event)
+        self.gateway.metrics.ended("", LEFT, event.seconds)
+
     async def answer(self, http_request, arrived):
         request_id = ""
         patience = DEFAULT_PATIENCE_SECONDS
@@ -85,7 +101,7 @@
     async def serve(self, http_request, call):
         if not call.route.kind.is_stream:
             return self.reply(call, await PlainRun(call, self.gateway).run())
-        run = StreamRun(call, self.gateway, http_request)
+        run = http_request[STREAM] = StreamRun(call, self.gateway, http_request)
         result = await run.run()
         match result:
             case Answered():
--- a/packages/fescuedrum/src/fescuedrum/decisions/retries.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/retries.py
@@ -109,11 +109,15 @@
         """Note a request that a caller sent for the service."""
         self.requests.add(now)
 
-    def spend(self, now, entries):
-        """Take one repeat from the budget; False when there is none."""
+    def left(self, now, entries):
+        """Return how many repeats this entry may send yet."""
         allowed = self.share * self.requests.value(now) + self.slack / max(entries, 1)
         # The bound is common and entries start and end: a fifth is kept for that.
-        if self.repeats.value(now) + 1 > SAFE_PART * allowed:
+        return SAFE_PART * allowed - self.repeats.value(now)
+
+    def spend(self, now, entries):
+        """Take one repeat from the budget; False when there is none."""
+        if self.left(now, entries) < 1:
             return False
         self.repeats.add(now)
         return True
--- a/packages/fescuedrum/src/fescuedrum/events/processes.py
+++ b/packages/fescuedrum/src/fescuedrum/events/processes.py
@@ -89,6 +89,16 @@
     level = logging.CRITICAL
 
 
+@event
+class ProcessStalled(Event):
+    """Tell that the process did nothing for a while: frozen, or without processor."""
+
+    message = "process stalled"
+    level = logging.WARNING
+
+    seconds: Annotated[float, "by how much a timer was late, in seconds"]
+
+
 @event
 class SettingsWarning(Event):
     """Tell that the settings are valid, but something in them deserves a look."""
--- a/packages/fescuedrum/src/fescuedrum/events/requests.py
+++ b/packages/fescuedrum/src/fescuedrum/events/requests.py
@@ -88,6 +88,8 @@
 
     request: RequestId
     seconds: Annotated[float, "time since its head was read, in seconds"]
+    last_event: Annotated[str | None, "id of the last event that it has, of a stream"]
+    silent_seconds: Annotated[float | None, "time since that event, in seconds"]
 
 
 @event
--- a/packages/fescuedrum/src/fescuedrum/explaining.py
+++ b/packages/fescuedrum/src/fescuedrum/explaining.py
@@ -10,6 +10,8 @@
 # that lost a rank stalls for one to two seconds before it refuses.
 BELIEF_SECONDS = 3.0
 
+# A process that wakes tells of it within this time; what came meanwhile is read first.
+STALL_SECONDS = 0.5
 # Events that tell of a change of what a process believes.
 BELIEFS = frozenset(
     event.message
@@ -24,6 +26,7 @@
         groups.StreamsSlowedDown,
         processes.GatewayDraining,
         processes.GatewayStarted,
+        processes.ProcessStalled,
         tables.ConfigurationInForce,
         tables.EndpointGone,
         tables.EndpointUnlisted,
@@ -107,7 +110,7 @@
     if not own:
         return None
     beliefs = [line for line in ordered if bears_on(line, own)]
-    return Explanation(own, beliefs, conclude(own))
+    return Explanation(own, beliefs, conclude(own, ordered))
 
 
 def bears_on(line, own):
@@ -122,20 +125,47 @@
     return name in {each.fields.get("endpoint") for each in own}
 
 
-def conclude(own):
+def conclude(own, lines):
     """Say in a sentence how a request ended, by its newest line."""
     last = own[-1]
-    trouble = describe_trouble(own)
+    trouble = describe_trouble(own) + describe_stall(own, lines)
     match last.message:
         case requests.RequestRefused.message:
             return f"Refused: {cause_of(last.fields)}{trouble}."
         case requests.RequestEnded.message:
             return f"{describe_end(last.fields)}{trouble}."
         case requests.CallerLeft.message:
-            seconds = last.fields.get("seconds")
-            return f"Its caller left after {seconds} s{trouble}."
+            return f"{describe_leave(last.fields)}{trouble}."
         case _:
-            return f"Its end was not logged: the process may have ended{trouble}."
+            return f"Its end was not logged: {fate_of(last, lines)}{trouble}."
+
+
+def fate_of(last, lines):
+    """Say what became of the process that wrote a request's newest line."""
+    instance = last.instance
+    later = [line for line in lines if line.instance == instance and line.at > last.at]
+    for line in later:
+        if line.message == processes.GatewayStarted.message:
+            seconds = line.at - last.at
+            return f"{instance} ended, and started again {seconds:.1f} s after it"
+    if not later:
+        return f"{instance} wrote nothing after it, and may have ended"
+    return f"{instance} went on; 'lines left out' tells of lines that were dropped"
+
+
+def describe_stall(own, lines):
+    """Return for how long the request's process stood still, for a sentence's end."""
+    begin, end = own[0].at - STALL_SECONDS, own[-1].at + STALL_SECONDS
+    stalls = [
+        line.fields.get("seconds", 0.0)
+        for line in lines
+        if line.message == processes.ProcessStalled.message
+        and line.instance == own[-1].instance
+        and begin <= line.at <= end
+    ]
+    if not stalls:
+        return ""
+    return f"; {own[-1].instance} stood still for {max(stalls):.1f} s around it"
 
 
 def cause_of(fields):
@@ -146,6 +176,14 @@
     return told if back is None else f"{told}; told to come back after {back:.2f} s"
 
 
+def describe_leave(fields):
+    seconds, silent = fields.get("seconds"), fields.get("silent_seconds")
+    told = f"Its caller left after {seconds} s"
+    if silent is None:
+        return f"{told}, before any event or answer had come"
+    return f"{told}; event {fields.get('last_event')} had come {silent} s before"
+
+
 def describe_end(fields):
     result, detail = fields.get("result"), fields.get("detail", "")
     seconds = fields.get("seconds")
--- a/packages/fescuedrum/src/fescuedrum/metrics.py
+++ b/packages/fescuedrum/src/fescuedrum/metrics.py
@@ -1,6 +1,7 @@
 """Declare metrics once, for the registry and for their reference page."""
 
 import asyncio
+import logging
 from dataclasses import dataclass
 
 from prometheus_client import (
@@ -16,6 +17,10 @@
 )
 
 from fescuedrum import __version__
+from fescuedrum.events.event import tell
+from fescuedrum.events.processes import ProcessStalled
+
+logger = logging.getLogger(__name__)
 
 # From a cached lookup to a long generation; the middle is close to the time to the
 # first token that operators watch (1.6 s) and to the default deadline (30 s).
@@ -25,6 +30,8 @@
 )
 LOOP_DELAY_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1.0)
 LOOP_PROBE_SECONDS = 0.25
+# A request that waits for so long is late, whatever else becomes of it.
+STALLED_SECONDS = 0.2
 OTHER = "other"
 
 
@@ -103,7 +110,10 @@
     while True:
         due = loop.time() + LOOP_PROBE_SECONDS
         await asyncio.sleep(LOOP_PROBE_SECONDS)
-        histogram.observe(max(0.0, loop.time() - due))
+        late = max(0.0, loop.time() - due)
+        histogram.observe(late)
+        if late >= STALLED_SECONDS:
+            tell(logger, ProcessStalled(round(late, 3)))
 
 
 def describe_page(title, introduction, catalogues):
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -356,3 +356,32 @@
         status, _, _ = await call(running, session)
     assert status == 503
     assert len(other.seen) + len(also.seen) == 1
+
+
+async def read_metrics(running, session):
+    """Return the values of the gateway's metrics that have no labels, by name."""
+    url = f"http://{running.gateway.settings.ready_address}/metrics"
+    async with session.get(url) as answer:
+        lines = (await answer.text()).splitlines()
+    pairs = [line.split() for line in lines if line[0] != "#" and "{" not in line]
+    return {pair[0]: float(pair[1]) for pair in pairs}
+
+
+async def test_metrics_tell_how_old_what_is_believed_is():
+    """A list of endpoints is an hour old at one gateway, and nothing shows it.
+
+    The store answers it no longer, and no other gateway is heard.
+    """
+    endpoint = StandInEndpoint("e-1", engines.whole())
+    async with site(endpoint) as (running, session):
+        first = await read_metrics(running, session)
+        assert 0 <= first["fescuedrum_gateway_endpoints_age_seconds"] < 5
+        assert 0 <= first["fescuedrum_gateway_operators_age_seconds"] < 5
+        assert first["fescuedrum_gateway_retries_left"] == -1
+        assert (await call(running, session))[0] == 200
+        for follower in running.gateway.followers:
+            follower.confirmed_at -= 3600
+        second = await read_metrics(running, session)
+        assert second["fescuedrum_gateway_endpoints_age_seconds"] > 3000
+        assert second["fescuedrum_gateway_retries_left"] > 1
+        assert "fescuedrum_gateway_loop_delay_seconds_count" in second
--- a/tests/unit/test_explaining.py
+++ b/tests/unit/test_explaining.py
@@ -82,9 +82,14 @@
     [
         ("request ended", {"result": "answered", "seconds": 0.2}, "Answered after 0.2"),
         ("request ended", {"result": "failed", "detail": "status 500"}, "status 500"),
-        ("caller left", {"seconds": 0.7}, "left after 0.7 s"),
+        ("caller left", {"seconds": 0.7}, "left after 0.7 s, before any event"),
+        (
+            "caller left",
+            {"seconds": 4.4, "last_event": "8", "silent_seconds": 2.0},
+            "event 8 had come 2.0 s before",
+        ),
         ("request refused", {"code": "new-code", "retry_after": 0.5}, "after 0.50 s"),
-        ("request sent", {"endpoint": "e-1"}, "not logged"),
+        ("request sent", {"endpoint": "e-1"}, "not logged: gateway-1 wrote nothing"),
     ],
 )
 def test_each_end_has_its_sentence(message, fields, words):
@@ -92,6 +97,31 @@
     assert words in told.conclusion
 
 
+def test_a_request_that_ended_with_its_process_is_told_as_such():
+    """A stream was cut, and nothing says why: its gateway lost its power."""
+    told = tell(
+        "r-1",
+        build_line(1.0, "request sent", **SENT),
+        build_line(2.0, "gateway started", instance="gateway-2", release="1"),
+        build_line(3.5, "gateway started", release="1"),
+    )
+    assert "gateway-1 ended, and started again 2.5 s after it" in told.conclusion
+
+
+def test_a_process_that_stood_still_is_the_cause_of_a_caller_who_left():
+    """A caller left after 8 ms, it seems, though it waited for more than a second.
+
+    Its gateway was frozen and read the request only when the caller was gone.
+    """
+    told = tell(
+        "r-1",
+        build_line(12.462, "caller left", request="r-1", seconds=0.008),
+        build_line(12.47, "process stalled", seconds=1.52),
+        build_line(12.47, "process stalled", instance="gateway-2", seconds=9.0),
+    )
+    assert "gateway-1 stood still for 1.5 s around it" in told.conclusion
+
+
 def test_only_the_leave_of_its_own_endpoint_bears_on_a_request():
     told = tell(
         "r-1",
--- /dev/null
+++ b/tests/unit/test_request_ends.py
@@ -0,0 +1,73 @@
+"""Check that each request's end is logged, however it comes."""
+
+import asyncio
+import logging
+from types import SimpleNamespace
+
+import aiohttp
+import pytest
+from support.clock import run_paused
+
+from fescuedrum.metrics import LOOP_PROBE_SECONDS, STALLED_SECONDS, watch_loop
+from fescuedrum_gateway.process.metrics import GatewayMetrics
+from fescuedrum_gateway.request.handler import REQUEST_ID, RequestHandler
+
+
+class EndingHandler(RequestHandler):
+    """Answer every request by raising an error."""
+
+    async def answer(self, http_request, arrived):
+        raise self.gateway.error
+
+
+def handle(error):
+    """Let a request end by an error; return (the gateway, the error raised)."""
+    gateway = SimpleNamespace(
+        error=error, running=0, leaving=False, metrics=GatewayMetrics()
+    )
+
+    async def run():
+        with pytest.raises(type(error)):
+            await EndingHandler(gateway).handle({REQUEST_ID: "r-1"})
+
+    run_paused(run())
+    return gateway
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        asyncio.CancelledError(),
+        aiohttp.ClientConnectionResetError("Cannot write to closing transport"),
+        ConnectionResetError(),
+    ],
+    ids=lambda error: type(error).__name__,
+)
+def test_a_caller_that_left_is_told_of_however_it_shows(error, caplog):
+    """Nothing in the logs says how a stream ended.
+
+    Its gateway slept while the caller left. On waking it wrote the next event first,
+    and the write failed before the library could cancel the request's handler.
+    """
+    caplog.set_level(logging.INFO)
+    gateway = handle(error)
+    assert [record.getMessage() for record in caplog.records] == ["caller left"]
+    assert caplog.records[0].request == "r-1"
+    assert gateway.running == 0
+
+
+def test_a_process_that_stood_still_says_so(caplog):
+    async def run():
+        loop = asyncio.get_running_loop()
+        late = []
+        histogram = SimpleNamespace(observe=late.append)
+        task = asyncio.create_task(watch_loop(histogram))
+        await asyncio.sleep(LOOP_PROBE_SECONDS / 2)
+        loop.clock.now += LOOP_PROBE_SECONDS + STALLED_SECONDS
+        await asyncio.sleep(2 * LOOP_PROBE_SECONDS)
+        task.cancel()
+        return late
+
+    late = run_paused(run())
+    assert max(late) >= STALLED_SECONDS
+    assert [record.getMessage() for record in caplog.records] == ["process stalled"]
