Let entries and agents log to standard output, bounded, as gateways do

Cause: both wrote to standard error, line by line and without a bound: a reader that stands still would hold up the process, and who collects standard output collected nothing.

Ruled out: a second way to write logs; the one that gateways have serves all.

Change: run_process configures the bounded handler with a setting, log_lines_per_second. The unbounded way is gone.

Conclusion: all programs log alike. Gateways, and so the users' sites, are not touched.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/conf.py
@@ -72,6 +72,9 @@
     operations_port: int = setting(
         0, help="Port for /healthz, /readyz and /metrics; 0 for none.", minimum=0
     )
+    log_lines_per_second: float = setting(
+        200.0, help="Most lines logged, on average.", minimum=1.0
+    )
     log_level: str = setting("INFO", help="Lowest level that is logged.")
 
     def check(self):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -121,6 +121,9 @@
     peer_tls: TlsFiles | None = setting(
         None, help="Certificate, key and authority for entry-agent connections."
     )
+    log_lines_per_second: float = setting(
+        200.0, help="Most lines logged, on average.", minimum=1.0
+    )
     log_level: str = setting("INFO", help="Lowest level that is logged.")
 
     def check(self):
--- a/packages/fescuedrum/src/fescuedrum/logs.py
+++ b/packages/fescuedrum/src/fescuedrum/logs.py
@@ -147,11 +147,3 @@
     logging.basicConfig(level=level, handlers=[handler], force=True)
     logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
     return handler
-
-
-def configure_logging(level, **fixed):
-    """Send the root logger's records to standard error as JSON lines."""
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(JsonLinesFormatter(fixed))
-    logging.basicConfig(level=level, handlers=[handler], force=True)
-    logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
--- a/packages/fescuedrum/src/fescuedrum/process.py
+++ b/packages/fescuedrum/src/fescuedrum/process.py
@@ -14,7 +14,7 @@
 from fescuedrum.conf import schema
 from fescuedrum.events.event import tell
 from fescuedrum.events.processes import SettingsWarning, TaskFailed
-from fescuedrum.logs import configure_logging
+from fescuedrum.logs import configure_bounded_logging
 from fescuedrum.signals import held_reload
 
 logger = logging.getLogger(__name__)
@@ -62,7 +62,12 @@
     settings = loaded.ok_value
     if arguments.check_settings:
         return run_check(settings)
-    configure_logging(settings.log_level, instance=settings.name, zone=settings.zone)
+    configure_bounded_logging(
+        settings.log_level,
+        settings.log_lines_per_second,
+        instance=settings.name,
+        zone=settings.zone,
+    )
     for finding in settings.check():
         tell(logger, SettingsWarning(str(finding)))
     asyncio.run(build(settings, secrets.randbits(INCARNATION_BITS)).run())
