Log whether a caller left or was cut, and what is taken in spite of a stop

Cause: the log said "caller left" of a stream that the gateway itself cut at its end, and no line told that a stopping gateway had taken a request, with how much time left and whether on a kept connection. The hypotheses on the cut stream could not be told apart.

Ruled out: telling the two by the state of the connection: the library closes it before the request's handler is cancelled.

Change: `request ended` with `cut` and `the process stopped`; the new event `request taken while stopping`; connections count their answers.

No change of what is taken or cut.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/callers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/callers.py
@@ -17,9 +17,21 @@
 
 
 class CallerConnection(RequestHandler):
-    """Answer malformed HTTP without a traceback in the log."""
+    """Answer malformed HTTP without a traceback in the log, and count answers."""
 
-    __slots__ = ()
+    __slots__ = ("answered",)
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        # Answers that this connection has carried.
+        self.answered = 0
+
+    async def finish_response(self, request, resp, start_time):
+        """Write an answer to its end."""
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            self.answered += 1
 
     def handle_error(self, request, status=500, exc=None, message=None):
         """Answer what the HTTP parser refused, or a fault of this code."""
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -61,6 +61,7 @@
         "adapter",
         "configuration",
         "directory",
+        "ending",
         "followers",
         "incarnation",
         "metrics",
@@ -101,6 +102,8 @@
         self.followers = []
         # Set once the process was told to stop.
         self.stop_plan = None
+        # Whether the stop's time is over and what still runs is cut.
+        self.ending = False
         self.metrics = GatewayMetrics()
         self.metrics.watch(self)
         self.running = 0
@@ -138,6 +141,7 @@
             tell(logger, GatewayStarted(__version__))
             await stop.wait()
             await self.drain()
+            self.ending = True
             for runner in runners:
                 await runner.cleanup()
             await cancel(tasks)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
@@ -9,10 +9,12 @@
 from fescuedrum.events.event import tell
 from fescuedrum.events.requests import (
     ANSWERED,
+    CUT,
     CallerLeft,
     RequestBroke,
     RequestEnded,
     RequestRefused,
+    TakenWhileStopping,
 )
 from fescuedrum.exceptions import BadRequest, FescuedrumError, Overloaded, Unavailable
 from fescuedrum_gateway.request.admission import admit
@@ -26,9 +28,9 @@
 STREAM = web.RequestKey("stream", StreamRun)
 # What becomes of a request, beside that it is answered.
 FAILED = "failed"
-CUT = "cut"
 REFUSED = "refused"
 LEFT = "left"
+ENDED_BY_STOP = "the process stopped"
 # A caller that says nothing is taken to wait as long as most programs do.
 DEFAULT_PATIENCE_SECONDS = 10.0
 # A full endpoint ends one of its requests within about this time.
@@ -55,7 +57,7 @@
         except (asyncio.CancelledError, ConnectionError):
             # A process that woke writes to a caller who is long gone before it is told
             # of that: the write fails, and no handler is cancelled.
-            self.caller_left(http_request, arrived)
+            self.cut_off(http_request, arrived)
             raise
         finally:
             self.gateway.running -= 1
@@ -64,8 +66,17 @@
             response.force_close()
         return response
 
+    def cut_off(self, http_request, arrived):
+        """Count and log that an answer was broken off, by its caller or by a stop."""
+        if self.gateway.ending:
+            seconds = round(self.loop.time() - arrived, 4)
+            request_id = http_request.get(REQUEST_ID, "")
+            tell(logger, RequestEnded(request_id, CUT, ENDED_BY_STOP, seconds))
+            self.gateway.metrics.ended("", CUT, seconds)
+        else:
+            self.caller_left(http_request, arrived)
+
     def caller_left(self, http_request, arrived):
-        """Count and log that a caller's connection was gone before its answer was."""
         now = self.loop.time()
         last_event = silent = None
         if (run := http_request.get(STREAM)) and run.event_at is not None:
@@ -87,6 +98,8 @@
             request_id = http_request[REQUEST_ID] = head.request_id
             patience = patience if head.patience is None else head.patience
             call = await admit(http_request, head, self.gateway, arrived)
+            if self.gateway.leaving:
+                self.taken_while_stopping(http_request, call)
             self.gateway.retries[call.service].request(arrived)
             return await self.serve(http_request, call)
         except FescuedrumError as error:
@@ -98,6 +111,17 @@
             tell(logger, RequestBroke(request_id), error=error)
             return self.refuse(FescuedrumError(), request_id, arrived)
 
+    def taken_while_stopping(self, http_request, call):
+        plan, now = self.gateway.stop_plan, self.loop.time()
+        event = TakenWhileStopping(
+            request=call.head.request_id,
+            since_signal=round(now - plan.began, 4),
+            left=round(plan.latest - now, 4),
+            may_last=round(call.ends_at - now, 4),
+            kept=http_request.protocol.answered > 0,
+        )
+        tell(logger, event)
+
     async def serve(self, http_request, call):
         if not call.route.kind.is_stream:
             return self.reply(call, await PlainRun(call, self.gateway).run())
--- a/packages/fescuedrum/src/fescuedrum/events/requests.py
+++ b/packages/fescuedrum/src/fescuedrum/events/requests.py
@@ -7,6 +7,7 @@
 
 # What becomes of a request that was sent.
 ANSWERED = "answered"
+CUT = "cut"
 
 
 @event
@@ -25,6 +26,19 @@
     version: Annotated[int, "version of the configuration that decided it"]
 
 
+@event
+class TakenWhileStopping(Event):
+    """Tell that a process that was told to stop takes a request all the same."""
+
+    message = "request taken while stopping"
+
+    request: RequestId
+    since_signal: Annotated[float, "time since the signal to stop, in seconds"]
+    left: Annotated[float, "time until the process ends, in seconds"]
+    may_last: Annotated[float, "time until the request's own limit, in seconds"]
+    kept: Annotated[bool, "whether its connection has carried requests before"]
+
+
 @event
 class SendingFailed(Event):
     """Tell that an endpoint gave no usable answer."""
@@ -58,7 +72,9 @@
     result: Annotated[
         str, "`answered`, `failed` (the endpoint's own error) or `cut` midway"
     ]
-    detail: Annotated[str, "the status, `stream`, or why it was cut"]
+    detail: Annotated[
+        str, "the status, `stream`, or why it was cut, by the process's end too"
+    ]
     seconds: Annotated[float, "time since its head was read, in seconds"]
 
     @property
--- a/packages/fescuedrum/src/fescuedrum/explaining.py
+++ b/packages/fescuedrum/src/fescuedrum/explaining.py
@@ -193,7 +193,7 @@
         case "failed":
             return f"The endpoint's own failure was passed on ({detail})"
         case _:
-            return f"The stream was cut after {seconds} s ({detail})"
+            return f"Its answer was cut after {seconds} s ({detail})"
 
 
 def describe_trouble(own):
--- /dev/null
+++ b/tests/integration/test_gateway_stops.py
@@ -0,0 +1,70 @@
+"""Check what callers get of a gateway that was told to stop."""
+
+import asyncio
+import logging
+
+import aiohttp
+from support import engines
+from support.engines import StandInEndpoint
+from support.gateways import caller_headers, site
+from support.routing import build_route, build_routing_document
+
+from fescuedrum.conf.routing import RequestKind
+
+PATH = "/advice/tension"
+STREAMS = build_routing_document(
+    routes=(build_route(kind=RequestKind.STREAM, timeout=8.0),)
+)
+PATIENCE = "8.0"
+
+
+async def read_stream(running, session, request_id):
+    """Return (status, body, whether the answer came to its proper end)."""
+    headers = caller_headers(Patience=PATIENCE, Request_Id=request_id)
+    body = b""
+    async with session.post(running.url + PATH, headers=headers) as answer:
+        try:
+            async for data in answer.content.iter_any():
+                body += data
+        except aiohttp.ClientPayloadError:
+            return answer.status, body, False
+        return answer.status, body, True
+
+
+def told(caplog, message):
+    return [record for record in caplog.records if record.getMessage() == message]
+
+
+async def test_an_answer_that_is_cut_by_the_end_of_the_process_is_logged_so(caplog):
+    """The log blames a caller who left for an answer that the gateway itself cut.
+
+    A stream runs on when the time of a stop is over.
+    """
+    caplog.set_level(logging.INFO)
+    endpoint = StandInEndpoint("e-1", engines.streaming(1, 100, pause=0.1))
+    async with site(endpoint, document=STREAMS, stop_seconds=1.5) as (running, session):
+        reading = asyncio.create_task(read_stream(running, session, "r-1"))
+        await running.until(lambda gateway: gateway.running)
+        running.stop.set()
+        assert not (await reading)[2]
+        await running.task
+    (ended,) = told(caplog, "request ended")
+    assert (ended.request, ended.result) == ("r-1", "cut")
+    assert ended.detail == "the process stopped"
+    assert told(caplog, "caller left") == []
+
+
+async def test_what_is_taken_in_spite_of_a_stop_is_logged_with_its_grounds(caplog):
+    """Nobody can say why a gateway took a request after it was told to stop."""
+    caplog.set_level(logging.INFO)
+    endpoint = StandInEndpoint("e-1", engines.streaming(1, 2))
+    async with site(endpoint, document=STREAMS, stop_seconds=6.0) as (running, session):
+        assert (await read_stream(running, session, "r-1"))[2]
+        running.stop.set()
+        await running.until(lambda gateway: gateway.leaving)
+        assert (await read_stream(running, session, "r-2"))[2]
+    (taken,) = told(caplog, "request taken while stopping")
+    assert (taken.request, taken.kept) == ("r-2", True)
+    assert 0 <= taken.since_signal < 1
+    assert 4 < taken.left < 6
+    assert 7 < taken.may_last <= 8
