Show in a test that a stream taken late in a stop is cut; known to be red

Cause: a gateway that was told to stop takes a stream 4.28 s later, on a connection that its caller had kept, and cuts it at its end 3.1 s after that, as callers reported.

Ruled out: the engine (the stand-in sends an event every 0.1 s to the end) and a change of maps (there is none): the third hypothesis is not needed. The test goes by a kept connection, so that the balancer has no part either.

With nothing else running at the gateway it has ended by then, and the test shows nothing; so it keeps another stream running.

Conclusion: reproduced without the users' site; the mend may begin.

--- a/tests/integration/test_gateway_stops.py
+++ b/tests/integration/test_gateway_stops.py
@@ -16,6 +16,9 @@
     routes=(build_route(kind=RequestKind.STREAM, timeout=8.0),)
 )
 PATIENCE = "8.0"
+EVENT_SECONDS = 0.1
+# By then the balancer has long noticed; a stop of 8 s has half of its time left.
+LATE_SECONDS = 4.28
 
 
 async def read_stream(running, session, request_id):
@@ -31,6 +34,23 @@
         return answer.status, body, True
 
 
+def streams(**seconds):
+    """Return what streams for so many seconds, by the request's id."""
+
+    async def answer(seen):
+        events = round(seconds[seen["Request-Id"]] / EVENT_SECONDS)
+        await engines.streaming(1, events, pause=EVENT_SECONDS)(seen)
+
+    return answer
+
+
+async def stop_and_wait(running, seconds):
+    """Tell a gateway to stop, and return so many seconds later."""
+    running.stop.set()
+    await running.until(lambda gateway: gateway.leaving)
+    await asyncio.sleep(seconds)
+
+
 def told(caplog, message):
     return [record for record in caplog.records if record.getMessage() == message]
 
@@ -68,3 +88,22 @@
     assert 0 <= taken.since_signal < 1
     assert 4 < taken.left < 6
     assert 7 < taken.may_last <= 8
+
+
+async def test_a_stream_taken_late_in_a_stop_is_not_cut():
+    """A driver's brief ends in the middle of a sentence, and no engine has failed.
+
+    Its gateway was told to stop. Four seconds later, while others' requests still ran
+    there and long after the balancer had taken it out, the caller sent its request on
+    the connection that it had kept. The stream was taken and cut at the process's end.
+    """
+    endpoint = StandInEndpoint("e-1", streams(first=0.1, before=5.5, late=4.0))
+    async with site(endpoint, document=STREAMS, stop_seconds=8.0) as (running, session):
+        assert (await read_stream(running, session, "first"))[2]
+        before = asyncio.create_task(read_stream(running, session, "before"))
+        await running.until(lambda gateway: gateway.running)
+        await stop_and_wait(running, LATE_SECONDS)
+        status, _, whole = await read_stream(running, session, "late")
+        assert (status, whole) == (503, True)
+        assert (await before)[2]
+    assert [seen["Request-Id"] for seen in endpoint.seen] == ["first", "before"]
