Take at a stop only what ends before the process, or what the balancer still sends

Callers saw a stream closed in the middle of its answer, with no engine at fault.

Cause: a gateway that was told to stop took requests until 3.6 s before its end, because it reckoned with 3.0 s for any answer. How long an answer takes is not known beforehand; one stream in twenty takes longer. The request had come 4.28 s after the signal, long after the balancer had taken the gateway out.

Ruled out: the engine and changes of maps (the reproduction has neither). A longer fixed time: streams last up to 5.7 s, so any time that is safe refuses everything at the signal. Refusing everything at the signal: the balancer still sends here for two seconds.

Nothing is taken once the connections are being closed. Only what is taken counts as an arrival.

Two tests of the plan changed. That a request is taken 4.3 s after the signal was the fault itself: now it is refused unless its limit comes first, checked at four times and for all limits. Refused arrivals no longer hold up a stop, so the third test asks the same of a refused arrival instead of a noted one.

Conclusion: what is taken after the notice can't be cut, however long it takes. A stream that was taken before the notice and lasts over 4.8 s can still be cut.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -61,7 +61,6 @@
         "adapter",
         "configuration",
         "directory",
-        "ending",
         "followers",
         "incarnation",
         "metrics",
@@ -102,8 +101,6 @@
         self.followers = []
         # Set once the process was told to stop.
         self.stop_plan = None
-        # Whether the stop's time is over and what still runs is cut.
-        self.ending = False
         self.metrics = GatewayMetrics()
         self.metrics.watch(self)
         self.running = 0
@@ -141,7 +138,6 @@
             tell(logger, GatewayStarted(__version__))
             await stop.wait()
             await self.drain()
-            self.ending = True
             for runner in runners:
                 await runner.cleanup()
             await cancel(tasks)
@@ -188,6 +184,11 @@
     def leaving(self):
         return self.stop_plan is not None
 
+    @property
+    def ending(self):
+        """Tell whether the time of a stop is over, so that what still runs is cut."""
+        return self.leaving and self.stop_plan.ended
+
     @property
     def ready(self):
         listed = self.followers and self.followers[1].replica.loaded
@@ -321,6 +322,7 @@
         tell(logger, GatewayDraining(self.running))
         while not plan.may_end(loop.time(), self.running):
             await asyncio.sleep(STOP_POLL_SECONDS)
+        plan.end()
         seconds = round(loop.time() - plan.began, 3)
         tell(logger, GatewayDrained(self.running, seconds))
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
@@ -65,16 +65,13 @@
     return priority + RETURNED_RANKS if returned else priority
 
 
-def check_stop(gateway, now):
-    """Refuse a request whose answer would be cut by the end of this process."""
-    plan = gateway.stop_plan
-    if plan is not None and not plan.takes(now):
-        raise Unavailable("This process stops.", retry_after=STOP_RETRY_SECONDS)
+def refuse_at_stop():
+    """Return the error for work that the end of this process might cut."""
+    return Unavailable("This process stops.", retry_after=STOP_RETRY_SECONDS)
 
 
 async def admit(http_request, head, gateway, arrived):
     """Return the call of a request; raise a FescuedrumError that refuses it."""
-    check_stop(gateway, arrived)
     table = gateway.configuration.table
     if table is None:
         raise Unavailable(
@@ -82,8 +79,11 @@
         )
     route = find_route(http_request, table)
     organisation = authenticate(head, route, table)
-    body = await read_body(http_request, table.document.limits.maximum_body_bytes)
     end = ends_at(arrived, head, route)
+    plan = gateway.stop_plan
+    if plan is not None and not plan.takes(arrived, end):
+        raise refuse_at_stop()
+    body = await read_body(http_request, table.document.limits.maximum_body_bytes)
     if asyncio.get_running_loop().time() >= end:
         raise DeadlinePassed("The caller's time was over before it was read.")
     returned = not gateway.patience[route.name].is_fresh(head.patience)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -10,6 +10,7 @@
 from fescuedrum.exceptions import DeadlinePassed, Overloaded, Unavailable
 from fescuedrum_gateway.adapter import SendHead
 from fescuedrum_gateway.connection.endpoints import open_answer
+from fescuedrum_gateway.request.admission import refuse_at_stop
 from fescuedrum_gateway.request.call import Lost, NotRun
 
 logger = logging.getLogger(__name__)
@@ -71,6 +72,7 @@
             placed = await queue.find(self.find_place, self.latest_start())
         match placed or self.place():
             case Chosen(endpoint, load):
+                self.check_stop()
                 self.log_choice(endpoint, load)
                 return endpoint
             case Refused(RefusalCause.NONE_LISTED):
@@ -102,6 +104,19 @@
         )
         tell(logger, event)
 
+    def check_stop(self):
+        """Refuse to begin what the end of this process might cut.
+
+        A slow body or a wait for a place brings a request here long after it came,
+        and a repeat begins anew when much of the stop's time has passed.
+        """
+        plan = self.gateway.stop_plan
+        if plan is None:
+            return
+        may_begin = plan.fits if self.tried else plan.takes
+        if not may_begin(self.loop.time(), self.call.ends_at):
+            raise refuse_at_stop()
+
     async def open(self, last_event_id=""):
         """Send the call once: Opened, NotRun or Lost; raise when it can't be sent."""
         call = self.call
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
@@ -50,8 +50,6 @@
         """Serve one request to its outcome."""
         arrived = self.loop.time()
         self.gateway.running += 1
-        if self.gateway.leaving:
-            self.gateway.stop_plan.arrived(arrived)
         try:
             response = await self.answer(http_request, arrived)
         except (asyncio.CancelledError, ConnectionError):
@@ -113,6 +111,7 @@
 
     def taken_while_stopping(self, http_request, call):
         plan, now = self.gateway.stop_plan, self.loop.time()
+        plan.arrived(now)
         event = TakenWhileStopping(
             request=call.head.request_id,
             since_signal=round(now - plan.began, 4),
--- a/packages/fescuedrum/src/fescuedrum/decisions/stopping.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/stopping.py
@@ -2,49 +2,76 @@
 
 Load pattern: the processes of a site are replaced one after the other, each with some
 seconds between its signal and its end. The balancer learns from two unanswered or
-refused questions that it should send nowhere near; callers keep their connections; and
-while most of a zone's processes are stopping at the same time the balancer sends to
-them all the same. A process that takes requests until its end cuts the last ones off in
-the middle; one that refuses at once turns away what it could have served.
-
-So requests are taken while an answer still fits into the time that is left, and refused
-after that, to be sent elsewhere. The process ends as soon as nothing runs and either no
-more comes or no more is taken.
-
-Grounds for the figures. NOTICE_SECONDS: the balancer asks once a second and needs two
-misses. ANSWER_SECONDS: of the streams of a calm day 95 in 100 took 3.0 s or less, half
-of them 1.1 s. MARGIN_SECONDS: for the last bytes to leave and the sockets to close.
-QUIET_SECONDS: an entry gets some five requests a second.
+refused questions that it should send nowhere near; callers keep their connections and
+go on using them; and while most of a zone's processes are stopping at the same time the
+balancer sends to them all the same. A process that takes requests until its end cuts
+the last ones off in the middle; one that refuses at once turns away what it could have
+served.
+
+So requests are taken as usual until the balancer has noticed. After that only those are
+taken whose own limit is over before the process ends: they can't be cut, however long
+their answers take. All others are refused, to be sent elsewhere. The process ends as
+soon as nothing runs and no more comes.
 """
 
+# The balancer asks once a second and needs two misses.
 NOTICE_SECONDS = 2.6
-ANSWER_SECONDS = 3.0
+# Nearly all answers have ended by then.
+ANSWER_SECONDS = 4.5
+# For the last bytes to leave and the sockets to close.
 MARGIN_SECONDS = 0.6
+# Callers send several requests a second while any still come.
 QUIET_SECONDS = 0.5
 
 
 class StopPlan:
     """Follow one stop; times are loop time in seconds."""
 
-    __slots__ = ("began", "last_arrival", "latest")
+    __slots__ = ("began", "ended", "last_arrival", "latest", "noticed")
 
-    def __init__(self, now, stop_seconds):
+    def __init__(self, now, stop_seconds, notice_seconds=NOTICE_SECONDS):
         self.began = now
         self.last_arrival = now
+        # When the balancer has noticed.
+        self.noticed = now + notice_seconds
         # When the process ends whatever still runs.
         self.latest = now + max(stop_seconds - MARGIN_SECONDS, 0.0)
+        # Nothing runs any more, and the connections are being closed.
+        self.ended = False
+
+    def takes(self, now, limit):
+        """Tell whether a request that comes now and ends by its limit is taken.
 
-    def takes(self, now):
-        """Tell whether a request that comes now can still be answered."""
-        return now < self.latest - ANSWER_SECONDS
+        Guards against a stream that lasts longer than the process and breaks off in
+        the middle: it came on a kept connection, or while all of a zone were stopping.
+        How long an answer takes is not known beforehand, but its limit is.
+        """
+        return self.fits(now, limit) and (self.is_bounded(limit) or now < self.noticed)
+
+    def fits(self, now, limit):
+        """Tell whether work that begins now is expected to end before the process."""
+        if self.ended:
+            return False
+        return self.is_bounded(limit) or now < self.latest - ANSWER_SECONDS
+
+    def is_bounded(self, limit):
+        return limit <= self.latest
 
     def arrived(self, now):
+        """Note that a request was taken."""
         self.last_arrival = now
 
     def may_end(self, now, running):
         """Tell whether the process may end while so many requests run."""
         if now >= self.latest:
             return True
-        if running or now < self.began + NOTICE_SECONDS:
+        if running or now < self.noticed:
             return False
-        return not self.takes(now) or now - self.last_arrival >= QUIET_SECONDS
+        return now - self.last_arrival >= QUIET_SECONDS
+
+    def end(self):
+        """Take nothing from now on.
+
+        What came while connections are being closed would be cut within moments.
+        """
+        self.ended = True
--- a/tests/integration/test_gateway_stops.py
+++ b/tests/integration/test_gateway_stops.py
@@ -51,6 +51,21 @@
     await asyncio.sleep(seconds)
 
 
+async def open_raw(running):
+    """Return the streams of a new connection to a gateway."""
+    host, _, port = running.gateway.settings.callers_address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+def raw_head(request_id, length):
+    """Return the head of a request with a body of so many bytes."""
+    headers = caller_headers(
+        Patience=PATIENCE, Request_Id=request_id, Content_Length=length
+    )
+    lines = [f"POST {PATH} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
 def told(caplog, message):
     return [record for record in caplog.records if record.getMessage() == message]
 
@@ -93,9 +108,10 @@
 async def test_a_stream_taken_late_in_a_stop_is_not_cut():
     """A driver's brief ends in the middle of a sentence, and no engine has failed.
 
-    Its gateway was told to stop. Four seconds later, while others' requests still ran
-    there and long after the balancer had taken it out, the caller sent its request on
-    the connection that it had kept. The stream was taken and cut at the process's end.
+    Its gateway was told to stop, and four seconds later its caller sent the request on
+    a kept connection. The gateway reckoned with three seconds for any answer, took it,
+    and ended before it. Evidence: the log's `request sent` 4.28 s after the signal, an
+    event 5 ms before the end, and `gateway drained` with this request still running.
     """
     endpoint = StandInEndpoint("e-1", streams(first=0.1, before=5.5, late=4.0))
     async with site(endpoint, document=STREAMS, stop_seconds=8.0) as (running, session):
@@ -107,3 +123,47 @@
         assert (status, whole) == (503, True)
         assert (await before)[2]
     assert [seen["Request-Id"] for seen in endpoint.seen] == ["first", "before"]
+
+
+async def test_a_request_whose_body_comes_late_in_a_stop_is_not_cut():
+    """A long order is cut, though its gateway had been told to stop seconds before.
+
+    Its head came while requests were still taken; its body was slow, and what was sent
+    to the engine then was sent as late as the body.
+    """
+    endpoint = StandInEndpoint("e-1", streams(first=0.1, before=5.5, slow=4.0))
+    async with site(endpoint, document=STREAMS, stop_seconds=8.0) as (running, session):
+        before = asyncio.create_task(read_stream(running, session, "before"))
+        await running.until(lambda gateway: gateway.running)
+        await stop_and_wait(running, 1.0)
+        reader, writer = await open_raw(running)
+        writer.write(raw_head("slow", 2) + b"{")
+        await asyncio.sleep(LATE_SECONDS - 1.0)
+        writer.write(b"}")
+        assert (await reader.readline()).startswith(b"HTTP/1.1 503 ")
+        writer.close()
+        assert (await before)[2]
+    assert [seen["Request-Id"] for seen in endpoint.seen] == ["before"]
+
+
+async def test_a_request_is_not_sent_again_late_in_a_stop():
+    """A stream is cut midway that no gateway should have begun.
+
+    It came before the signal, and its engine refused it seconds after that. The next
+    engine got it when too little of the stop's time was left.
+    """
+
+    async def refuse_late(seen):
+        await asyncio.sleep(3.5)
+        await engines.refusing()(seen)
+
+    endpoints = [StandInEndpoint(f"e-{n}", refuse_late) for n in range(2)]
+    async with site(*endpoints, document=STREAMS, stop_seconds=8.0) as (
+        running,
+        session,
+    ):
+        reading = asyncio.create_task(read_stream(running, session, "r-1"))
+        await running.until(lambda gateway: gateway.running)
+        running.stop.set()
+        assert (await reading)[0] == 503
+    assert sum(len(each.seen) for each in endpoints) == 1
--- a/tests/unit/test_stopping.py
+++ b/tests/unit/test_stopping.py
@@ -1,19 +1,57 @@
 """Check how a process that was told to stop treats its requests."""
 
-from fescuedrum.decisions.stopping import StopPlan
+import math
 
+from fescuedrum.decisions.stopping import ANSWER_SECONDS, StopPlan
 
-def test_requests_are_taken_while_an_answer_still_fits():
+# Times at which a stream's caller gives up after it was sent, in seconds.
+STREAM_PATIENCE = 8.05
+PLAIN_PATIENCE = 1.5
+
+
+def test_a_request_that_might_outlast_the_process_is_refused_once_that_is_noticed():
     """A planned stop cuts a stream in the middle of its answer.
 
-    Most processes of a zone stop at the same time, so that the balancer goes on sending
-    to all of them. One takes a stream six seconds after its signal and ends a second
-    later.
+    The balancer has long stopped sending here, but a caller comes back on a connection
+    that it kept, or all of a zone's processes are stopping. The stream lasts longer
+    than most, and the process ends before it.
     """
     plan = StopPlan(now=100.0, stop_seconds=8.0)
-    assert plan.takes(102.0)
-    assert plan.takes(104.3)
-    assert not plan.takes(106.6)
+    assert plan.takes(102.0, 102.0 + STREAM_PATIENCE)
+    for now in (102.7, 104.28, 104.3, 106.6):
+        assert not plan.takes(now, now + STREAM_PATIENCE)
+        assert not plan.takes(now, math.inf)
+
+
+def test_whatever_is_taken_after_the_notice_ends_before_the_process():
+    plan = StopPlan(now=100.0, stop_seconds=8.0)
+    for tenths in range(27, 90):
+        now = 100.0 + tenths / 10
+        for patience in (0.1, PLAIN_PATIENCE, 3.0, 5.0, STREAM_PATIENCE):
+            taken = plan.takes(now, now + patience)
+            assert taken == (now + patience <= plan.latest), (now, patience)
+
+
+def test_a_repeat_begins_only_while_an_answer_still_fits():
+    """A stream that its endpoint refused at first is cut by the end of the process.
+
+    It came before the signal, so that it was not refused here, and was sent to the
+    next endpoint a moment before the end.
+    """
+    plan = StopPlan(now=100.0, stop_seconds=8.0)
+    limit = 100.0 + STREAM_PATIENCE
+    assert plan.fits(plan.latest - ANSWER_SECONDS - 0.1, limit)
+    assert not plan.fits(plan.latest - ANSWER_SECONDS + 0.1, limit)
+    assert plan.fits(107.0, 107.3)
+
+
+def test_nothing_is_taken_while_connections_are_closed():
+    """A lookup that comes at the last moment is sent on and cut."""
+    plan = StopPlan(now=100.0, stop_seconds=8.0)
+    assert plan.takes(103.2, 103.2 + PLAIN_PATIENCE)
+    plan.end()
+    assert not plan.takes(103.2, 103.2 + PLAIN_PATIENCE)
+    assert not plan.fits(103.2, 103.2 + PLAIN_PATIENCE)
 
 
 def test_a_process_waits_for_the_balancer_and_for_what_runs():
@@ -25,9 +63,9 @@
     assert not plan.may_end(3.1, running=1)
 
 
-def test_a_process_that_takes_no_more_does_not_wait_for_silence():
+def test_what_is_refused_does_not_hold_up_a_stop():
     plan = StopPlan(now=0.0, stop_seconds=8.0)
-    plan.arrived(4.9)
+    assert not plan.takes(4.9, 4.9 + STREAM_PATIENCE)
     assert plan.may_end(5.0, running=0)
     assert not plan.may_end(5.0, running=2)
     assert plan.may_end(7.5, running=2)
@@ -35,5 +73,6 @@
 
 def test_a_short_stop_ends_in_time():
     plan = StopPlan(now=0.0, stop_seconds=1.0)
-    assert not plan.takes(0.0)
+    assert not plan.takes(0.0, STREAM_PATIENCE)
+    assert plan.takes(0.0, 0.3)
     assert plan.may_end(0.5, running=3)
