Close callers' resting connections at a stop once the balancer has noticed

Callers saw refusals, and in the report a cut stream, from a gateway that the balancer had taken out seconds before, while other gateways would have served them at once.

Cause: nothing closed the connections that callers keep, and the balancer has no say in them.

Ruled out: closing them at the signal: the caller dials anew and may meet this gateway again, as the balancer has not noticed yet. The library's own close() for an idle connection: it stops reading without closing, so that a request sent then is never read.

Change: from the notice on, connections without a request in hand that have rested for a second are closed. A connection knows whether a request is in hand, from its head to the end of its answer. The log tells how many connections are open as a stop begins and ends.

Measured: the test fails on the code before (the connection is open 3.5 s after the signal), and passes; a connection that rests is still open 1.5 s after the signal.

Conclusion: a caller that comes back late dials another gateway instead of being refused.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -59,6 +59,7 @@
 
     __slots__ = (
         "adapter",
+        "callers",
         "configuration",
         "directory",
         "followers",
@@ -99,6 +100,8 @@
         self.return_queues = collections.defaultdict(ReturnQueue)
         self.retries = collections.defaultdict(self.build_retries)
         self.followers = []
+        # The server that holds callers' connections.
+        self.callers = None
         # Set once the process was told to stop.
         self.stop_plan = None
         self.metrics = GatewayMetrics()
@@ -171,9 +174,8 @@
         control.router.add_get("/readyz", self.readyz)
         control.router.add_get("/metrics", self.expose_metrics)
         followers.add_routes(control, self.followers)
-        callers = web.ServerRunner(
-            build_server(RequestHandler(self).handle, settings), shutdown_timeout=0.1
-        )
+        self.callers = build_server(RequestHandler(self).handle, settings)
+        callers = web.ServerRunner(self.callers, shutdown_timeout=0.1)
         own = web.AppRunner(control, access_log=None, shutdown_timeout=0.1)
         peer_address = f"{settings.host}:{settings.peer_port}"
         await start(own, settings.ready_address, peer_address)
@@ -315,16 +317,24 @@
     # The end
 
     async def drain(self):
-        """Turn readiness down and let running requests end."""
+        """Turn readiness down and let running requests end.
+
+        Once the balancer has noticed, only kept connections still bring requests here.
+        They are closed while they rest: a caller that finds its connection closed dials
+        another gateway, and one that does not would be refused here first.
+        """
         loop = asyncio.get_running_loop()
         plan = self.stop_plan = StopPlan(loop.time(), self.settings.stop_seconds)
         self.peers.tell_now()
-        tell(logger, GatewayDraining(self.running))
+        tell(logger, GatewayDraining(self.running, len(self.callers.connections)))
         while not plan.may_end(loop.time(), self.running):
+            if plan.is_noticed(loop.time()):
+                self.callers.close_resting(loop.time())
             await asyncio.sleep(STOP_POLL_SECONDS)
         plan.end()
         seconds = round(loop.time() - plan.began, 3)
-        tell(logger, GatewayDrained(self.running, seconds))
+        open_connections = len(self.callers.connections)
+        tell(logger, GatewayDrained(self.running, open_connections, seconds))
 
 
 async def start(runner, *addresses):
--- a/packages/fescuedrum/src/fescuedrum/decisions/stopping.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/stopping.py
@@ -46,7 +46,9 @@
         the middle: it came on a kept connection, or while all of a zone were stopping.
         How long an answer takes is not known beforehand, but its limit is.
         """
-        return self.fits(now, limit) and (self.is_bounded(limit) or now < self.noticed)
+        if not self.fits(now, limit):
+            return False
+        return self.is_bounded(limit) or not self.is_noticed(now)
 
     def fits(self, now, limit):
         """Tell whether work that begins now is expected to end before the process."""
@@ -57,6 +59,10 @@
     def is_bounded(self, limit):
         return limit <= self.latest
 
+    def is_noticed(self, now):
+        """Tell whether the balancer sends here no longer."""
+        return now >= self.noticed
+
     def arrived(self, now):
         """Note that a request was taken."""
         self.last_arrival = now
@@ -65,7 +71,7 @@
         """Tell whether the process may end while so many requests run."""
         if now >= self.latest:
             return True
-        if running or now < self.noticed:
+        if running or not self.is_noticed(now):
             return False
         return now - self.last_arrival >= QUIET_SECONDS
 
--- a/packages/fescuedrum/src/fescuedrum/events/processes.py
+++ b/packages/fescuedrum/src/fescuedrum/events/processes.py
@@ -7,6 +7,7 @@
 
 Release = Annotated[str, "release that runs"]
 Running = Annotated[int, "requests that run"]
+Connections = Annotated[int, "callers' connections that are open"]
 PeerName = Annotated[str, "name of the other process"]
 Host = Annotated[str, "address of the other process"]
 
@@ -27,6 +28,7 @@
     message = "gateway draining"
 
     running: Running
+    connections: Connections
 
 
 @event
@@ -36,6 +38,7 @@
     message = "gateway drained"
 
     running: Running
+    connections: Connections
     seconds: Annotated[float, "time since it was told to stop, in seconds"]
 
 
--- a/tests/integration/test_gateway_stops.py
+++ b/tests/integration/test_gateway_stops.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import logging
+import socket
 
 import aiohttp
+import pytest
 from support import engines
 from support.engines import StandInEndpoint
 from support.gateways import caller_headers, site
@@ -51,10 +53,14 @@
     await asyncio.sleep(seconds)
 
 
-async def open_raw(running):
+async def open_raw(port, receive_buffer=None):
     """Return the streams of a new connection to a gateway."""
-    host, _, port = running.gateway.settings.callers_address.rpartition(":")
-    return await asyncio.open_connection(host, int(port))
+    opened = socket.socket()
+    opened.setblocking(False)
+    if receive_buffer:
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+    await asyncio.get_running_loop().sock_connect(opened, ("127.0.0.1", port))
+    return await asyncio.open_connection(sock=opened)
 
 
 def raw_head(request_id, length):
@@ -136,7 +142,7 @@
         before = asyncio.create_task(read_stream(running, session, "before"))
         await running.until(lambda gateway: gateway.running)
         await stop_and_wait(running, 1.0)
-        reader, writer = await open_raw(running)
+        reader, writer = await open_raw(running.callers_port)
         writer.write(raw_head("slow", 2) + b"{")
         await asyncio.sleep(LATE_SECONDS - 1.0)
         writer.write(b"}")
@@ -167,3 +173,24 @@
         running.stop.set()
         assert (await reading)[0] == 503
     assert sum(len(each.seen) for each in endpoints) == 1
+
+
+async def test_kept_connections_that_rest_are_closed_once_the_balancer_has_noticed():
+    """Callers are refused, or worse, though other gateways would serve them at once.
+
+    They go on using the connections that they keep to a gateway that was told to stop:
+    the balancer has no say in these.
+    """
+    endpoint = StandInEndpoint("e-1", streams(resting=0.1, before=5.5))
+    async with site(endpoint, document=STREAMS, stop_seconds=8.0) as (running, session):
+        reader, writer = await open_raw(running.callers_port)
+        writer.write(raw_head("resting", 2) + b"{}")
+        await reader.readuntil(b"0\r\n\r\n")
+        before = asyncio.create_task(read_stream(running, session, "before"))
+        await running.until(lambda gateway: gateway.running)
+        await stop_and_wait(running, 1.0)
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(1), 0.5)
+        assert await asyncio.wait_for(reader.read(1), 2.0) == b""
+        writer.close()
+        assert (await before)[2]
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -50,6 +50,10 @@
     def url(self):
         return f"http://{self.gateway.settings.callers_address}"
 
+    @property
+    def callers_port(self):
+        return int(self.gateway.settings.callers_address.rpartition(":")[2])
+
     async def until(self, condition, seconds=READY_SECONDS):
         """Wait until condition(gateway) holds; fail when it never does."""
         async with asyncio.timeout(seconds):
