End a gateway only when callers have their answers, and begin nothing meanwhile

A caller that reads slowly had the first part of a long answer, though the endpoint had sent it all and the gateway counted the request as answered.

Cause: a request counted as ended when its answer was written, which is when the library holds the rest of it. The process then ended with what had not left: the library's server waits 0.1 s, and closing the loop drops the rest. Besides, a request that came while connections were closed was sent on, and cut 0.1 s later.

Ruled out: a longer wait in the library's shutdown: it cancels requests after that time whether they run on or not, and stops reading what is idle without closing it.

Change: when nothing runs any more the listener is closed and the process waits until all connections are gone, at most until the stop's time is over; what rests is closed. What comes meanwhile is refused as not run.

That nothing is begun while connections are closed passes on the code before as well: its gap is below a millisecond there.

Conclusion: a stop lasts as long as its slowest reader, within its time.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -46,6 +46,8 @@
 
 # Pause between looks at whether a stop may end: little against its margin of 0.6 s.
 STOP_POLL_SECONDS = 0.05
+# How long a connection must have brought nothing before a stop's end closes it.
+STOP_REST_SECONDS = 0.2
 # Pause before the own address is written again; the seeds serve meanwhile.
 ANNOUNCE_RETRY_SECONDS = 1.0
 # Pause before a failed task runs again, so that a lasting fault does not fill the log.
@@ -141,8 +143,10 @@
             tell(logger, GatewayStarted(__version__))
             await stop.wait()
             await self.drain()
-            for runner in runners:
-                await runner.cleanup()
+            callers, own = runners
+            await self.deliver(callers)
+            await callers.cleanup()
+            await own.cleanup()
             await cancel(tasks)
             self.peers.close()
         tell(logger, GatewayStopped())
@@ -336,6 +340,20 @@
         open_connections = len(self.callers.connections)
         tell(logger, GatewayDrained(self.running, open_connections, seconds))
 
+    async def deliver(self, runner):
+        """Wait until callers have their answers, or the time of the stop is over.
+
+        A request has ended when its answer is written, but a caller on a narrow link
+        reads on: what the process still holds of it would be lost with the process, and
+        the caller would have half an answer. A connection is gone once all has left.
+        """
+        for site in list(runner.sites):
+            await site.stop()
+        loop = asyncio.get_running_loop()
+        while self.callers.connections and loop.time() < self.stop_plan.latest:
+            self.callers.close_resting(loop.time(), STOP_REST_SECONDS)
+            await asyncio.sleep(STOP_POLL_SECONDS)
+
 
 async def start(runner, *addresses):
     """Set a server up and listen on addresses."""
--- a/tests/integration/test_gateway_stops.py
+++ b/tests/integration/test_gateway_stops.py
@@ -1,6 +1,7 @@
 """Check what callers get of a gateway that was told to stop."""
 
 import asyncio
+import contextlib
 import logging
 import socket
 
@@ -8,10 +9,12 @@
 import pytest
 from support import engines
 from support.engines import StandInEndpoint
+from support.gateway_process import gateway_process
 from support.gateways import caller_headers, site
 from support.routing import build_route, build_routing_document
 
 from fescuedrum.conf.routing import RequestKind
+from fescuedrum.decisions.stopping import NOTICE_SECONDS
 
 PATH = "/advice/tension"
 STREAMS = build_routing_document(
@@ -19,6 +22,8 @@
 )
 PATIENCE = "8.0"
 EVENT_SECONDS = 0.1
+# Longer than a stop in which nothing runs, shorter than one that waits.
+SLOW_READ_SECONDS = 4.5
 # By then the balancer has long noticed; a stop of 8 s has half of its time left.
 LATE_SECONDS = 4.28
 
@@ -194,3 +199,45 @@
         assert await asyncio.wait_for(reader.read(1), 2.0) == b""
         writer.close()
         assert (await before)[2]
+
+
+async def test_an_answer_that_its_caller_still_reads_is_not_cut():
+    """The second half of a long list is missing, and the endpoint had sent it all.
+
+    Its caller reads slowly. The gateway counted the request as ended when the answer
+    was whole in its own memory, and ended with what had not left.
+    """
+    size = 32 * 1024 * 1024
+    endpoint = await StandInEndpoint("e-1", engines.whole(b"x" * size)).start()
+    async with gateway_process(endpoint.port, 8.0) as (process, port):
+        reader, writer = await open_raw(port, receive_buffer=64 * 1024)
+        writer.write(raw_head("r-1", 2) + b"{}")
+        await reader.readuntil(b"\r\n\r\n")
+        process.terminate()
+        got = 0
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(size):
+                got += len(data)
+                await asyncio.sleep(SLOW_READ_SECONDS * len(data) / size)
+        writer.close()
+        assert got == size
+        assert await process.wait() == 0
+    endpoint.server.close()
+
+
+async def test_what_comes_as_a_gateway_closes_is_not_begun():
+    """A lookup that an engine works on is cut within a tenth of a second.
+
+    It came in the moment in which the gateway, with nothing to do, closed its
+    connections.
+    """
+    endpoint = StandInEndpoint("e-1", engines.say_nothing)
+    async with site(endpoint, stop_seconds=8.0) as (running, _):
+        await stop_and_wait(running, NOTICE_SECONDS - 0.1)
+        reader, writer = await open_raw(running.callers_port)
+        await running.until(lambda gateway: gateway.ending)
+        writer.write(raw_head("r-1", 2) + b"{}")
+        assert (await reader.readline()).startswith(b"HTTP/1.1 503 ")
+        writer.close()
+        await running.task
+    assert endpoint.seen == []
--- /dev/null
+++ b/tests/support/gateway_process.py
@@ -0,0 +1,55 @@
+"""Run a gateway in a process of its own: its end ends its connections, too."""
+
+import asyncio
+import contextlib
+import signal
+import sys
+from pathlib import Path
+
+from fescuedrum.process import stop_event
+from fescuedrum_gateway.process.gateway import Gateway
+from support.dialect import MemoryRowStore, PlainAdapter
+from support.gateways import build_settings, free_ports
+from support.routing import build_endpoint, build_routing_document
+
+HOST = "127.0.0.1"
+TESTS = Path(__file__).parents[1]
+
+
+@contextlib.asynccontextmanager
+async def gateway_process(endpoint_port, stop_seconds):
+    """Run a gateway before one endpoint; yield (process, its callers' port)."""
+    ports = free_ports(3)
+    arguments = [*ports, endpoint_port, stop_seconds]
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "support.gateway_process", *map(str, arguments)),
+        cwd=TESTS,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        async with asyncio.timeout(20):
+            await process.stdout.readline()
+        yield process, ports[0]
+    finally:
+        if process.returncode is None:
+            process.send_signal(signal.SIGKILL)
+        await process.wait()
+
+
+async def serve(ports, endpoint_port, stop_seconds):
+    """Serve until SIGTERM; print a line once callers are served."""
+    store = MemoryRowStore()
+    store.put("operators", "document", build_routing_document())
+    store.put("endpoints", "e-1", build_endpoint("e-1", port=endpoint_port))
+    settings = build_settings("gateway-1", HOST, ports, stop_seconds=stop_seconds)
+    gateway = Gateway(settings, PlainAdapter(store), incarnation=1)
+    running = asyncio.create_task(gateway.run(stop_event()))
+    while not gateway.ready:
+        await asyncio.sleep(0.01)
+    print("ready", flush=True)
+    await running
+
+
+if __name__ == "__main__":
+    *ports, endpoint_port = (int(word) for word in sys.argv[1:-1])
+    asyncio.run(serve(ports, endpoint_port, float(sys.argv[-1])))
