Share what ends callers' connections at a stop, so that entries can use it

Cause: entries lose answers at a stop as gateways did, and what knows a connection's request in hand, closes resting connections and waits for the last bytes stood in the gateway alone. A second copy would drift from the first.

Ruled out: changing what it does. The gateway's tests are untouched.

Change: fescuedrum.serving has the connection, the server and the two waits; the gateway uses them.

Conclusion: no change of behaviour.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -8,7 +8,7 @@
 import aiohttp
 from aiohttp import web
 
-from fescuedrum import __version__
+from fescuedrum import __version__, serving
 from fescuedrum.conf.routing import RoutingDocument, RoutingTable
 from fescuedrum.decisions.experts.pace import PassPace
 from fescuedrum.decisions.retries import SharedRetryBudget
@@ -44,10 +44,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Pause between looks at whether a stop may end: little against its margin of 0.6 s.
-STOP_POLL_SECONDS = 0.05
-# How long a connection must have brought nothing before a stop's end closes it.
-STOP_REST_SECONDS = 0.2
 # Pause before the own address is written again; the seeds serve meanwhile.
 ANNOUNCE_RETRY_SECONDS = 1.0
 # Pause before a failed task runs again, so that a lasting fault does not fill the log.
@@ -144,7 +140,7 @@
             await stop.wait()
             await self.drain()
             callers, own = runners
-            await self.deliver(callers)
+            await serving.deliver(self.stop_plan, self.callers, callers)
             await callers.cleanup()
             await own.cleanup()
             await cancel(tasks)
@@ -321,39 +317,16 @@
     # The end
 
     async def drain(self):
-        """Turn readiness down and let running requests end.
-
-        Once the balancer has noticed, only kept connections still bring requests here.
-        They are closed while they rest: a caller that finds its connection closed dials
-        another gateway, and one that does not would be refused here first.
-        """
+        """Turn readiness down and let running requests end."""
         loop = asyncio.get_running_loop()
         plan = self.stop_plan = StopPlan(loop.time(), self.settings.stop_seconds)
         self.peers.tell_now()
         tell(logger, GatewayDraining(self.running, len(self.callers.connections)))
-        while not plan.may_end(loop.time(), self.running):
-            if plan.is_noticed(loop.time()):
-                self.callers.close_resting(loop.time())
-            await asyncio.sleep(STOP_POLL_SECONDS)
-        plan.end()
+        await serving.let_run(plan, self.callers, lambda: self.running)
         seconds = round(loop.time() - plan.began, 3)
         open_connections = len(self.callers.connections)
         tell(logger, GatewayDrained(self.running, open_connections, seconds))
 
-    async def deliver(self, runner):
-        """Wait until callers have their answers, or the time of the stop is over.
-
-        A request has ended when its answer is written, but a caller on a narrow link
-        reads on: what the process still holds of it would be lost with the process, and
-        the caller would have half an answer. A connection is gone once all has left.
-        """
-        for site in list(runner.sites):
-            await site.stop()
-        loop = asyncio.get_running_loop()
-        while self.callers.connections and loop.time() < self.stop_plan.latest:
-            self.callers.close_resting(loop.time(), STOP_REST_SECONDS)
-            await asyncio.sleep(STOP_POLL_SECONDS)
-
 
 async def start(runner, *addresses):
     """Set a server up and listen on addresses."""
