Take at an entry's stop only what ends before it, and end the process in its time

Cause: while anything ran, a stopping entry took whatever came, whatever its deadline; then the HTTP library's runner waited up to 60 s for handlers, and as long again after it had cancelled them, beyond `notice_seconds` and `drain_seconds`. A platform that ends the process on time cuts those requests.

Ruled out: a fixed time for an answer, as the gateway had; a call's deadline bounds it. Refusing before the notice is over, which callers are promised to be served for, unless so little time is left that hardly anything would end.

Change: the entry follows the StopPlan that gateways follow, with its own notice, and refuses calls that it does not take as not run (503, `Retry-After: 1`, connection closed). What is taken after the notice is logged with its grounds. The runner waits 0.3 s. `drain_seconds` now tells by when the process ends.

Conclusion: the gateway's cause was in the entry too.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/conf.py
@@ -76,7 +76,11 @@
         unit="s",
     )
     drain_seconds: float = setting(
-        60.0, help="Longest wait for running requests at a stop.", minimum=0.0, unit="s"
+        60.0,
+        help="Time after the notice by which the process ends; requests with a later "
+        "deadline are refused then.",
+        minimum=0.0,
+        unit="s",
     )
     peer_port: int = setting(
         0, help="Port for other entries; 0 for none.", minimum=0, maximum=65535
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/callers.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/callers.py
@@ -4,24 +4,24 @@
 
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
-from aiohttp.web_protocol import RequestHandler
 
 from fescuedrum.events.event import tell
 from fescuedrum.events.requests import MalformedHttp
 from fescuedrum.exceptions import BadRequest
 from fescuedrum.headers import is_text
+from fescuedrum.serving import LINGERING_SECONDS, HeldConnection, HeldServer
 from fescuedrum_entry.request import errors
 
 logger = logging.getLogger(__name__)
 
 BAD_REQUEST_STATUS = 400
 HEADERS_TOO_LARGE_STATUS = 431
-# Closing at once would reset the connection and lose the refusal on its way; this
-# long the rest of a refused body is read and dropped.
-LINGERING_SECONDS = 1.0
+# At the end of a stop's time, for what is about to end; then for what is cancelled. The
+# library's own 60 s would make the process outlast the time that it is given.
+SHUTDOWN_SECONDS = 0.3
 
 
-class CallerConnection(RequestHandler):
+class CallerConnection(HeldConnection):
     """Answer malformed HTTP in the common shape."""
 
     __slots__ = ()
@@ -37,13 +37,6 @@
         return errors.error_response(error, errors.new_request_id())
 
 
-class CallerServer(web.Server):
-    """Make a CallerConnection for each connection."""
-
-    def __call__(self):
-        return CallerConnection(self, loop=self._loop, **self._kwargs)
-
-
 class CallersRunner(web.AppRunner):
     """Run the entry's application with the settings' limits on callers."""
 
@@ -60,6 +53,7 @@
             max_field_size=settings.maximum_header_bytes,
             max_headers=settings.maximum_header_count,
             max_line_size=settings.maximum_header_bytes,
+            shutdown_timeout=SHUTDOWN_SECONDS,
         )
 
     async def _make_server(self):
@@ -74,8 +68,9 @@
             # Not a middleware: the library builds its chain for each request.
             return await errors.shape_errors(request, serve)
 
-        return CallerServer(
+        return HeldServer(
             handle,
+            CallerConnection,
             request_factory=made.request_factory,
             handler_cancellation=made.handler_cancellation,
             **made._kwargs,
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -10,6 +10,7 @@
 
 from fescuedrum import __version__
 from fescuedrum.decisions.retries import ServiceRetries
+from fescuedrum.decisions.stopping import StopPlan
 from fescuedrum.events.event import tell
 from fescuedrum.events.processes import EntryStarted, EntryStopped
 from fescuedrum.faults import FaultPoint
@@ -57,7 +58,6 @@
         "faults",
         "following",
         "incarnation",
-        "leaving",
         "link_tasks",
         "links",
         "members",
@@ -71,6 +71,7 @@
         "running",
         "settings",
         "sign_in_limit",
+        "stop_plan",
         "traces",
         "waiting_room",
     )
@@ -104,7 +105,8 @@
         self.running = 0
         self.traces = TraceBook(settings.trace_count, settings.trace_slow_seconds)
         self.metrics = EntryMetrics()
-        self.leaving = False
+        # Set once the process was told to stop.
+        self.stop_plan = None
         self.metrics.watch(self)
         live_fields["version"] = lambda: self.configuration.version
 
@@ -146,6 +148,10 @@
         site = web.TCPSite(runner, settings.host, settings.port, ssl_context=context)
         await site.start()
 
+    @property
+    def leaving(self):
+        return self.stop_plan is not None
+
     def build_application(self):
         application = web.Application()
         handler.add_routes(application, self)
@@ -182,13 +188,14 @@
         The balancer goes on sending until it has asked /readyz again. A process that
         closed its listener at once would cut those callers off.
         """
-        self.leaving = True
-        self.send_heartbeats()
-        await asyncio.sleep(self.settings.notice_seconds)
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + self.settings.drain_seconds
-        while (self.running or self.background) and loop.time() < deadline:
+        notice = self.settings.notice_seconds
+        seconds = notice + self.settings.drain_seconds
+        plan = self.stop_plan = StopPlan(loop.time(), seconds, notice)
+        self.send_heartbeats()
+        while not plan.may_end(loop.time(), self.running + len(self.background)):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        plan.end()
 
     def start_claims(self):
         """Start what writes claims and what deletes old ones; return the tasks."""
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
@@ -10,6 +10,7 @@
     RequestBroke,
     RequestNotAnswered,
     RequestNotRun,
+    TakenWhileStopping,
 )
 from fescuedrum.exceptions import FescuedrumError, Unavailable
 from fescuedrum.logs import request_context
@@ -21,6 +22,9 @@
 from fescuedrum_entry.request.reply import Reply
 
 CODE_LEFT = "caller-left"
+# The header knows whole seconds only, and at 0 the callers of a zone whose entries all
+# stop would turn in a circle.
+STOP_RETRY_SECONDS = 1
 
 logger = logging.getLogger(__name__)
 
@@ -80,11 +84,36 @@
                 trace.request_id,
             )
             trace.take_call(call, entry.configuration.version, loop.time())
+            self.check_stop(http_request, call)
             return await self.serve(http_request, call, trace)
         except FescuedrumError as error:
             trace.fail(loop.time(), error)
             return error_response(error, trace.request_id)
 
+    def check_stop(self, http_request, call):
+        """Refuse a request that may outlast this process, once that stops.
+
+        The failure: a call comes late in a stop, on a kept connection or while all of
+        a zone stop, and ends as unknown when the process does. A call that is taken
+        ends by its deadline, and that is before.
+        """
+        plan, now = self.entry.stop_plan, loop_time()
+        if plan is None:
+            return
+        if not plan.takes(now, call.deadline):
+            raise Unavailable("This process stops.", retry_after=STOP_RETRY_SECONDS)
+        plan.arrived(now)
+        # Before the notice is over all are taken, by the hundred each second.
+        if plan.is_noticed(now):
+            event = TakenWhileStopping(
+                request=call.request_id,
+                since_signal=round(now - plan.began, 4),
+                left=round(plan.latest - now, 4),
+                may_last=round(call.deadline - now, 4),
+                kept=http_request.protocol.answered > 0,
+            )
+            tell(logger, event)
+
     def configuration(self):
         if self.entry.configuration.document is None:
             raise Unavailable("No configuration is in force yet.", retry_after=1)
