Close callers' resting connections at an entry's stop once the balancer has noticed

Cause: nothing closed kept connections that rest, so callers came back on them for as long as one long request kept the process alive; and only answers to calls ended their connection, not those of the models' list, the operators' routes and the health checks.

Ruled out: closing at the signal. Until the balancer has noticed, a caller that dials anew may come to the same process, and callers are promised to be served.

Change: the entry's drain is the gateway's; a stopping server ends each connection with its answer, whatever the route.

A caller whose request crosses the closing sees its connection reset, as at any idle end.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -8,7 +8,7 @@
 import aiohttp
 from aiohttp import web
 
-from fescuedrum import __version__
+from fescuedrum import __version__, serving
 from fescuedrum.decisions.retries import ServiceRetries
 from fescuedrum.decisions.stopping import StopPlan
 from fescuedrum.events.event import tell
@@ -43,14 +43,13 @@
 
 logger = logging.getLogger(__name__)
 
-DRAIN_POLL_SECONDS = 0.05
-
 
 class Entry:
     """Own the links, the configuration and the HTTP server of one entry process."""
 
     __slots__ = (
         "background",
+        "callers",
         "callers_tls",
         "claims",
         "configuration",
@@ -87,6 +86,8 @@
         self.links = {}
         self.link_tasks = {}
         self.peers = Peers(settings.peer_keys, settings.peer_tls, self.hello)
+        # The server that holds callers' connections.
+        self.callers = None
         self.callers_tls = Certificates()
         self.platform = None
         self.random = random.Random(incarnation)
@@ -129,6 +130,7 @@
             stop_on_failure(tasks, stop)
             runner = CallersRunner(self.build_application(), self.settings)
             await runner.setup()
+            self.callers = runner.server
             await self.listen(runner)
             peer_server = await self.members.listen()
             tell(logger, EntryStarted(__version__))
@@ -193,9 +195,12 @@
         seconds = notice + self.settings.drain_seconds
         plan = self.stop_plan = StopPlan(loop.time(), seconds, notice)
         self.send_heartbeats()
-        while not plan.may_end(loop.time(), self.running + len(self.background)):
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
-        plan.end()
+        self.callers.leaving = True
+        await serving.let_run(plan, self.callers, self.count_running)
+
+    def count_running(self):
+        """Count what a stop waits for."""
+        return self.running + len(self.background)
 
     def start_claims(self):
         """Start what writes claims and what deletes old ones; return the tasks."""
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
@@ -55,14 +55,10 @@
         request_context.set({"request": request_id})
         trace = self.entry.traces.begin(request_id, loop.time())
         try:
-            response = await self.answer(http_request, trace)
+            return await self.answer(http_request, trace)
         finally:
             if not trace.detached:
                 self.close_trace(trace)
-        if self.entry.leaving:
-            # A kept connection would bring this caller's next request here as well.
-            response.force_close()
-        return response
 
     def close_trace(self, trace):
         if trace.seconds is None:
--- a/packages/fescuedrum/src/fescuedrum/serving.py
+++ b/packages/fescuedrum/src/fescuedrum/serving.py
@@ -23,10 +23,11 @@
     It is from its head to the last byte of its answer that the library has taken.
     """
 
-    __slots__ = ("active_at", "answered", "in_hand")
+    __slots__ = ("active_at", "answered", "in_hand", "server")
 
-    def __init__(self, *arguments, **options):
-        super().__init__(*arguments, **options)
+    def __init__(self, server, **options):
+        super().__init__(server, **options)
+        self.server = server
         # Answers that this connection has carried.
         self.answered = 0
         self.in_hand = False
@@ -38,7 +39,10 @@
         super().data_received(data)
 
     async def finish_response(self, request, resp, start_time):
-        """Write an answer to its end."""
+        """Write an answer to its end; the connection ends with it in a stop."""
+        if self.server.leaving:
+            # A kept connection would bring this caller's next request here as well.
+            resp.force_close()
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
@@ -57,6 +61,8 @@
 
         super().__init__(take_in_hand, **options)
         self.kind = kind
+        # Whether each answer ends its connection.
+        self.leaving = False
 
     def __call__(self):
         return self.kind(self, loop=self._loop, **self._kwargs)
