Wait at an entry's stop until callers have the last bytes of their answers

Cause: a request counts as running until its answer is made. What a caller on a narrow link had not taken stood in the process's own buffer, and was lost with the loop.

Ruled out: the library's wait for handlers. It ends when the last write is taken by the transport, with up to 64 kB unsent.

Change: the entry waits as the gateway does until callers' connections are gone, within the time of the stop.

Measured (tests/integration/test_process_ends.py): of 40000 bytes 12046 came before, all 40000 now.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -136,6 +136,7 @@
             tell(logger, EntryStarted(__version__))
             await stop.wait()
             await self.drain()
+            await serving.deliver(self.stop_plan, self.callers, runner)
             if peer_server is not None:
                 peer_server.close()
             await runner.cleanup()
