Wait at an entry's stop for requests whose bodies are on their way

Cause: a request was counted once its body was read. With nothing else running the process closed, and the HTTP library drops what comes on connections that it closes, so the caller got no answer to an order that had not run.

Ruled out: a request that comes after the drain. What is read then is refused as not run.

Change: a stop waits for each request from its head to its answer, operators' ones too.

A body that is not whole at the process's end is still cut without an answer.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -200,8 +200,13 @@
         await serving.let_run(plan, self.callers, self.count_running)
 
     def count_running(self):
-        """Count what a stop waits for."""
-        return self.running + len(self.background)
+        """Count what a stop waits for.
+
+        The failure: an order whose body is on its way counts nowhere yet, the process
+        ends, and its caller can't know that it did not run. An operator's change may
+        likewise be at the store. Both are in hand from their head to their answer.
+        """
+        return self.running + len(self.background) + self.callers.count_in_hand()
 
     def start_claims(self):
         """Start what writes claims and what deletes old ones; return the tasks."""
--- a/packages/fescuedrum/src/fescuedrum/serving.py
+++ b/packages/fescuedrum/src/fescuedrum/serving.py
@@ -67,6 +67,10 @@
     def __call__(self):
         return self.kind(self, loop=self._loop, **self._kwargs)
 
+    def count_in_hand(self):
+        """Count connections with a request in hand."""
+        return sum(connection.in_hand for connection in self.connections)
+
     def close_resting(self, now, rest_seconds=REST_SECONDS):
         """Close connections without a request in hand, after so much rest."""
         for connection in self.connections:
