Show in tests two more losses at an agent's stop; known to be red

Cause: neither is mended yet. Both were found by reading what an agent does after its last request.

Ruled out: nothing so far.

The test of the last byte waits for the queued End by the agent's requests and relays, and no longer by `busy`, which is about to wait for more; it fails as before.

Conclusion: what an agent has sent must be taken, and what crosses its last word heard, before it may end.

--- a/tests/integration/test_process_ends.py
+++ b/tests/integration/test_process_ends.py
@@ -21,6 +21,7 @@
 from fescuedrum.wire import codec
 from fescuedrum.wire.connection import FrameConnection
 from fescuedrum.wire.gen.frames import ttypes as frames
+from fescuedrum.wire.gen.members import ttypes as members
 from fescuedrum.wire.handshake import Keyring
 
 # Over what a narrow link holds, and under the mark at which a sender waits.
@@ -218,6 +219,11 @@
         narrow(session.connection.writer.transport)
 
 
+def runs(agent):
+    """Tell whether an agent has a request whose End is not queued for its entry."""
+    return agent.tickets or any(session.relays for session in agent.sessions)
+
+
 async def test_a_stopping_agent_sends_an_answer_to_its_last_byte(monkeypatch):
     """A booking that ran ends as unknown, and neither its service nor a link failed.
 
@@ -234,7 +240,7 @@
         path = f"/bytes/{LINK_BYTES}"
         connection.writer.transport.pause_reading()
         connection.send(request=build_request(path=path, window=2 * LINK_BYTES))
-        await running.until(lambda agent: agent.gate.answers and not agent.busy())
+        await running.until(lambda agent: agent.gate.answers and not runs(agent))
         running.tell()
         await asyncio.sleep(0.5)
         connection.writer.transport.resume_reading()
@@ -244,6 +250,71 @@
         connection.close()
 
 
+async def send_heartbeats(connection):
+    while not connection.writer.is_closing():
+        connection.send(heartbeat=members.Heartbeat(version=0))
+        await asyncio.sleep(0.1)
+
+
+async def test_heartbeats_do_not_lose_the_end_of_a_stopping_agents_answer(monkeypatch):
+    """A booking that ran ends as unknown; its agent had handed all of it to the kernel.
+
+    The agent ended, and its machine answered the entry's next heartbeat with a reset:
+    nobody was there to read it. A reset drops what is not yet delivered.
+    """
+    async with (
+        endpoint() as (url, _),
+        running_agent(monkeypatch, url, drain_seconds=5.0) as running,
+    ):
+        connection = await link_to(running)
+        await running.until(lambda agent: agent.sessions)
+        path = f"/bytes/{LINK_BYTES}"
+        connection.writer.transport.pause_reading()
+        connection.send(request=build_request(path=path, window=2 * LINK_BYTES))
+        await running.until(lambda agent: agent.gate.answers and not runs(agent))
+        beating = asyncio.create_task(send_heartbeats(connection))
+        running.tell()
+        await asyncio.sleep(1.0)
+        connection.writer.transport.resume_reading()
+        size, end = await read_end(connection, 1)
+        assert end is not None
+        assert (size, end.length) == (LINK_BYTES, LINK_BYTES)
+        connection.close()
+        await running.end()
+        beating.cancel()
+
+
+async def test_what_crosses_an_agents_last_word_is_refused_and_not_lost(monkeypatch):
+    """A booking is sent while the word that its agent leaves is on its way.
+
+    The agent had nothing that ran and was gone 50 ms after that word. The booking
+    never reached its service and ends as unknown.
+    """
+    async with (
+        endpoint() as (url, seen),
+        running_agent(monkeypatch, url) as running,
+    ):
+        connection = await link_to(running)
+        await running.until(lambda agent: agent.sessions)
+        running.tell()
+        await asyncio.sleep(0.2)
+        connection.send(request=build_request(path="/wait/0", key="k", incarnation=1))
+        refusal = await read_refusal(connection)
+        assert refusal is not None
+        assert refusal.reason == "leaving"
+        connection.close()
+        await running.end()
+    assert seen == []
+
+
+async def read_refusal(connection):
+    async with asyncio.timeout(5.0):
+        while (frame := await connection.receive()) is not None:
+            if isinstance(body := codec.body_of(frame), frames.Refusal):
+                return body
+    return None
+
+
 async def test_an_entry_that_takes_nothing_does_not_hold_up_an_agents_stop(monkeypatch):
     async with (
         endpoint() as (url, _),
