Wait at an agent's stop until entries have taken what is queued for them

Cause: an answer's relay is done once its End is queued, with up to 1 MB before it on the connection. The agent closed its connections then, which sends what is left only while the loop runs on, and it ended at once.

Ruled out: the timer of 5 s that aborts a closed connection. It bounds the closing, and nothing waited for it.

Change: a session with unsent bytes holds up a stop, within `drain_seconds`.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
@@ -74,6 +74,11 @@
             self.agent.abandon(self)
             self.connection.close()
 
+    @property
+    def busy(self):
+        """Tell whether the entry has still to be sent something."""
+        return bool(self.relays or self.connection.unsent_bytes)
+
     def silent_for_long(self):
         """Note that something came; tell whether it came after too long a silence."""
         now = self.loop.time()
--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -138,7 +138,12 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     def busy(self):
-        return bool(self.tickets) or any(session.relays for session in self.sessions)
+        """Tell whether a stop must wait, in its time.
+
+        The failure: a booking ran, and the end of its answer stands in this process
+        behind a slow link. Lost with the process, it ends as unknown at its entry.
+        """
+        return bool(self.tickets) or any(session.busy for session in self.sessions)
 
     async def beat(self):
         while True:
