Let an agent's last word be read before its process ends

Cause: an agent that had handed all to its kernel closed and ended. The entry's next heartbeat found nobody, and the kernel answers that with a reset, which drops what it has not delivered yet: the end of an answer on a narrow link.

Ruled out: what the process itself holds unsent; the test stays red with only that mended.

Change: at its end an agent tells its entries that nothing more comes, and reads on until they close: within `drain_seconds`, 5 s at the most and 0.5 s at the least. Frames that are queued after that are dropped, and no longer raise an error.

Connections with TLS can't be half closed and are closed as before.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -41,6 +41,10 @@
 logger = logging.getLogger(__name__)
 
 DRAIN_POLL_SECONDS = 0.05
+# For the last bytes on their way to entries, and for these to close: the longest that
+# an entry which does not may hold up the end, and what there is beyond `drain_seconds`.
+LEAVE_SECONDS = 5.0
+LATE_LEAVE_SECONDS = 0.5
 # A large fleet's entries send heartbeats more seldom; so many may be missed.
 SILENT_BEATS = 4
 
@@ -104,9 +108,10 @@
         stop_on_failure([beat, reload], stop)
         lag = asyncio.create_task(watch_loop(self.metrics.loop_delay))
         await stop.wait()
-        await self.drain()
+        deadline = await self.drain()
         await cancel([beat, lag, reload])
         server.close()
+        await self.take_leave(deadline)
         for session in list(self.sessions):
             session.connection.close()
         await self.session.close()
@@ -129,13 +134,24 @@
         session.connection.send(heartbeat=self.heartbeat(session))
 
     async def drain(self):
-        """Refuse new work, tell every entry, and let running requests end."""
+        """Refuse new work and let running requests end; return the time for that."""
         self.gate.close(leaving=True)
         self.send_heartbeats()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.drain_seconds
         while self.busy() and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        return deadline
+
+    async def take_leave(self, deadline):
+        """Wait a little until the entries have read all and closed."""
+        for session in self.sessions:
+            session.connection.finish()
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        end = min(now + LEAVE_SECONDS, max(deadline, now + LATE_LEAVE_SECONDS))
+        while self.sessions and loop.time() < end:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     def busy(self):
         """Tell whether a stop must wait, in its time.
--- a/packages/fescuedrum/src/fescuedrum/wire/connection.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/connection.py
@@ -25,6 +25,7 @@
     """
 
     __slots__ = (
+        "finished",
         "incoming",
         "loop",
         "maximum_frame_bytes",
@@ -43,6 +44,8 @@
         self.writer.transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
         self.loop = asyncio.get_running_loop()
         self.outgoing = []
+        # Whether the peer was told that nothing more comes.
+        self.finished = False
         self.queued_bytes = 0
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -62,7 +65,7 @@
         frames, self.outgoing = self.outgoing, []
         self.sent_bytes += self.queued_bytes
         self.queued_bytes = 0
-        if not frames or self.writer.is_closing():
+        if not frames or self.finished or self.writer.is_closing():
             return
         self.writer.write(b"".join(frames))
         # A peer that takes nothing would otherwise fill this process's memory.
@@ -137,6 +140,23 @@
             position = begin + length
         del buffer[:position]
 
+    def finish(self):
+        """Tell the peer that nothing more comes, and go on reading until it closes.
+
+        The failure: a process ends while its kernel still sends for it, the peer's next
+        frame finds nobody, and the kernel answers with a reset that drops the rest. The
+        peer closes when it has read all, so what it sends until then must be read.
+        """
+        self.flush()
+        self.finished = True
+        if self.writer.is_closing():
+            return
+        if self.writer.can_write_eof():
+            self.writer.write_eof()
+        else:
+            # TLS closes in two steps itself, and reads what comes between them.
+            self.writer.close()
+
     def close(self):
         """Close when the peer has taken what was sent, or has had its time to."""
         self.flush()
--- a/tests/unit/test_connection.py
+++ b/tests/unit/test_connection.py
@@ -168,3 +168,21 @@
     protocol.writeFieldStop()
     protocol.writeStructEnd()
     assert codec.body_of(codec.decode(buffer.getvalue())) == frames.Cancel(number=12)
+
+
+async def test_a_finished_connection_is_read_on_and_sends_no_more():
+    """A process that leaves answers a late question on a connection it has finished.
+
+    The write would raise an error, and the frames of others in that turn be lost.
+    """
+    async with connected() as (near, far):
+        near.send(cancel=frames.Cancel(1, 1))
+        near.finish()
+        near.send(cancel=frames.Cancel(2, 1))
+        far.send(cancel=frames.Cancel(3, 1))
+        assert codec.body_of(await near.receive()).number == 3
+        assert codec.body_of(await far.receive()).number == 1
+        assert await far.receive() is None
+        far.close()
+        assert await near.receive() is None
+        near.finish()
