Let an agent's last word be read over TLS too

Cause: a connection with TLS can't be half closed, and the TLS library's own closing fails and resets the connection when a heartbeat crosses it.

Ruled out: closing and waiting for the end of that: the heartbeats' test fails so.

Change: an agent at its end waits, with TLS, until the entry's kernel has confirmed all, in the same time. What is there a reset leaves there.

Conclusion: it relies on the kernel's count of unconfirmed bytes, which Linux has.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -144,14 +144,16 @@
         return deadline
 
     async def take_leave(self, deadline):
-        """Wait a little until the entries have read all and closed."""
+        """Wait a little until the entries have read all."""
         for session in self.sessions:
             session.connection.finish()
         loop = asyncio.get_running_loop()
         now = loop.time()
         end = min(now + LEAVE_SECONDS, max(deadline, now + LATE_LEAVE_SECONDS))
-        while self.sessions and loop.time() < end:
+        while loop.time() < end:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+            if not any(session.connection.may_lose for session in self.sessions):
+                return
 
     def busy(self):
         """Tell whether a stop must wait, in its time.
--- a/packages/fescuedrum/src/fescuedrum/wire/connection.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/connection.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import collections
+import fcntl
+import sys
+import termios
 
 from fescuedrum.exceptions import PeerRefusedError, ProtocolError
 from fescuedrum.wire import codec
@@ -149,13 +152,19 @@
         """
         self.flush()
         self.finished = True
-        if self.writer.is_closing():
-            return
-        if self.writer.can_write_eof():
+        if self.writer.can_write_eof() and not self.writer.is_closing():
             self.writer.write_eof()
-        else:
-            # TLS closes in two steps itself, and reads what comes between them.
-            self.writer.close()
+
+    @property
+    def may_lose(self):
+        """Tell whether the end of the process could lose something that was sent.
+
+        TLS can't be half closed, and its own closing fails when a frame crosses it. It
+        has nothing to lose once the peer's kernel has all, which a reset leaves there.
+        """
+        if self.writer.can_write_eof():
+            return not self.writer.is_closing()
+        return bool(self.unsent_bytes or undelivered_bytes(self.writer))
 
     def close(self):
         """Close when the peer has taken what was sent, or has had its time to."""
@@ -164,3 +173,12 @@
         # A silent peer takes nothing, so the transport would wait for good and keep
         # its buffer, and the process could not end.
         self.loop.call_later(CLOSE_SECONDS, self.writer.transport.abort)
+
+
+def undelivered_bytes(writer):
+    """Count the bytes in the kernel's hands that the peer's has not confirmed."""
+    sock = writer.get_extra_info("socket")
+    if writer.is_closing() or sock.fileno() < 0:
+        return 0
+    answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    return int.from_bytes(answer, sys.byteorder)
--- a/tests/integration/test_process_ends.py
+++ b/tests/integration/test_process_ends.py
@@ -15,9 +15,10 @@
     running_agent,
     running_entry,
 )
-from support.peers import build_entry_side
+from support.peers import Authority, build_entry_side
 
 from fescuedrum.outcomes import Outcome
+from fescuedrum.tls import Certificates
 from fescuedrum.wire import codec
 from fescuedrum.wire.connection import FrameConnection
 from fescuedrum.wire.gen.frames import ttypes as frames
@@ -195,8 +196,13 @@
 async def link_to(running):
     """Return a connection to an agent, as an entry opens one."""
     sock = await open_socket(running.port)
-    connection = FrameConnection(*await asyncio.open_connection(sock=sock))
-    side = build_entry_side(Keyring([KEY]), running.process.settings.name)
+    settings = running.process.settings
+    options = {}
+    if settings.peer_tls is not None:
+        context = Certificates().client_context(settings.peer_tls)
+        options = {"ssl": context, "server_hostname": HOST}
+    connection = FrameConnection(*await asyncio.open_connection(sock=sock, **options))
+    side = build_entry_side(Keyring([KEY]), settings.name)
     await connection.handshake(side)
     return connection
 
@@ -256,15 +262,19 @@
         await asyncio.sleep(0.1)
 
 
-async def test_heartbeats_do_not_lose_the_end_of_a_stopping_agents_answer(monkeypatch):
+@pytest.mark.parametrize("tls", [False, True])
+async def test_heartbeats_do_not_lose_the_end_of_a_stopping_agents_answer(
+    monkeypatch, tmp_path, tls
+):
     """A booking that ran ends as unknown; its agent had handed all of it to the kernel.
 
     The agent ended, and its machine answered the entry's next heartbeat with a reset:
     nobody was there to read it. A reset drops what is not yet delivered.
     """
+    files = Authority(tmp_path).issue("peers") if tls else None
     async with (
         endpoint() as (url, _),
-        running_agent(monkeypatch, url, drain_seconds=5.0) as running,
+        running_agent(monkeypatch, url, peer_tls=files) as running,
     ):
         connection = await link_to(running)
         await running.until(lambda agent: agent.sessions)
