Refuse what crosses an agent's word that it leaves, in place of losing it

Cause: an agent with nothing to run ended 50 ms after it had told its entries that it leaves. A booking that crossed that word found nobody: it never ran, and ended as unknown.

Change: a stop waits 0.5 s for what crossed the word, within `drain_seconds`.

Each stop of an agent takes half a second more.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -41,6 +41,9 @@
 logger = logging.getLogger(__name__)
 
 DRAIN_POLL_SECONDS = 0.05
+# For the word that the agent leaves to reach its entries, and for what crossed it to
+# come and be refused. With the agent gone it would end as unknown and never run.
+WORD_SECONDS = 0.5
 # For the last bytes on their way to entries, and for these to close: the longest that
 # an entry which does not may hold up the end, and what there is beyond `drain_seconds`.
 LEAVE_SECONDS = 5.0
@@ -138,8 +141,10 @@
         self.gate.close(leaving=True)
         self.send_heartbeats()
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + self.settings.drain_seconds
-        while self.busy() and loop.time() < deadline:
+        now = loop.time()
+        deadline = now + self.settings.drain_seconds
+        heard = now + WORD_SECONDS
+        while (self.busy() or loop.time() < heard) and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         return deadline
 
