Check the last bytes at a stop with TLS too

Cause: TLS keeps buffers of its own, and the waits at a stop had tests without it only.

Ruled out by the tests: the entry loses the end of an answer to a caller with TLS (the server's connection is gone only when all has left); the agent does so to an entry (its last word is waited for).

Change: two tests more.

Conclusion: as without TLS.

--- a/tests/integration/test_process_ends.py
+++ b/tests/integration/test_process_ends.py
@@ -10,6 +10,7 @@
     HOST,
     KEY,
     Caller,
+    TlsCaller,
     narrow,
     open_socket,
     running_agent,
@@ -129,6 +130,27 @@
         assert await running.end() < 4.1
 
 
+async def test_a_stopping_entry_sends_an_answer_to_its_last_byte_over_tls(
+    monkeypatch, tmp_path
+):
+    """The same answer is lost where callers speak TLS to the entry itself."""
+    files = Authority(tmp_path).issue("callers")
+    settings = {"notice_seconds": 0.1, "drain_seconds": 4.0, "callers_tls": files}
+    async with running_entry(monkeypatch, **settings) as (running, answers):
+        context = Certificates().client_context(files)
+        caller = TlsCaller(await open_socket(running.port), context)
+        await caller.handshake()
+        await caller.send(f"/services/bookings/bytes/{ANSWER_BYTES}")
+        await running.until(lambda entry: answers.paths and not entry.running)
+        running.tell()
+        await asyncio.sleep(1.0)
+        async with asyncio.timeout(5.0):
+            status, _, body, whole = await caller.read()
+        assert (status, len(body), whole) == (200, ANSWER_BYTES, True)
+        caller.close()
+        assert await running.end() < 4.1
+
+
 async def test_a_caller_that_reads_nothing_does_not_hold_up_a_stop(monkeypatch):
     """A program hangs with a connection open, and its entry can't be replaced."""
     settings = {"notice_seconds": 0.1, "drain_seconds": 0.9}
@@ -237,15 +259,19 @@
     return agent.tickets or any(session.relays for session in agent.sessions)
 
 
-async def test_a_stopping_agent_sends_an_answer_to_its_last_byte(monkeypatch):
+@pytest.mark.parametrize("tls", [False, True])
+async def test_a_stopping_agent_sends_an_answer_to_its_last_byte(
+    monkeypatch, tmp_path, tls
+):
     """A booking that ran ends as unknown, and neither its service nor a link failed.
 
     Its agent was told to stop when the end of the answer stood in the agent's own
     buffer, behind a slow link to the entry.
     """
+    files = Authority(tmp_path).issue("peers") if tls else None
     async with (
         endpoint() as (url, _),
-        running_agent(monkeypatch, url, drain_seconds=5.0) as running,
+        running_agent(monkeypatch, url, peer_tls=files) as running,
     ):
         connection = await link_to(running)
         await running.until(lambda agent: agent.sessions)
--- a/tests/support/ends.py
+++ b/tests/support/ends.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import socket
+import ssl
 
 from fescuedrum.outcomes import Outcome
 from fescuedrum_agent.conf import AgentSettings
@@ -263,3 +264,41 @@
 
     def close(self):
         self.sock.close()
+
+
+class TlsCaller(Caller):
+    """Own one connection with TLS, of which nothing is read by itself either."""
+
+    def __init__(self, sock, context):
+        super().__init__(sock)
+        self.incoming, self.outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
+        self.tls = context.wrap_bio(self.incoming, self.outgoing, server_hostname=HOST)
+
+    async def carry(self, step):
+        """Repeat a step until it has what it needs of the socket."""
+        while True:
+            try:
+                result = step()
+            except ssl.SSLWantReadError:
+                result = None
+            await self.loop.sock_sendall(self.sock, self.outgoing.read())
+            if result is not None:
+                return result
+            data = await self.loop.sock_recv(self.sock, READ_BYTES)
+            if not data:
+                return b""
+            self.incoming.write(data)
+
+    async def handshake(self):
+        await self.carry(lambda: self.tls.do_handshake() or True)
+
+    async def send_bytes(self, data):
+        await self.carry(lambda: self.tls.write(data))
+
+    async def more(self):
+        try:
+            data = await self.carry(lambda: self.tls.read(READ_BYTES))
+        except ssl.SSLZeroReturnError:
+            return False
+        self.received += data
+        return bool(data)
