Log when an entry or an agent drains, and what still runs when its time is over

Cause: only gateways said so. Of an entry or an agent nobody can tell from the logs whether it cut a request itself or was ended by the platform, and how long its stop took.

Ruled out: counting what waits for its body as running.

Conclusion: what a stop cuts can be seen in the log.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -13,6 +13,8 @@
 from fescuedrum.decisions.sharing import effective_weights
 from fescuedrum.events.event import tell
 from fescuedrum.events.processes import (
+    AgentDrained,
+    AgentDraining,
     AgentStarted,
     AgentStopped,
     EntryRefused,
@@ -138,6 +140,7 @@
 
     async def drain(self):
         """Refuse new work and let running requests end; return the time for that."""
+        tell(logger, AgentDraining(len(self.tickets)))
         self.gate.close(leaving=True)
         self.send_heartbeats()
         loop = asyncio.get_running_loop()
@@ -146,6 +149,9 @@
         heard = now + WORD_SECONDS
         while (self.busy() or loop.time() < heard) and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        unsent = sum(session.connection.unsent_bytes for session in self.sessions)
+        seconds = round(loop.time() - now, 3)
+        tell(logger, AgentDrained(len(self.tickets), unsent, seconds))
         return deadline
 
     async def take_leave(self, deadline):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -12,7 +12,12 @@
 from fescuedrum.decisions.retries import ServiceRetries
 from fescuedrum.decisions.stopping import StopPlan
 from fescuedrum.events.event import tell
-from fescuedrum.events.processes import EntryStarted, EntryStopped
+from fescuedrum.events.processes import (
+    EntryDrained,
+    EntryDraining,
+    EntryStarted,
+    EntryStopped,
+)
 from fescuedrum.faults import FaultPoint
 from fescuedrum.logs import live_fields
 from fescuedrum.metrics import watch_loop
@@ -197,7 +202,11 @@
         plan = self.stop_plan = StopPlan(loop.time(), seconds, notice)
         self.send_heartbeats()
         self.callers.leaving = True
+        tell(logger, EntryDraining(self.running, len(self.callers.connections)))
         await serving.let_run(plan, self.callers, self.count_running)
+        seconds = round(loop.time() - plan.began, 3)
+        open_connections = len(self.callers.connections)
+        tell(logger, EntryDrained(self.running, open_connections, seconds))
 
     def count_running(self):
         """Count what a stop waits for.
--- a/packages/fescuedrum/src/fescuedrum/events/processes.py
+++ b/packages/fescuedrum/src/fescuedrum/events/processes.py
@@ -58,6 +58,27 @@
     release: Release
 
 
+@event
+class EntryDraining(Event):
+    """Tell that an entry was told to stop and lets running requests end."""
+
+    message = "entry draining"
+
+    running: Running
+    connections: Connections
+
+
+@event
+class EntryDrained(Event):
+    """Tell that an entry has no more requests to end, or no more time."""
+
+    message = "entry drained"
+
+    running: Running
+    connections: Connections
+    seconds: Annotated[float, "time since it was told to stop, in seconds"]
+
+
 @event
 class EntryStopped(Event):
     """Tell that an entry's process ends."""
@@ -74,6 +95,26 @@
     release: Release
 
 
+@event
+class AgentDraining(Event):
+    """Tell that an agent was told to stop and lets running requests end."""
+
+    message = "agent draining"
+
+    running: Running
+
+
+@event
+class AgentDrained(Event):
+    """Tell that an agent has nothing more to end or to tell, or no more time."""
+
+    message = "agent drained"
+
+    running: Running
+    unsent: Annotated[int, "bytes that entries have not taken"]
+    seconds: Annotated[float, "time since it was told to stop, in seconds"]
+
+
 @event
 class AgentStopped(Event):
     """Tell that an agent's process ends."""
--- a/tests/integration/test_process_ends.py
+++ b/tests/integration/test_process_ends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 
 import pytest
 from aiohttp import web
@@ -163,6 +164,44 @@
         caller.close()
 
 
+async def test_a_stop_that_cuts_is_told_in_the_log(monkeypatch, caplog):
+    """Nobody can say whether it was the entry or the platform that cut a request."""
+    caplog.set_level(logging.INFO)
+    settings = {"notice_seconds": 0.1, "drain_seconds": 0.9}
+    async with running_entry(monkeypatch, **settings) as (running, _):
+        before = await begin(running, "/wait/4")
+        running.tell()
+        await running.end()
+        await before
+    (began,) = told(caplog, "entry draining")
+    (ended,) = told(caplog, "entry drained")
+    assert (began.running, began.connections) == (1, 1)
+    assert (ended.running, ended.connections) == (1, 1)
+    assert 0.3 < ended.seconds < 1.0
+
+
+async def test_an_agents_stop_is_told_in_the_log(monkeypatch, caplog):
+    caplog.set_level(logging.INFO)
+    async with (
+        endpoint() as (url, _),
+        running_agent(monkeypatch, url, drain_seconds=0.6) as running,
+    ):
+        connection = await link_to(running)
+        connection.send(request=build_request(path="/wait/2", budget_ms=9000))
+        await running.until(lambda agent: agent.gate.running)
+        running.tell()
+        await running.end()
+        connection.close()
+    (began,) = told(caplog, "agent draining")
+    (ended,) = told(caplog, "agent drained")
+    assert (began.running, ended.running, ended.unsent) == (1, 1, 0)
+    assert 0.5 < ended.seconds < 1.6
+
+
+def told(caplog, message):
+    return [record for record in caplog.records if record.getMessage() == message]
+
+
 async def test_a_body_on_its_way_at_a_stop_is_waited_for(monkeypatch):
     """A caller's link is slow, and its order is cut before it is even read.
 
