Answer at an agent's stop what entries have asked of keys

Cause: an entry that asks what became of a booking gets its answer after a patience of up to 5 s. A stop waited for answers to requests and not for these; with nothing to run the agent ended, and the booking that had never come ended as unknown.

Ruled out: the half second in which what crosses the agent's last word is heard. It is shorter than the longest patience, though longer than the usual 0.25 s.

Change: all tasks of a session hold up a stop, within `drain_seconds`.

Measured (tests/integration/test_process_ends.py): a question with a patience of 1.5 s, asked 0.1 s before the signal, had no answer before and is answered `fenced` now. The whole file passed after the change.

Conclusion: with the usual patience the fault was mended by the half second already.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/connection/session.py
@@ -76,8 +76,8 @@
 
     @property
     def busy(self):
-        """Tell whether the entry has still to be sent something."""
-        return bool(self.relays or self.connection.unsent_bytes)
+        """Tell whether the entry has still to be sent an answer, or the end of one."""
+        return bool(self.tasks or self.connection.unsent_bytes)
 
     def silent_for_long(self):
         """Note that something came; tell whether it came after too long a silence."""
--- a/tests/integration/test_process_ends.py
+++ b/tests/integration/test_process_ends.py
@@ -19,6 +19,7 @@
 )
 from support.peers import Authority, build_entry_side
 
+from fescuedrum.claims.ledger import Verdict
 from fescuedrum.outcomes import Outcome
 from fescuedrum.tls import Certificates
 from fescuedrum.wire import codec
@@ -381,7 +382,7 @@
         running.tell()
         await asyncio.sleep(0.2)
         connection.send(request=build_request(path="/wait/0", key="k", incarnation=1))
-        refusal = await read_refusal(connection)
+        refusal = await read_body(connection, frames.Refusal)
         assert refusal is not None
         assert refusal.reason == "leaving"
         connection.close()
@@ -389,10 +390,33 @@
     assert seen == []
 
 
-async def read_refusal(connection):
+async def test_a_stopping_agent_answers_what_it_is_asked_of_a_key(monkeypatch):
+    """An entry asks whether a booking ran, and its caller is told unknown.
+
+    The agent waited a little for the booking, which might still have been on its way,
+    and was told to stop meanwhile. Nothing ran, so it ended with the question open.
+    """
+    async with (
+        endpoint() as (url, _),
+        running_agent(monkeypatch, url) as running,
+    ):
+        connection = await link_to(running)
+        fence = frames.Fence(1, 1, "key-1", 1, incarnation=1, patience_ms=1500)
+        connection.send(fence=fence)
+        await asyncio.sleep(0.1)
+        running.tell()
+        reply = await read_body(connection, frames.FenceReply)
+        assert reply is not None
+        assert reply.verdict == Verdict.FENCED
+        connection.close()
+        await running.end()
+
+
+async def read_body(connection, kind):
+    """Return the next body of a kind, or None at the end of the connection."""
     async with asyncio.timeout(5.0):
         while (frame := await connection.receive()) is not None:
-            if isinstance(body := codec.body_of(frame), frames.Refusal):
+            if isinstance(body := codec.body_of(frame), kind):
                 return body
     return None
 
