Send on late in a stop what may have run, and refuse what has not with the time to return

Callers saw a resumable stream end in the middle, or status 502, though another engine had the rest; and a request that no engine had run was told to come back in 1.4 s.

It held back every repeat from 2.9 s after the signal on, also of what would certainly be cut without one. And its refusal was swallowed where an earlier sending had been refused, so that the caller was told the wait for an outage; a repeat had been taken off the service's budget before.

Ruled out: a later bound for repeats: a caller who has half an answer loses nothing by a repeat that is cut.

Change: what may have run is sent again as without a stop. What provably has not is refused as the process stopping, with 0.05 s, before the budget is asked. Names say what they mean: `closing` for what was `ended`, `took` for `arrived`, `deadline` for `limit`, and whether an answer is cut by the end is asked of the plan.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
@@ -12,7 +12,7 @@
     RequestNotRun,
     TakenWhileStopping,
 )
-from fescuedrum.exceptions import FescuedrumError, Unavailable
+from fescuedrum.exceptions import FescuedrumError, ProcessStopping, Unavailable
 from fescuedrum.logs import request_context
 from fescuedrum.outcomes import Outcome
 from fescuedrum_entry.request.call import Repetition
@@ -97,8 +97,8 @@
         if plan is None:
             return
         if not plan.takes(now, call.deadline):
-            raise Unavailable("This process stops.", retry_after=STOP_RETRY_SECONDS)
-        plan.arrived(now)
+            raise ProcessStopping("This process stops.", retry_after=STOP_RETRY_SECONDS)
+        plan.took(now)
         # Before the notice is over all are taken, by the hundred each second.
         if plan.is_noticed(now):
             event = TakenWhileStopping(
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -186,11 +186,6 @@
     def leaving(self):
         return self.stop_plan is not None
 
-    @property
-    def ending(self):
-        """Tell whether the time of a stop is over, so that what still runs is cut."""
-        return self.leaving and self.stop_plan.ended
-
     @property
     def ready(self):
         listed = self.followers and self.followers[1].replica.loaded
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
@@ -7,6 +7,7 @@
 from fescuedrum.exceptions import (
     BodyTooLarge,
     DeadlinePassed,
+    ProcessStopping,
     Unavailable,
     UnknownKey,
     UnknownRoute,
@@ -67,7 +68,7 @@
 
 def refuse_at_stop():
     """Return the error for work that the end of this process might cut."""
-    return Unavailable("This process stops.", retry_after=STOP_RETRY_SECONDS)
+    return ProcessStopping("This process stops.", retry_after=STOP_RETRY_SECONDS)
 
 
 async def admit(http_request, head, gateway, arrived):
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -7,7 +7,12 @@
 from fescuedrum.decisions.placement import Chosen, RefusalCause, Refused
 from fescuedrum.events.event import tell
 from fescuedrum.events.requests import RequestSent, SendingFailed
-from fescuedrum.exceptions import DeadlinePassed, Overloaded, Unavailable
+from fescuedrum.exceptions import (
+    DeadlinePassed,
+    Overloaded,
+    ProcessStopping,
+    Unavailable,
+)
 from fescuedrum_gateway.adapter import SendHead
 from fescuedrum_gateway.connection.endpoints import open_answer
 from fescuedrum_gateway.request.admission import refuse_at_stop
@@ -30,7 +35,16 @@
 class Attempts:
     """Send one call to one endpoint after the other."""
 
-    __slots__ = ("arrived", "call", "gateway", "loop", "occupation", "sent", "tried")
+    __slots__ = (
+        "arrived",
+        "call",
+        "gateway",
+        "loop",
+        "occupation",
+        "ran",
+        "sent",
+        "tried",
+    )
 
     def __init__(self, call, gateway):
         self.call = call
@@ -40,6 +54,8 @@
         self.sent = 0
         # Whether any endpoint may have seen the request, be it another than was meant.
         self.arrived = False
+        # The newest result of a sending that may have run.
+        self.ran = None
         self.tried = set()
         # What the endpoint of the newest sending is charged with.
         self.occupation = None
@@ -50,18 +66,21 @@
         A repeat that is refused, or finds no place, must not hide that the sending
         before it may have run: the caller would be told that it has not.
         """
-        ran = last = None
+        last = None
         while True:
             try:
                 result = await send_once()
+            except ProcessStopping:
+                # Told when to come back, the caller is served elsewhere at once.
+                raise
             except (Overloaded, DeadlinePassed):
                 if last is None:
                     raise
-                return ran or last
+                return self.ran or last
             if not isinstance(result, NotRun):
-                ran = result
+                self.ran = result
             if not is_open(result) or not self.may_send_again():
-                return ran or result
+                return self.ran or result
             last = result
 
     async def choose(self):
@@ -107,14 +126,15 @@
     def check_stop(self):
         """Refuse to begin what the end of this process might cut.
 
-        A slow body or a wait for a place brings a request here long after it came,
-        and a repeat begins anew when much of the stop's time has passed.
+        A slow body or a wait for a place brings a request here long after it came, and
+        one that was not run at an endpoint is sent anew when much of the stop's time
+        has passed. What may have run is sent again all the same: cut now or later, its
+        caller has no answer, and no refusal could say that it has not run.
         """
         plan = self.gateway.stop_plan
-        if plan is None:
+        if plan is None or self.ran is not None:
             return
-        may_begin = plan.fits if self.tried else plan.takes
-        if not may_begin(self.loop.time(), self.call.ends_at):
+        if not plan.takes(self.loop.time(), self.call.ends_at):
             raise refuse_at_stop()
 
     async def open(self, last_event_id=""):
@@ -192,13 +212,17 @@
         tell(logger, SendingFailed(request_id, endpoint.name, result, reason))
 
     def may_send_again(self):
-        """Tell whether the route, the time and the service's budget allow another."""
+        """Tell whether the route, the time and the service's budget allow another.
+
+        Raise ProcessStopping when only the stop of this process does not.
+        """
         call = self.call
         if self.sent >= call.route.maximum_attempts:
             return False
         now = self.loop.time()
         if call.ends_at - now - WAY_SECONDS < LEAST_SECONDS:
             return False
+        self.check_stop()
         if not self.arrived:
             # Nothing has arrived anywhere, so that it is no repeat.
             return True
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
@@ -66,7 +66,8 @@
 
     def cut_off(self, http_request, arrived):
         """Count and log that an answer was broken off, by its caller or by a stop."""
-        if self.gateway.ending:
+        plan = self.gateway.stop_plan
+        if plan is not None and plan.is_over(self.loop.time()):
             seconds = round(self.loop.time() - arrived, 4)
             request_id = http_request.get(REQUEST_ID, "")
             tell(logger, RequestEnded(request_id, CUT, ENDED_BY_STOP, seconds))
@@ -111,7 +112,7 @@
 
     def taken_while_stopping(self, http_request, call):
         plan, now = self.gateway.stop_plan, self.loop.time()
-        plan.arrived(now)
+        plan.took(now)
         event = TakenWhileStopping(
             request=call.head.request_id,
             since_signal=round(now - plan.began, 4),
--- a/packages/fescuedrum/src/fescuedrum/decisions/stopping.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/stopping.py
@@ -27,57 +27,52 @@
 class StopPlan:
     """Follow one stop; times are loop time in seconds."""
 
-    __slots__ = ("began", "ended", "last_arrival", "latest", "noticed")
+    __slots__ = ("began", "closing", "last_taken", "latest", "noticed")
 
     def __init__(self, now, stop_seconds, notice_seconds=NOTICE_SECONDS):
         self.began = now
-        self.last_arrival = now
+        self.last_taken = now
         # When the balancer has noticed.
         self.noticed = now + notice_seconds
         # When the process ends whatever still runs.
         self.latest = now + max(stop_seconds - MARGIN_SECONDS, 0.0)
-        # Nothing runs any more, and the connections are being closed.
-        self.ended = False
+        # Whether connections are being closed: nothing runs, or the time is over.
+        self.closing = False
 
-    def takes(self, now, limit):
-        """Tell whether a request that comes now and ends by its limit is taken.
+    def takes(self, now, deadline):
+        """Tell whether a request may begin now that is given up at its deadline.
 
         Guards against a stream that lasts longer than the process and breaks off in
         the middle: it came on a kept connection, or while all of a zone were stopping.
-        How long an answer takes is not known beforehand, but its limit is.
+        How long an answer takes is not known beforehand, but its deadline is.
         """
-        if not self.fits(now, limit):
+        if self.closing:
+            # It would be cut within moments.
             return False
-        return self.is_bounded(limit) or not self.is_noticed(now)
-
-    def fits(self, now, limit):
-        """Tell whether work that begins now is expected to end before the process."""
-        if self.ended:
-            return False
-        return self.is_bounded(limit) or now < self.latest - ANSWER_SECONDS
-
-    def is_bounded(self, limit):
-        return limit <= self.latest
+        if deadline <= self.latest:
+            return True
+        return not self.is_noticed(now) and now < self.latest - ANSWER_SECONDS
 
     def is_noticed(self, now):
         """Tell whether the balancer sends here no longer."""
         return now >= self.noticed
 
-    def arrived(self, now):
+    def is_over(self, now):
+        """Tell whether what still runs is cut."""
+        return now >= self.latest
+
+    def took(self, now):
         """Note that a request was taken."""
-        self.last_arrival = now
+        self.last_taken = now
 
     def may_end(self, now, running):
         """Tell whether the process may end while so many requests run."""
-        if now >= self.latest:
+        if self.is_over(now):
             return True
         if running or not self.is_noticed(now):
             return False
-        return now - self.last_arrival >= QUIET_SECONDS
-
-    def end(self):
-        """Take nothing from now on.
+        return now - self.last_taken >= QUIET_SECONDS
 
-        What came while connections are being closed would be cut within moments.
-        """
-        self.ended = True
+    def close(self):
+        """Take nothing from now on."""
+        self.closing = True
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -128,6 +128,10 @@
     code = "unavailable"
 
 
+class ProcessStopping(Unavailable):
+    """Refuse work that the end of this process might cut; it was not run."""
+
+
 class GroupDown(Unavailable):
     """Refuse work while a group of engines can't run anything; it was not run."""
 
--- a/packages/fescuedrum/src/fescuedrum/serving.py
+++ b/packages/fescuedrum/src/fescuedrum/serving.py
@@ -91,7 +91,7 @@
         if plan.is_noticed(loop.time()):
             server.close_resting(loop.time())
         await asyncio.sleep(STOP_POLL_SECONDS)
-    plan.end()
+    plan.close()
 
 
 async def deliver(plan, server, runner):
