Give up a request's body when its caller's time is over

A request whose link broke in the middle of its body hung at the gateway, and held up the gateway's stop for all of its time.

Cause: reading a body had no bound in time; the caller's time was looked at only after it.

Ruled out: the connection's keepalive as a bound: a peer that is there and sends nothing answers it.

Conclusion: what a stop takes, it can bring to an end, also before it is whole.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
@@ -6,6 +6,7 @@
 from fescuedrum.decisions.returns import RETURNED_RANKS
 from fescuedrum.exceptions import (
     BodyTooLarge,
+    BodyTooSlow,
     DeadlinePassed,
     ProcessStopping,
     Unavailable,
@@ -38,8 +39,20 @@
     return organisation
 
 
+async def read_body_until(end, http_request, limit):
+    """Return the whole body; raise BodyTooLarge, or BodyTooSlow at the end.
+
+    A caller's link may break in the middle of a body. Nothing shows it, and the request
+    would hang, and hold up the stop of its process, long after the caller gave it up.
+    """
+    try:
+        async with asyncio.timeout_at(end):
+            return await read_body(http_request, limit)
+    except TimeoutError:
+        raise BodyTooSlow("Not all of it came in the caller's time.") from None
+
+
 async def read_body(http_request, limit):
-    """Return the whole body; raise BodyTooLarge."""
     if (http_request.content_length or 0) > limit:
         raise BodyTooLarge(f"At most {limit} bytes are taken.")
     if not http_request.can_read_body:
@@ -84,7 +97,8 @@
     plan = gateway.stop_plan
     if plan is not None and not plan.takes(arrived, end):
         raise refuse_at_stop()
-    body = await read_body(http_request, table.document.limits.maximum_body_bytes)
+    limit = table.document.limits.maximum_body_bytes
+    body = await read_body_until(end, http_request, limit)
     if asyncio.get_running_loop().time() >= end:
         raise DeadlinePassed("The caller's time was over before it was read.")
     returned = not gateway.patience[route.name].is_fresh(head.patience)
--- a/packages/fescuedrum/src/fescuedrum/explaining.py
+++ b/packages/fescuedrum/src/fescuedrum/explaining.py
@@ -48,6 +48,7 @@
     "answer-lost": "an endpoint took it, and its answer was lost on the way",
     "answer-overdue": "an endpoint took it and did not answer in the caller's time",
     "bad-request": "what the caller sent is malformed",
+    "body-too-slow": "its body did not come in the caller's time",
     "body-too-large": "its body is longer than the configuration allows",
     "deadline-passed": "its caller's time was over before it could be sent",
     "group-down": "the engines' group was down: several endpoints refused at once",
--- a/tests/integration/test_gateway_stops.py
+++ b/tests/integration/test_gateway_stops.py
@@ -277,3 +277,17 @@
         writer.close()
         await running.task
     assert endpoint.seen == []
+
+
+async def test_a_body_that_stalls_is_given_up_in_its_callers_time():
+    """A request hangs for as long as its gateway lives, and holds up its stop.
+
+    The link broke in the middle of the body; the caller has long given up.
+    """
+    async with site(StandInEndpoint("e-1", engines.whole())) as (running, _):
+        reader, writer = await open_raw(running.callers_port)
+        head = raw_head("stalls", 2).replace(b"Patience: 8.0", b"Patience: 0.4")
+        writer.write(head + b"{")
+        async with asyncio.timeout(1.5):
+            assert (await reader.readline()).startswith(b"HTTP/1.1 408 ")
+        writer.close()
