Let nothing but requests in hand hold up a stop, and log answers that don't leave whole

Operators saw a stop last for all of its time, with the port closed, for a connection that never sent a whole request; a caller could be closed unanswered when its process stalled; and an answer that was cut while its caller read it was logged as answered.

Cause: a connection was told from a resting one by the newest byte that came and by the begin of its request's handler. A head that comes byte by byte never rested, and a request that was read rested until its handler began, two turns of the loop later. The listener was closed while slow readers were waited for. A request's end was logged before its answer had left, and nothing after that.

Ruled out: counting bytes of a head as a request: a process may end before it is whole. A flag set by the handler (the earlier way): it comes too late.

Change: a connection rests while the library waits for a head on it, as the library's own closing of idle connections has it. New callers are refused while slow readers are waited for, and the listener is closed after them. `answer not delivered` tells of a request whose answer was cut, `gateway stopped` how many connections were. Each answer of a stopping gateway ends its connection at one place, for gateways and entries.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -141,11 +141,12 @@
             await self.drain()
             callers, own = runners
             await serving.deliver(self.stop_plan, self.callers, callers)
+            cut = len(self.callers.connections)
             await callers.cleanup()
             await own.cleanup()
             await cancel(tasks)
             self.peers.close()
-        tell(logger, GatewayStopped())
+        tell(logger, GatewayStopped(cut))
 
     def build_followers(self):
         tables = (
@@ -316,6 +317,7 @@
         loop = asyncio.get_running_loop()
         plan = self.stop_plan = StopPlan(loop.time(), self.settings.stop_seconds)
         self.peers.tell_now()
+        self.callers.leaving = True
         tell(logger, GatewayDraining(self.running, len(self.callers.connections)))
         await serving.let_run(plan, self.callers, lambda: self.running)
         seconds = round(loop.time() - plan.began, 3)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
@@ -17,6 +17,7 @@
     TakenWhileStopping,
 )
 from fescuedrum.exceptions import BadRequest, FescuedrumError, Overloaded, Unavailable
+from fescuedrum.serving import REQUEST_ID
 from fescuedrum_gateway.request.admission import admit
 from fescuedrum_gateway.request.call import Answered, StreamBroken, StreamEnded
 from fescuedrum_gateway.request.plain import PlainRun
@@ -24,7 +25,6 @@
 
 logger = logging.getLogger(__name__)
 
-REQUEST_ID = web.RequestKey("request_id", str)
 STREAM = web.RequestKey("stream", StreamRun)
 # What becomes of a request, beside that it is answered.
 FAILED = "failed"
@@ -51,7 +51,7 @@
         arrived = self.loop.time()
         self.gateway.running += 1
         try:
-            response = await self.answer(http_request, arrived)
+            return await self.answer(http_request, arrived)
         except (asyncio.CancelledError, ConnectionError):
             # A process that woke writes to a caller who is long gone before it is told
             # of that: the write fails, and no handler is cancelled.
@@ -59,10 +59,6 @@
             raise
         finally:
             self.gateway.running -= 1
-        if self.gateway.leaving:
-            # A kept connection would bring this caller's next request here as well.
-            response.force_close()
-        return response
 
     def cut_off(self, http_request, arrived):
         """Count and log that an answer was broken off, by its caller or by a stop."""
--- a/packages/fescuedrum/src/fescuedrum/events/processes.py
+++ b/packages/fescuedrum/src/fescuedrum/events/processes.py
@@ -33,7 +33,10 @@
 
 @event
 class GatewayDrained(Event):
-    """Tell that a gateway has no more requests to end, or no more time."""
+    """Tell that no request runs at a gateway any more, or that its time is over.
+
+    Callers may still be reading their answers.
+    """
 
     message = "gateway drained"
 
@@ -48,6 +51,8 @@
 
     message = "gateway stopped"
 
+    connections: Annotated[int, "callers' connections that its end cuts"]
+
 
 @event
 class EntryStarted(Event):
--- a/packages/fescuedrum/src/fescuedrum/events/requests.py
+++ b/packages/fescuedrum/src/fescuedrum/events/requests.py
@@ -108,6 +108,15 @@
     silent_seconds: Annotated[float | None, "time since that event, in seconds"]
 
 
+@event
+class AnswerNotDelivered(Event):
+    """Tell that the connection ended before all of a whole answer had left."""
+
+    message = "answer not delivered"
+
+    request: RequestId
+
+
 @event
 class RequestBroke(Event):
     """Tell that a fault of the process's own code met a request.
--- a/packages/fescuedrum/src/fescuedrum/explaining.py
+++ b/packages/fescuedrum/src/fescuedrum/explaining.py
@@ -135,6 +135,8 @@
             return f"Refused: {cause_of(last.fields)}{trouble}."
         case requests.RequestEnded.message:
             return f"{describe_end(last.fields)}{trouble}."
+        case requests.AnswerNotDelivered.message:
+            return f"Its answer was whole and not all of it left in time{trouble}."
         case requests.CallerLeft.message:
             return f"{describe_leave(last.fields)}{trouble}."
         case _:
--- a/packages/fescuedrum/src/fescuedrum/serving.py
+++ b/packages/fescuedrum/src/fescuedrum/serving.py
@@ -1,42 +1,52 @@
 """Know what callers' connections hold, and end them without cutting an answer."""
 
 import asyncio
+import logging
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from fescuedrum.events.event import tell
+from fescuedrum.events.requests import AnswerNotDelivered
+
+logger = logging.getLogger(__name__)
+
+# The id under which a request's log lines stand.
+REQUEST_ID = web.RequestKey("request_id", str)
 # Closing at once would reset the connection and lose the refusal on its way; this
 # long the rest of a refused body is read and dropped.
 LINGERING_SECONDS = 1.0
-# A caller that has just connected may be sending already, and one that was refused may
-# still send the rest of its body.
-REST_SECONDS = LINGERING_SECONDS
+# A caller that has just connected, or was just answered, may be sending already.
+REST_SECONDS = 1.0
+# The same at the very end of a stop, where such a caller would be refused.
+LAST_REST_SECONDS = 0.2
 # Pause between looks at whether a stop may end: little against its margin of 0.6 s.
 STOP_POLL_SECONDS = 0.05
-# How long a connection must have brought nothing before a stop's end closes it.
-STOP_REST_SECONDS = 0.2
 
 
 class HeldConnection(RequestHandler):
-    """Know whether a request is in hand.
-
-    It is from its head to the last byte of its answer that the library has taken.
-    """
+    """Know whether a request is in hand."""
 
-    __slots__ = ("active_at", "answered", "in_hand", "server")
+    __slots__ = ("answered", "rests_since", "server")
 
     def __init__(self, server, **options):
         super().__init__(server, **options)
         self.server = server
         # Answers that this connection has carried.
         self.answered = 0
-        self.in_hand = False
-        # Loop time of the newest byte that came, or of the end of the last answer.
-        self.active_at = self._loop.time()
+        # Loop time of the end of the last answer, or of the connection's beginning. Not
+        # of the last byte: a head that comes byte by byte would hold up a stop.
+        self.rests_since = self._loop.time()
 
-    def data_received(self, data):
-        self.active_at = self._loop.time()
-        super().data_received(data)
+    @property
+    def rests(self):
+        """Tell whether the head of a request is waited for.
+
+        The library knows it and tells nobody. A handler that has begun shows a request
+        later, and one that was read a moment before would be closed unanswered.
+        """
+        waiter = self._waiter
+        return waiter is not None and not waiter.done()
 
     async def finish_response(self, request, resp, start_time):
         """Write an answer to its end; the connection ends with it in a stop."""
@@ -45,21 +55,19 @@
             resp.force_close()
         try:
             return await super().finish_response(request, resp, start_time)
+        except asyncio.CancelledError:
+            tell(logger, AnswerNotDelivered(request.get(REQUEST_ID, "")))
+            raise
         finally:
             self.answered += 1
-            self.in_hand = False
-            self.active_at = self._loop.time()
+            self.rests_since = self._loop.time()
 
 
 class HeldServer(web.Server):
     """Make a connection of a kind for each caller, and end those that rest."""
 
     def __init__(self, handle, kind, **options):
-        async def take_in_hand(request):
-            request.protocol.in_hand = True
-            return await handle(request)
-
-        super().__init__(take_in_hand, **options)
+        super().__init__(handle, **options)
         self.kind = kind
         # Whether each answer ends its connection.
         self.leaving = False
@@ -68,14 +76,13 @@
         return self.kind(self, loop=self._loop, **self._kwargs)
 
     def count_in_hand(self):
-        """Count connections with a request in hand."""
-        return sum(connection.in_hand for connection in self.connections)
+        """Count connections with a request that is read, runs, or is being answered."""
+        return sum(not connection.rests for connection in self.connections)
 
     def close_resting(self, now, rest_seconds=REST_SECONDS):
         """Close connections without a request in hand, after so much rest."""
         for connection in self.connections:
-            rests = not connection.in_hand
-            if rests and now - connection.active_at >= rest_seconds:
+            if connection.rests and now - connection.rests_since >= rest_seconds:
                 connection.force_close()
 
 
@@ -100,10 +107,18 @@
     A request has ended when its answer is written, but a caller on a narrow link
     reads on: what the process still holds of it would be lost with the process, and
     the caller would have half an answer. A connection is gone once all has left.
+    Whoever comes meanwhile is refused, which tells more than a closed port.
     """
+    held = set(server.connections)
+    await until_gone(plan, server, lambda: held.intersection(server.connections))
     for site in list(runner.sites):
         await site.stop()
+    await until_gone(plan, server, lambda: server.connections)
+
+
+async def until_gone(plan, server, find):
+    """Close what rests until find() returns no connection, or the time is over."""
     loop = asyncio.get_running_loop()
-    while server.connections and loop.time() < plan.latest:
-        server.close_resting(loop.time(), STOP_REST_SECONDS)
+    while find() and not plan.is_over(loop.time()):
+        server.close_resting(loop.time(), LAST_REST_SECONDS)
         await asyncio.sleep(STOP_POLL_SECONDS)
--- a/tests/integration/test_gateway_stops.py
+++ b/tests/integration/test_gateway_stops.py
@@ -20,7 +20,9 @@
 PATIENCE = "8.0"
 EVENT_SECONDS = 0.1
 # Longer than a stop in which nothing runs, shorter than one that waits.
-SLOW_READ_SECONDS = 4.5
+SLOW_READ_SECONDS = 4.0
+# More than the kernel and the library hold for a caller that reads nothing.
+LONG_BYTES = 32 * 1024 * 1024
 # By then the balancer has long noticed; a stop of 8 s has half of its time left.
 LATE_SECONDS = 4.28
 
@@ -243,8 +245,8 @@
     Its caller reads slowly. The gateway counted the request as ended when the answer
     was whole in its own memory, and ended with what had not left.
     """
-    size = 32 * 1024 * 1024
-    endpoint = await StandInEndpoint("e-1", engines.whole(b"x" * size)).start()
+    size = LONG_BYTES
+    endpoint = await long_answer().start()
     async with gateway_process(endpoint.port, 8.0) as (process, port):
         reader, writer = await open_raw(port, receive_buffer=64 * 1024)
         writer.write(raw_head("r-1", 2) + b"{}")
@@ -261,22 +263,107 @@
     endpoint.server.close()
 
 
-async def test_what_comes_as_a_gateway_closes_is_not_begun():
-    """A lookup that an engine works on is cut within a tenth of a second.
+@contextlib.asynccontextmanager
+async def unread_answer(running):
+    """Have a caller that has asked for a long answer and reads none of it."""
+    _, writer = await open_raw(running.callers_port, receive_buffer=4096)
+    writer.transport.pause_reading()
+    writer.write(raw_head("unread", 2) + b"{}")
+    await running.until(lambda gateway: gateway.running)
+    await running.until(lambda gateway: not gateway.running)
+    yield
+    writer.close()
 
-    It came in the moment in which the gateway, with nothing to do, closed its
-    connections.
+
+def long_answer():
+    return StandInEndpoint("e-1", engines.whole(b"x" * LONG_BYTES))
+
+
+async def test_what_comes_as_a_gateway_closes_is_refused():
+    """A lookup is cut within a tenth of a second, or finds nobody who listens.
+
+    It came while the gateway, with nothing else to do, waited for a caller that was
+    still reading its answer.
+    """
+    endpoint = long_answer()
+    async with site(endpoint, stop_seconds=8.0) as (running, session):
+        async with unread_answer(running):
+            running.stop.set()
+            await running.until(
+                lambda gateway: gateway.leaving and gateway.stop_plan.closing
+            )
+            await asyncio.sleep(0.5)
+            headers = caller_headers(Request_Id="late", Patience="0.5")
+            async with session.post(running.url + PATH, headers=headers) as answer:
+                assert answer.status == 503
+        await running.task
+    assert [seen["Request-Id"] for seen in endpoint.seen] == ["unread"]
+
+
+async def test_an_answer_that_is_not_delivered_is_logged(caplog):
+    """Half a list has arrived, and the log says that its request was answered.
+
+    Its caller read so slowly that the time of the stop was over first.
+    """
+    caplog.set_level(logging.INFO)
+    async with (
+        site(long_answer(), stop_seconds=1.5) as (running, _),
+        unread_answer(running),
+    ):
+        await running.end()
+    (lost,) = told(caplog, "answer not delivered")
+    assert lost.request == "unread"
+    (stopped,) = told(caplog, "gateway stopped")
+    assert stopped.connections == 1
+
+
+@pytest.mark.parametrize("drips", [False, True])
+async def test_a_connection_without_a_request_does_not_hold_up_a_stop(drips):
+    """A machine can't be replaced, though its gateway has nothing to do.
+
+    Some program has opened a connection and sends no request on it, or one byte of its
+    head now and then.
     """
-    endpoint = StandInEndpoint("e-1", engines.say_nothing)
-    async with site(endpoint, stop_seconds=8.0) as (running, _):
-        await stop_and_wait(running, NOTICE_SECONDS - 0.1)
+    loop = asyncio.get_running_loop()
+    async with site(long_answer(), stop_seconds=8.0) as (running, _):
+        _, writer = await open_raw(running.callers_port)
+        running.stop.set()
+        told_at = loop.time()
+        writer.write(b"GET / HTTP/1.1\r\nX: ")
+        while not running.task.done():
+            if drips and not writer.is_closing():
+                writer.write(b"x")
+            await asyncio.sleep(0.05)
+        assert loop.time() - told_at < NOTICE_SECONDS + 2.0
+        writer.close()
+
+
+async def test_refused_requests_do_not_hold_up_a_stop():
+    """A machine's replacement takes seven seconds, and it refuses all the while."""
+    loop = asyncio.get_running_loop()
+    endpoint = StandInEndpoint("e-1", streams(first=0.1))
+    async with site(endpoint, document=STREAMS, stop_seconds=8.0) as (running, session):
+        await stop_and_wait(running, NOTICE_SECONDS)
+        while not running.task.done():
+            with contextlib.suppress(aiohttp.ClientConnectionError):
+                assert (await read_stream(running, session, "late"))[0] == 503
+            await asyncio.sleep(0.05)
+        plan = running.gateway.stop_plan
+        assert loop.time() - plan.began < NOTICE_SECONDS + 2.0
+
+
+async def test_a_request_is_refused_at_once_though_its_body_is_still_to_come():
+    endpoint = StandInEndpoint("e-1", streams(before=4.5))
+    async with site(endpoint, document=STREAMS, stop_seconds=8.0) as (running, session):
+        before = asyncio.create_task(read_stream(running, session, "before"))
+        await running.until(lambda gateway: gateway.running)
+        await stop_and_wait(running, NOTICE_SECONDS + 0.1)
         reader, writer = await open_raw(running.callers_port)
-        await running.until(lambda gateway: gateway.stop_plan.closing)
-        writer.write(raw_head("r-1", 2) + b"{}")
-        assert (await reader.readline()).startswith(b"HTTP/1.1 503 ")
+        writer.write(raw_head("late", 2) + b"{")
+        async with asyncio.timeout(0.5):
+            assert (await reader.readline()).startswith(b"HTTP/1.1 503 ")
         writer.close()
-        await running.task
-    assert endpoint.seen == []
+        assert (await before)[2]
 
 
 async def test_a_body_that_stalls_is_given_up_in_its_callers_time():
@@ -284,7 +371,7 @@
 
     The link broke in the middle of the body; the caller has long given up.
     """
-    async with site(StandInEndpoint("e-1", engines.whole())) as (running, _):
+    async with site(long_answer()) as (running, _):
         reader, writer = await open_raw(running.callers_port)
         head = raw_head("stalls", 2).replace(b"Patience: 8.0", b"Patience: 0.4")
         writer.write(head + b"{")
--- a/tests/unit/test_request_ends.py
+++ b/tests/unit/test_request_ends.py
@@ -9,8 +9,9 @@
 from support.clock import run_paused
 
 from fescuedrum.metrics import LOOP_PROBE_SECONDS, STALLED_SECONDS, watch_loop
+from fescuedrum.serving import REQUEST_ID
 from fescuedrum_gateway.process.metrics import GatewayMetrics
-from fescuedrum_gateway.request.handler import REQUEST_ID, RequestHandler
+from fescuedrum_gateway.request.handler import RequestHandler
 
 
 class EndingHandler(RequestHandler):
--- /dev/null
+++ b/tests/unit/test_serving.py
@@ -0,0 +1,51 @@
+"""Check which of callers' connections a stop closes."""
+
+import asyncio
+import contextlib
+
+from fescuedrum.serving import REST_SECONDS, HeldConnection, HeldServer
+
+
+@contextlib.asynccontextmanager
+async def one_connection():
+    """Yield (server, its only connection), whose requests are never answered."""
+
+    async def handle(_):
+        await asyncio.sleep(60)
+
+    loop = asyncio.get_running_loop()
+    server = HeldServer(handle, HeldConnection, access_log=None)
+    listening = await loop.create_server(server, "127.0.0.1", 0)
+    port = listening.sockets[0].getsockname()[1]
+    _, writer = await asyncio.open_connection("127.0.0.1", port)
+    while not server.connections:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.01)
+    yield server, server.connections[0]
+    writer.close()
+    listening.close()
+    await server.shutdown(0.1)
+
+
+async def test_a_connection_that_rests_is_closed_and_a_new_one_is_not():
+    async with one_connection() as (server, connection):
+        transport = connection.transport
+        now = asyncio.get_running_loop().time()
+        server.close_resting(now)
+        assert not transport.is_closing()
+        server.close_resting(now + REST_SECONDS)
+        assert transport.is_closing()
+
+
+async def test_a_connection_whose_request_was_read_is_not_closed():
+    """A caller's connection is closed without an answer, as if it had been resting.
+
+    Its request was read when the loop stalled. When it went on, the look at resting
+    connections came before the request's handler had begun.
+    """
+    async with one_connection() as (server, connection):
+        transport = connection.transport
+        connection.data_received(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        now = asyncio.get_running_loop().time()
+        server.close_resting(now + REST_SECONDS)
+        assert not transport.is_closing()
