Refuse at an entry's end requests whose bodies are not whole, as not run

Cause: a body has up to `body_seconds` to come, whatever is left of a stop. At its end the connection was closed without a word, and the caller had to take for unknown what no endpoint had heard of.

Ruled out: the deadline, which bounds a request only once its body is read.

Change: the reading of a body is bounded by the end of the stop, also when it began before the signal; then the request is refused (503, not run, `Retry-After`).

Conclusion: what an entry has read in part is told so. The gateway reads bodies in code of its own, which is left as it was.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -201,7 +201,7 @@
         seconds = notice + self.settings.drain_seconds
         plan = self.stop_plan = StopPlan(loop.time(), seconds, notice)
         self.send_heartbeats()
-        self.callers.leaving = True
+        self.callers.leave(plan.latest)
         tell(logger, EntryDraining(self.running, len(self.callers.connections)))
         await serving.let_run(plan, self.callers, self.count_running)
         seconds = round(loop.time() - plan.began, 3)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/errors.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/errors.py
@@ -12,6 +12,7 @@
     FescuedrumError,
     HeadersTooLarge,
     MethodNotAllowed,
+    Unavailable,
     UnknownRoute,
 )
 from fescuedrum.outcomes import OUTCOME_HEADER, REQUEST_ID_HEADER
@@ -21,6 +22,9 @@
 CALLERS_PATHS = ("/v1/", "/services/")
 CLIENT_ERRORS = range(400, 500)
 TYPES = {401: "authentication_error", 429: "rate_limit_error"}
+# The header knows whole seconds only, and at 0 the callers of a zone whose entries all
+# stop would turn in a circle.
+STOP_RETRY_SECONDS = 1
 ERROR_KINDS = {
     404: UnknownRoute,
     405: MethodNotAllowed,
@@ -68,6 +72,11 @@
     return response
 
 
+def stopping():
+    """Return the refusal of what the end of this process might cut."""
+    return Unavailable("This process stops.", retry_after=STOP_RETRY_SECONDS)
+
+
 def from_status(status):
     """Return the error kind for a status that the HTTP library chose."""
     return ERROR_KINDS.get(status, BadRequest)()
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
@@ -17,14 +17,11 @@
 from fescuedrum.outcomes import Outcome
 from fescuedrum_entry.request.call import Repetition
 from fescuedrum_entry.request.dispatch import Dispatcher
-from fescuedrum_entry.request.errors import error_response, new_request_id
+from fescuedrum_entry.request.errors import error_response, new_request_id, stopping
 from fescuedrum_entry.request.parse import authenticate, check_head, parse_call
 from fescuedrum_entry.request.reply import Reply
 
 CODE_LEFT = "caller-left"
-# The header knows whole seconds only, and at 0 the callers of a zone whose entries all
-# stop would turn in a circle.
-STOP_RETRY_SECONDS = 1
 
 logger = logging.getLogger(__name__)
 
@@ -97,7 +94,7 @@
         if plan is None:
             return
         if not plan.takes(now, call.deadline):
-            raise Unavailable("This process stops.", retry_after=STOP_RETRY_SECONDS)
+            raise stopping()
         plan.arrived(now)
         # Before the notice is over all are taken, by the hundred each second.
         if plan.is_noticed(now):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/parse.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/parse.py
@@ -1,6 +1,5 @@
 """Turn a caller's HTTP request into a call, or refuse it before it costs anything."""
 
-import asyncio
 import re
 
 import aiohttp
@@ -16,8 +15,10 @@
     UnknownService,
 )
 from fescuedrum.headers import end_to_end, is_text
+from fescuedrum.serving import StopOver
 from fescuedrum_entry.request.call import Call, Repetition
 from fescuedrum_entry.request.completion import Completion, parse_completion
+from fescuedrum_entry.request.errors import stopping
 
 KEY_HEADER = "Idempotency-Key"
 DEADLINE_HEADER = "Fescuedrum-Deadline-Ms"
@@ -153,8 +154,10 @@
         if http_request.content.is_eof():
             # It came with the head, so there is nothing to wait for.
             return await read_within(http_request.content, maximum)
-        async with asyncio.timeout(settings.body_seconds):
+        async with http_request.protocol.server.body_within(settings.body_seconds):
             return await read_within(http_request.content, maximum)
+    except StopOver as error:
+        raise stopping() from error
     except TimeoutError as error:
         raise BodyTooSlow(
             f"The body took over {settings.body_seconds} seconds."
--- a/packages/fescuedrum/src/fescuedrum/serving.py
+++ b/packages/fescuedrum/src/fescuedrum/serving.py
@@ -1,6 +1,7 @@
 """Know what callers' connections hold, and end them without cutting an answer."""
 
 import asyncio
+import contextlib
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
@@ -17,6 +18,10 @@
 STOP_REST_SECONDS = 0.2
 
 
+class StopOver(TimeoutError):  # noqa: N818 - tells a state, not a fault
+    """Tell that the time of a stop was over before what was waited for."""
+
+
 class HeldConnection(RequestHandler):
     """Know whether a request is in hand.
 
@@ -61,12 +66,46 @@
 
         super().__init__(take_in_hand, **options)
         self.kind = kind
-        # Whether each answer ends its connection.
-        self.leaving = False
+        # Loop time at which a stop gives up bodies that are not whole.
+        self.ends_at = None
+        # Limits of the bodies that are being read.
+        self.limits = set()
 
     def __call__(self):
         return self.kind(self, loop=self._loop, **self._kwargs)
 
+    @property
+    def leaving(self):
+        return self.ends_at is not None
+
+    def leave(self, ends_at):
+        """End each connection with its answer, and wait for bodies until that time."""
+        self.ends_at = ends_at
+        for limit in self.limits:
+            limit.reschedule(min(limit.when(), ends_at))
+
+    @contextlib.asynccontextmanager
+    async def body_within(self, seconds):
+        """Bound the reading of a body: TimeoutError, or StopOver at a stop's end.
+
+        The failure: a body is not whole when the process ends, and its caller gets no
+        word, although its request never ran.
+        """
+        when = asyncio.get_running_loop().time() + seconds
+        if self.leaving:
+            when = min(when, self.ends_at)
+        limit = asyncio.timeout_at(when)
+        try:
+            async with limit:
+                self.limits.add(limit)
+                yield
+        except TimeoutError:
+            if limit.when() == self.ends_at:
+                raise StopOver from None
+            raise
+        finally:
+            self.limits.discard(limit)
+
     def count_in_hand(self):
         """Count connections with a request in hand."""
         return sum(connection.in_hand for connection in self.connections)
--- a/tests/integration/test_process_ends.py
+++ b/tests/integration/test_process_ends.py
@@ -7,6 +7,7 @@
 import pytest
 from aiohttp import web
 from support.builders import build_request
+from support.callers import AUTHORISED
 from support.ends import (
     HOST,
     KEY,
@@ -203,6 +204,16 @@
     return [record for record in caplog.records if record.getMessage() == message]
 
 
+async def begin_body(running):
+    """Send the head of an order and half of its body; return the caller."""
+    caller = await Caller.connect(running)
+    head = ["POST /services/bookings/wait/0.1 HTTP/1.1", "Host: h", AUTHORISED]
+    head += ["Content-Length: 2", "Fescuedrum-Deadline-Ms: 2000"]
+    await caller.send_bytes(("\r\n".join(head) + "\r\n\r\n{").encode())
+    await asyncio.sleep(0.1)
+    return caller
+
+
 async def test_a_body_on_its_way_at_a_stop_is_waited_for(monkeypatch):
     """A caller's link is slow, and its order is cut before it is even read.
 
@@ -211,12 +222,7 @@
     """
     settings = {"notice_seconds": 0.1, "drain_seconds": 3.0}
     async with running_entry(monkeypatch, **settings) as (running, _):
-        caller = await Caller.connect(running)
-        head = ["POST /services/bookings/wait/0.1 HTTP/1.1", "Host: h"]
-        head += ["Authorization: Bearer club.secret", "Content-Length: 2"]
-        head += ["Fescuedrum-Deadline-Ms: 2000"]
-        await caller.send_bytes(("\r\n".join(head) + "\r\n\r\n{").encode())
-        await asyncio.sleep(0.1)
+        caller = await begin_body(running)
         running.tell()
         await asyncio.sleep(1.0)
         await caller.send_bytes(b"}")
@@ -224,6 +230,29 @@
             assert (await caller.read())[0] == 200
 
 
+@pytest.mark.parametrize("late", [False, True])
+async def test_a_body_that_is_not_whole_at_the_end_is_refused_as_not_run(
+    monkeypatch, late
+):
+    """A caller must take an order for unknown of which no endpoint ever heard.
+
+    Its link is so slow that half of the order's body came before the process ended,
+    and its connection was closed without a word.
+    """
+    settings = {"notice_seconds": 0.3, "drain_seconds": 1.7}
+    async with running_entry(monkeypatch, **settings) as (running, answers):
+        caller = None if late else await begin_body(running)
+        running.tell()
+        caller = caller or await begin_body(running)
+        async with asyncio.timeout(5.0):
+            status, head, _, whole = await caller.read()
+        assert (status, whole) == (503, True)
+        assert "fescuedrum-outcome: not-run" in head
+        assert "retry-after: " in head
+        assert await running.end() < 2.0 + END_SECONDS
+        assert answers.paths == []
+
+
 # Agents
 
 
