--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -317,7 +317,7 @@
         loop = asyncio.get_running_loop()
         plan = self.stop_plan = StopPlan(loop.time(), self.settings.stop_seconds)
         self.peers.tell_now()
-        self.callers.leaving = True
+        self.callers.leave(plan.latest)
         tell(logger, GatewayDraining(self.running, len(self.callers.connections)))
         await serving.let_run(plan, self.callers, lambda: self.running)
         seconds = round(loop.time() - plan.began, 3)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
@@ -13,6 +13,7 @@
     UnknownKey,
     UnknownRoute,
 )
+from fescuedrum.serving import StopOver
 from fescuedrum_gateway.request.call import Call
 
 # A process that starts gets its first configuration within about this time.
@@ -39,15 +40,17 @@
     return organisation
 
 
-async def read_body_until(end, http_request, limit):
-    """Return the whole body; raise BodyTooLarge, or BodyTooSlow at the end.
+async def read_body_within(gateway, seconds, http_request, limit):
+    """Return the whole body; raise BodyTooLarge, BodyTooSlow or ProcessStopping.
 
     A caller's link may break in the middle of a body. Nothing shows it, and the request
     would hang, and hold up the stop of its process, long after the caller gave it up.
     """
     try:
-        async with asyncio.timeout_at(end):
+        async with gateway.callers.body_within(seconds):
             return await read_body(http_request, limit)
+    except StopOver:
+        raise refuse_at_stop() from None
     except TimeoutError:
         raise BodyTooSlow("Not all of it came in the caller's time.") from None
 
@@ -98,7 +101,8 @@
     if plan is not None and not plan.takes(arrived, end):
         raise refuse_at_stop()
     limit = table.document.limits.maximum_body_bytes
-    body = await read_body_until(end, http_request, limit)
+    left = end - asyncio.get_running_loop().time()
+    body = await read_body_within(gateway, left, http_request, limit)
     if asyncio.get_running_loop().time() >= end:
         raise DeadlinePassed("The caller's time was over before it was read.")
     returned = not gateway.patience[route.name].is_fresh(head.patience)
