Let the soak play planned stops with long streams and kept connections

Cause: the soak could not see a stream that a planned stop cuts. Its gateways have 2.5 s to stop, and the plan of a stop reckons 3 s for any answer: nothing is taken after the signal. Its streams last half a second, its callers rest for 0.05 s at most, so that no kept connection is used seconds later, and they dial any gateway, in service or not.

Ruled out: changing the runs as they are. Their seeds are regression cases, and a seed that draws anything else plays another case.

Change: a second kind of run, `--kind stops`. Processes have 8 s; streams last 0.3 to 4 s, drawn from the seed for each request; callers wait up to 8 s, think up to 1.5 s and have four connections each, which they use until these close. A balancer looks at /readyz once a second and sends new connections to gateways that were ready at one of the last two looks. Planned work only: stops in turn that overlap, stops of several at once, reloads and documents. What differs between the kinds stands in one module of conditions. The judge checks the same; a part of a run that breaks off is a finding now, too. The endings are printed also for requests at gateways that were stopping.

--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -1,14 +1,21 @@
 """Play the soak for a short while, and check that its judge can find faults."""
 
 import asyncio
+import random
+from itertools import pairwise
 from types import SimpleNamespace
 
 import pytest
-from soak.callers import Ending, Kind, Record
+from soak.balancer import Balancer
+from soak.callers import Ending, Record
+from soak.conditions import FAULTS, STOPS, Kind, Streams
 from soak.endpoints import Run
+from soak.faults import GatewayStopped, HistoryLost, PathFault, StoreFault, draw
 from soak.judge import CONTACT_SECONDS, Judge, Reading
+from soak.planned import draw_work
 from soak.run import play
 from soak.site import Span
+from soak.store import StoreMode
 
 SHORT_SECONDS = 8.0
 SEED = 1
@@ -19,6 +26,11 @@
 }
 
 
+GATEWAYS = [f"gateway-{number}" for number in range(4)]
+# Shortest time from the signal to the next start of a gateway.
+STOP_SECONDS = 3.1
+
+
 def build_record(kind=Kind.ONCE, ending=Ending.ANSWERED, **changes):
     values = {"request_id": "r-1", "gateway": "g-1", "began": 10.0, "ended": 10.5}
     return Record(kind=kind, ending=ending, **values | changes)
@@ -43,6 +55,60 @@
     return Judge(SimpleNamespace(**quiet | site), list(records), readings).findings()
 
 
+def build_site():
+    named = [SimpleNamespace(name=name) for name in GATEWAYS]
+    endpoints = [SimpleNamespace(name=f"i-{number}") for number in range(1, 7)]
+    return SimpleNamespace(gateways=named, endpoints=endpoints)
+
+
+def test_a_seed_keeps_its_faults():
+    """A seed that broke a promise would play something else, and pass."""
+    chance, site = random.Random(820043039), build_site()
+    assert [draw(chance, site) for _ in range(4)] == [
+        PathFault("gateway-0", "partition", 1.0940369505030207),
+        StoreFault(StoreMode.SILENT, 2.734835484297725),
+        HistoryLost(),
+        GatewayStopped("gateway-1"),
+    ]
+
+
+def test_streams_have_the_length_that_their_kind_of_run_gives_them():
+    assert {Streams(1, FAULTS).count(f"c1-{n}") for n in range(50)} == {12}
+    counts = [Streams(1, STOPS).count(f"c1-{number}") for number in range(500)]
+    assert (min(counts), max(counts)) == (3, 40)
+    assert counts == [Streams(1, STOPS).count(f"c1-{n}") for n in range(500)]
+    assert counts != [Streams(2, STOPS).count(f"c1-{n}") for n in range(500)]
+
+
+def test_planned_stops_overlap_and_come_in_turn_and_at_once():
+    in_turn = at_once = 0
+    for seed in range(20):
+        work = draw_work(random.Random(seed), GATEWAYS, STOPS.seconds)
+        stops = [(at, each) for at, each in work if isinstance(each, GatewayStopped)]
+        assert len(stops) >= 2
+        steps = [after[0] - at[0] for at, after in pairwise(stops)]
+        in_turn += sum(0 < step < STOP_SECONDS for step in steps)
+        at_once += steps.count(0)
+        assert [at for at, _ in work] == sorted(at for at, _ in work)
+    assert in_turn > 20
+    assert at_once > 20
+
+
+def test_the_balancer_opens_connections_where_a_late_look_found_a_gateway_ready():
+    first, second = SimpleNamespace(name="g-1"), SimpleNamespace(name="g-2")
+    balancer, chance = Balancer([first, second]), random.Random(1)
+
+    def chosen(*looks):
+        for gateway, answers in zip((first, second), looks, strict=True):
+            balancer.looks[gateway.name].extend(answers)
+        return {balancer.choose(chance).name for _ in range(50)}
+
+    assert chosen([True, False], [True, True]) == {"g-1", "g-2"}
+    assert chosen([False], [True]) == {"g-2"}
+    assert chosen([False], [False, False]) == {"g-1", "g-2"}
+    assert chosen([True], [False]) == {"g-1"}
+
+
 def test_what_is_right_is_no_finding():
     assert judge([build_record()], [build_run()]) == []
 
@@ -95,6 +161,14 @@
     assert result.findings == []
 
 
+async def test_a_short_run_of_planned_stops_cuts_no_answer(tmp_path):
+    run = play(SEED, SHORT_SECONDS, tmp_path, STOPS)
+    result = await asyncio.wait_for(run, 60)
+    assert result.findings == []
+    assert result.endings["answered"] > 100
+    assert result.while_stopping["answered"] > 10
+
+
 async def test_a_short_run_of_random_faults_breaks_no_promise(tmp_path):
     result = await asyncio.wait_for(play(SEED, SHORT_SECONDS, tmp_path), 60)
     assert result.findings == []
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Play seeds from the command line: python -m soak --seeds 50."""
+"""Play seeds from the command line: python -m soak --kind stops --seeds 50."""
 
 import argparse
 import asyncio
@@ -7,6 +7,7 @@
 import sys
 from pathlib import Path
 
+from soak.conditions import CONDITIONS, RunKind
 from soak.run import play
 
 HIGHEST_SEED = 10**9
@@ -15,7 +16,10 @@
 def add_arguments(parser):
     parser.add_argument("--seed", type=int, help="the one seed to play")
     parser.add_argument("--seeds", type=int, default=1, help="how many fresh seeds")
-    parser.add_argument("--seconds", type=float, default=20.0, help="length of each")
+    parser.add_argument(
+        "--kind", type=RunKind, choices=list(RunKind), default=RunKind.FAULTS
+    )
+    parser.add_argument("--seconds", type=float, help="how long each spoils the site")
     parser.add_argument(
         "--logs", type=Path, default=Path("build/soak"), help="where logs are kept"
     )
@@ -30,9 +34,11 @@
     broken = 0
     for seed in seeds:
         directory = options.logs / str(seed)
-        result = asyncio.run(play(seed, options.seconds, directory))
+        conditions = CONDITIONS[options.kind]
+        result = asyncio.run(play(seed, options.seconds, directory, conditions))
         broken += bool(result.findings)
         print(f"seed {seed}: {len(result.findings)} findings, {result.endings}")
+        print(f"  at gateways that were stopping: {result.while_stopping}")
         for line in result.findings:
             print(f"  {line}")
         (directory / "faults.txt").write_text("\n".join(result.faults) + "\n")
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,26 +1,21 @@
 """Send requests as callers do and note what they got."""
 
 import asyncio
+import contextlib
 import enum
 from dataclasses import dataclass
 
 import aiohttp
 
 from soak import wire
-from soak.endpoints import EVENTS, event, whole_body
+from soak.balancer import Lane
+from soak.conditions import Kind
+from soak.endpoints import whole_body
 
-PATIENCE_SECONDS = 4.0
-THINK_SECONDS = 0.05
 # Callers share few kept connections with each gateway, and use them until they close.
 CONNECTIONS = 4
-
-
-class Kind(enum.StrEnum):
-    """Name the kinds of request by their path."""
-
-    ONCE = "once"
-    AGAIN = "again"
-    STREAM = "stream"
+# Those who keep connections have so many each; all but one rest.
+LANES = 4
 
 
 class Ending(enum.StrEnum):
@@ -56,9 +51,10 @@
 class Caller:
     """Send one request after the other until cancelled."""
 
-    def __init__(self, number, gateways, records, random):
+    def __init__(self, number, site, records, random):
         self.number = number
-        self.gateways = gateways
+        self.site = site
+        self.conditions = site.conditions
         self.records = records
         self.random = random
         self.sent = 0
@@ -68,36 +64,43 @@
         connector = aiohttp.TCPConnector(limit_per_host=CONNECTIONS)
         async with aiohttp.ClientSession(connector=connector) as session:
             while True:
-                await self.send(session)
-                await asyncio.sleep(THINK_SECONDS * self.random.random())
+                gateway = self.random.choice(self.site.gateways)
+                record = self.draw_request(gateway.name)
+                await self.send(session, gateway.url, record)
+                await self.think()
+
+    async def think(self):
+        await asyncio.sleep(self.conditions.think * self.random.random())
 
-    async def send(self, session):
+    def draw_request(self, gateway):
         self.sent += 1
-        gateway = self.random.choice(self.gateways)
         record = Record(
             request_id=f"c{self.number}-{self.sent}",
-            kind=self.random.choice(list(Kind)),
-            gateway=gateway.name,
+            kind=self.random.choice(self.conditions.requests),
+            gateway=gateway,
             began=self.loop.time(),
         )
         self.records.append(record)
+        return record
+
+    async def send(self, session, url, record):
         try:
-            async with asyncio.timeout(PATIENCE_SECONDS + 1):
-                await self.read_answer(session, gateway, record)
+            async with asyncio.timeout(self.conditions.patience + 1):
+                await self.read_answer(session, url, record)
         except aiohttp.ClientConnectorError as error:
             record.ending, record.detail = Ending.UNSENT, repr(error)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             record.ending, record.detail = Ending.CUT, repr(error)
         record.ended = self.loop.time()
 
-    async def read_answer(self, session, gateway, record):
+    async def read_answer(self, session, url, record):
         headers = {
             "Host": "soak.example",
             wire.REQUEST_ID: record.request_id,
             wire.KEY: "club-key",
-            wire.PATIENCE: str(int(PATIENCE_SECONDS * 1000)),
+            wire.PATIENCE: str(int(self.conditions.patience * 1000)),
         }
-        url = f"{gateway.url}/{record.kind}/x"
+        url = f"{url}/{record.kind}/x"
         # A library that sends a request again by itself would blame the gateway.
         async with session.post(url, data=b"{}", headers=headers) as answer:
             body = await answer.read()
@@ -107,21 +110,45 @@
             ):
                 record.ending = Ending.WRONG
             elif answer.status == 200:
-                right = body == expected(record)
+                right = body == self.expected(record)
                 record.ending = Ending.ANSWERED if right else Ending.WRONG
             else:
                 record.ending = ending_of(answer.status)
 
+    def expected(self, record):
+        """Return the whole right answer to a request."""
+        if record.kind is not Kind.STREAM:
+            return whole_body(record.request_id)
+        return self.site.streams.body(record.request_id)
+
+
+class KeepingCaller(Caller):
+    """Come through the balancer, and use each connection until its gateway closes it.
+
+    A connection that rests for seconds is still where it was opened to, however long
+    the balancer has sent nobody there.
+    """
+
+    def __init__(self, number, site, records, random, balancer):
+        super().__init__(number, site, records, random)
+        self.balancer = balancer
+
+    async def run(self):
+        async with contextlib.AsyncExitStack() as stack:
+            lanes = [Lane(self.balancer, self.random) for _ in range(LANES)]
+            sessions = {
+                lane: await stack.enter_async_context(lane.open_session())
+                for lane in lanes
+            }
+            while True:
+                lane = self.random.choice(lanes)
+                record = self.draw_request(lane.gateway)
+                await self.send(sessions[lane], lane.url, record)
+                record.gateway = lane.gateway
+                await self.think()
+
 
 def ending_of(status):
     if status in NOT_RUN_STATUSES:
         return Ending.NOT_RUN
     return Ending.DENIED if status in DENIED_STATUSES else Ending.FAILED
-
-
-def expected(record):
-    """Return the whole right answer to a request."""
-    if record.kind is not Kind.STREAM:
-        return whole_body(record.request_id)
-    numbers = range(1, EVENTS + 1)
-    return b"".join(event(record.request_id, number) for number in numbers)
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -9,10 +9,9 @@
 
 from fescuedrum_bench.faultproxy import FaultProxy
 from soak import wire
+from soak.conditions import event
 
 RUN_SECONDS = 0.03
-EVENTS = 12
-EVENT_SECONDS = 0.04
 # What an endpoint that fails a part of its requests makes of one in so many.
 FAILING_ONE_IN = 4
 
@@ -22,11 +21,6 @@
     return hashlib.sha256(request_id.encode()).hexdigest().encode() * 8
 
 
-def event(request_id, number):
-    """Return one event of a request's stream, as bytes."""
-    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
-
-
 @dataclass(slots=True, frozen=True)
 class Run:
     """Say that an endpoint began to work on a request; at is loop time."""
@@ -47,11 +41,13 @@
 class StandInEndpoint:
     """Run requests of one service behind a proxy of its own."""
 
-    def __init__(self, name, service, zone, journal):
+    def __init__(self, name, service, zone, journal, streams):
         self.name = name
         self.service = service
         self.zone = zone
         self.journal = journal
+        self.streams = streams
+        self.slots = streams.conditions.slots
         self.fails = False
         self.refuses = False
         self.proxy = None
@@ -100,8 +96,8 @@
         # Whoever reads may be gone: faults see to that.
         with contextlib.suppress(ConnectionError):
             await response.prepare(request)
-            for number in range(first, EVENTS + 1):
-                await asyncio.sleep(EVENT_SECONDS)
+            for number in range(first, self.streams.count(request_id) + 1):
+                await asyncio.sleep(self.streams.conditions.event_pause)
                 await response.write(event(request_id, number))
             await response.write_eof()
         return response
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -3,7 +3,8 @@
 import collections
 from dataclasses import dataclass
 
-from soak.callers import Ending, Kind
+from soak.callers import Ending
+from soak.conditions import Kind
 
 # As the routes of the site say.
 MAXIMUM_ATTEMPTS = 2
@@ -83,6 +84,13 @@
         if not (stopping and crossing):
             yield self.line(record, f"ended {record.ending} without a fault")
 
+    def came_while_stopping(self, record):
+        """Tell whether a request was sent to a gateway that had been told to stop."""
+        return any(
+            span.what == record.gateway and span.touches(record.began, record.began)
+            for span in self.site.stops
+        )
+
     def line(self, record, what):
         return (
             f"{record.kind} {record.request_id} at {record.gateway}, "
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -15,10 +15,7 @@
 # A gateway is ready half a second after its start; a busy machine is far slower.
 START_SECONDS = 15.0
 READY_POLL_SECONDS = 0.1
-# What a process is told that it has from the signal to its end: less than the patience
-# of callers, so that stops are seen to refuse what no longer fits.
-STOP_SECONDS = 2.5
-# What it gets beyond that before it counts as one that does not stop.
+# What a process gets beyond its time to stop before it counts as one that does not.
 KILL_SECONDS = 3.0
 
 
@@ -34,12 +31,13 @@
 class GatewayProcess:
     """Own one gateway process and the proxy between it and the store."""
 
-    def __init__(self, number, ports, directory):
+    def __init__(self, number, ports, directory, stop_seconds):
         self.name = f"gateway-{number}"
         self.host = f"127.0.1.{number + 1}"
         self.zone = f"zone-{number % 3 + 1}"
         self.ports = ports
         self.directory = directory
+        self.stop_seconds = stop_seconds
         self.store_proxy = None
         self.process = None
         # Whether the process is meant to run.
@@ -68,7 +66,7 @@
             "peer_port": self.ports.peers,
             "platform_url": f"http://127.0.0.1:{port}",
             "seeds": [f"{host}:1" for host in seeds],
-            "stop_seconds": STOP_SECONDS,
+            "stop_seconds": self.stop_seconds,
         }
         self.settings_path.write_text(json.dumps(settings))
 
@@ -127,13 +125,13 @@
         except (TimeoutError, aiohttp.ClientError, OSError):
             return False, None
 
-    async def end(self, how=signal.SIGTERM, seconds=STOP_SECONDS + KILL_SECONDS):
+    async def end(self, how=signal.SIGTERM):
         """Tell the process to end and wait for it; kill it when it does not."""
         self.wanted = False
         self.send_signal(signal.SIGCONT)
         self.send_signal(how)
         loop = asyncio.get_running_loop()
-        latest = loop.time() + seconds
+        latest = loop.time() + self.stop_seconds + KILL_SECONDS
         while self.running and loop.time() < latest:
             await asyncio.sleep(0.02)
         if self.running:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,13 +9,15 @@
 
 import aiohttp
 
-from soak.callers import Caller
+from soak.balancer import Balancer
+from soak.callers import Caller, KeepingCaller
+from soak.conditions import FAULTS, Conditions, RunKind
 from soak.faults import draw, inject
 from soak.judge import RECOVERED_SHARE, Judge, Reading
+from soak.planned import draw_work
 from soak.site import Site
 
 GATEWAYS = 4
-CALLERS = 6
 SHORTEST_PAUSE_SECONDS = 0.2
 LONGEST_PAUSE_SECONDS = 1.5
 READ_SECONDS = 0.2
@@ -31,8 +33,8 @@
     seed: int
     seconds: float
     directory: Path
+    conditions: Conditions = FAULTS
     gateways: int = GATEWAYS
-    callers: int = CALLERS
 
 
 @dataclass(slots=True)
@@ -43,6 +45,8 @@
     faults: list[str]
     findings: list[str]
     endings: dict[str, int]
+    # Of these, the ones at gateways that had been told to stop.
+    while_stopping: dict[str, int]
 
 
 class Soak:
@@ -51,7 +55,7 @@
     def __init__(self, plan):
         self.plan = plan
         self.random = random.Random(plan.seed)
-        self.site = Site(self.random, plan.directory, plan.gateways)
+        self.site = Site(self.random, plan)
         self.records = []
         self.readings = []
         self.faults = []
@@ -70,32 +74,63 @@
         for gateway in self.site.gateways:
             await gateway.until_ready(session)
         lasting = [asyncio.create_task(self.read_versions(session))]
-        for number in range(self.plan.callers):
-            chance = random.Random(f"{self.plan.seed}/{number}")
-            caller = Caller(number, self.site.gateways, self.records, chance)
-            lasting.append(asyncio.create_task(caller.run()))
-        await self.inject_faults()
+        match self.plan.conditions.kind:
+            case RunKind.FAULTS:
+                lasting += self.start_callers(Caller)
+                await self.inject_faults()
+            case RunKind.STOPS:
+                balancer = Balancer(self.site.gateways)
+                await balancer.look(session)
+                lasting.append(asyncio.create_task(balancer.run(session)))
+                lasting += self.start_callers(KeepingCaller, balancer)
+                await self.do_planned_work()
         await asyncio.sleep(RECOVERY_SECONDS)
         healed = self.loop.time()
         await asyncio.sleep(WATCHED_SECONDS)
+        broken = [repr(task.exception()) for task in lasting if task.done()]
+        self.site.findings += [
+            f"a part of the run broke off: {each}" for each in broken
+        ]
         for task in lasting:
             task.cancel()
         await asyncio.gather(*lasting, return_exceptions=True)
         return self.judge(healed)
 
+    def start_callers(self, build, *arguments):
+        """Return the tasks of the callers."""
+        tasks = []
+        for number in range(self.plan.conditions.callers):
+            chance = random.Random(f"{self.plan.seed}/{number}")
+            caller = build(number, self.site, self.records, chance, *arguments)
+            tasks.append(asyncio.create_task(caller.run()))
+        return tasks
+
     async def inject_faults(self):
         """Bring faults about one after the other; those that last overlap."""
         until = self.loop.time() + self.plan.seconds
         running = []
         while self.loop.time() < until:
-            fault = draw(self.random, self.site)
-            self.faults.append(f"{self.loop.time():.3f} {fault}")
-            running.append(asyncio.create_task(inject(fault, self.site)))
+            running.append(self.begin(draw(self.random, self.site)))
             await asyncio.sleep(
                 self.random.uniform(SHORTEST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS)
             )
         await asyncio.gather(*running)
 
+    async def do_planned_work(self):
+        """Do what is planned at its time; stops overlap."""
+        began = self.loop.time()
+        names = [each.name for each in self.site.gateways]
+        running = []
+        for second, work in draw_work(self.random, names, self.plan.seconds):
+            await asyncio.sleep(began + second - self.loop.time())
+            running.append(self.begin(work))
+        await asyncio.gather(*running)
+
+    def begin(self, fault):
+        """Note a fault; return the task that brings it about."""
+        self.faults.append(f"{self.loop.time():.3f} {fault}")
+        return asyncio.create_task(inject(fault, self.site))
+
     async def read_versions(self, session):
         """Ask each gateway for its version over and over, and see that it runs."""
         while True:
@@ -117,15 +152,22 @@
         share = judge.recovered(healed)
         if share < RECOVERED_SHARE:
             findings.append(f"only {share:.2f} were answered after all faults")
-        endings = collections.Counter(
-            record.ending.value for record in self.records if record.ended
+        ended = [record for record in self.records if record.ended]
+        stopping = [record for record in ended if judge.came_while_stopping(record)]
+        return SoakResult(
+            self.plan.seed, self.faults, findings, count(ended), count(stopping)
         )
-        return SoakResult(self.plan.seed, self.faults, findings, dict(endings))
 
 
-async def play(seed, seconds, directory=None):
+def count(records):
+    """Return how many of the requests ended how."""
+    return dict(collections.Counter(record.ending.value for record in records))
+
+
+async def play(seed, seconds=None, directory=None, conditions=FAULTS):
     """Play one seed; without a directory the logs are dropped."""
     with tempfile.TemporaryDirectory() as scratch:
-        plan = SoakPlan(seed, seconds, Path(directory or scratch))
+        directory = Path(directory or scratch)
+        plan = SoakPlan(seed, seconds or conditions.seconds, directory, conditions)
         plan.directory.mkdir(parents=True, exist_ok=True)
         return await Soak(plan).run()
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -7,7 +7,7 @@
 from support.gateways import free_ports
 
 from soak import wire
-from soak.callers import Kind
+from soak.conditions import Kind, Streams
 from soak.endpoints import Journal, StandInEndpoint
 from soak.processes import GatewayProcess, Ports
 from soak.store import StandInStore
@@ -32,6 +32,7 @@
 
     version: int
     routes: tuple[SoakRoute, ...]
+    timeout_ms: int
     services: tuple[str, ...] = SERVICES
     keys: frozenset[str] = frozenset(("club-key",))
 
@@ -58,17 +59,21 @@
 class Site:
     """Own everything that runs, and note what was disturbed when."""
 
-    def __init__(self, random, directory, gateways):
+    def __init__(self, random, plan):
         self.random = random
+        self.conditions = plan.conditions
+        self.streams = Streams(plan.seed, plan.conditions)
         self.loop = asyncio.get_running_loop()
         self.store = StandInStore()
         self.journal = Journal()
         self.endpoints = []
         ports = Ports(*free_ports(3))
         self.gateways = [
-            GatewayProcess(number, ports, directory) for number in range(gateways)
+            GatewayProcess(number, ports, plan.directory, self.conditions.stop)
+            for number in range(plan.gateways)
         ]
-        self.document = SoakDocument(1, ROUTES)
+        timeout = round(self.conditions.patience * 1000)
+        self.document = SoakDocument(1, ROUTES, timeout)
         self.disturbances = []
         self.stops = []
         self.zone_spans = []
@@ -107,7 +112,9 @@
 
     async def add_endpoint(self, service, zone):
         self.named += 1
-        endpoint = StandInEndpoint(f"i-{self.named}", service, zone, self.journal)
+        endpoint = StandInEndpoint(
+            f"i-{self.named}", service, zone, self.journal, self.streams
+        )
         await endpoint.start()
         self.endpoints.append(endpoint)
         line = wire.encode_endpoint(endpoint, draining=False)
