--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -26,6 +26,10 @@
 }
 
 
+# The same of runs with planned work only.
+STOPS_REGRESSIONS = {
+    488366453: "a stopping gateway took streams that lasted longer than its time left",
+}
 GATEWAYS = [f"gateway-{number}" for number in range(4)]
 # Shortest time from the signal to the next start of a gateway.
 STOP_SECONDS = 3.1
@@ -161,6 +165,14 @@
     assert result.findings == []
 
 
+@pytest.mark.parametrize("seed", STOPS_REGRESSIONS)
+async def test_seeds_whose_planned_stops_cut_answers_do_so_no_more(seed, tmp_path):
+    """A gateway that is told to stop closes a stream in the middle."""
+    run = play(seed, STOPS.seconds, tmp_path, STOPS)
+    result = await asyncio.wait_for(run, 100)
+    assert result.findings == []
+
+
 async def test_a_short_run_of_planned_stops_cuts_no_answer(tmp_path):
     run = play(SEED, SHORT_SECONDS, tmp_path, STOPS)
     result = await asyncio.wait_for(run, 60)
