--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -46,6 +46,8 @@
 
 # Pause between looks at whether a stop may end: little against its margin of 0.6 s.
 STOP_POLL_SECONDS = 0.05
+# How long a connection must have brought nothing before a stop's end closes it.
+STOP_REST_SECONDS = 0.2
 # Pause before the own address is written again; the seeds serve meanwhile.
 ANNOUNCE_RETRY_SECONDS = 1.0
 # Pause before a failed task runs again, so that a lasting fault does not fill the log.
@@ -59,9 +61,9 @@
 
     __slots__ = (
         "adapter",
+        "callers",
         "configuration",
         "directory",
-        "ending",
         "followers",
         "incarnation",
         "metrics",
@@ -100,10 +102,10 @@
         self.return_queues = collections.defaultdict(ReturnQueue)
         self.retries = collections.defaultdict(self.build_retries)
         self.followers = []
+        # The server that holds callers' connections.
+        self.callers = None
         # Set once the process was told to stop.
         self.stop_plan = None
-        # Whether the stop's time is over and what still runs is cut.
-        self.ending = False
         self.metrics = GatewayMetrics()
         self.metrics.watch(self)
         self.running = 0
@@ -141,9 +143,10 @@
             tell(logger, GatewayStarted(__version__))
             await stop.wait()
             await self.drain()
-            self.ending = True
-            for runner in runners:
-                await runner.cleanup()
+            callers, own = runners
+            await self.deliver(callers)
+            await callers.cleanup()
+            await own.cleanup()
             await cancel(tasks)
             self.peers.close()
         tell(logger, GatewayStopped())
@@ -175,9 +178,8 @@
         control.router.add_get("/readyz", self.readyz)
         control.router.add_get("/metrics", self.expose_metrics)
         followers.add_routes(control, self.followers)
-        callers = web.ServerRunner(
-            build_server(RequestHandler(self).handle, settings), shutdown_timeout=0.1
-        )
+        self.callers = build_server(RequestHandler(self).handle, settings)
+        callers = web.ServerRunner(self.callers, shutdown_timeout=0.1)
         own = web.AppRunner(control, access_log=None, shutdown_timeout=0.1)
         peer_address = f"{settings.host}:{settings.peer_port}"
         await start(own, settings.ready_address, peer_address)
@@ -188,6 +190,11 @@
     def leaving(self):
         return self.stop_plan is not None
 
+    @property
+    def ending(self):
+        """Tell whether the time of a stop is over, so that what still runs is cut."""
+        return self.leaving and self.stop_plan.ended
+
     @property
     def ready(self):
         listed = self.followers and self.followers[1].replica.loaded
@@ -314,15 +321,38 @@
     # The end
 
     async def drain(self):
-        """Turn readiness down and let running requests end."""
+        """Turn readiness down and let running requests end.
+
+        Once the balancer has noticed, only kept connections still bring requests here.
+        They are closed while they rest: a caller that finds its connection closed dials
+        another gateway, and one that does not would be refused here first.
+        """
         loop = asyncio.get_running_loop()
         plan = self.stop_plan = StopPlan(loop.time(), self.settings.stop_seconds)
         self.peers.tell_now()
-        tell(logger, GatewayDraining(self.running))
+        tell(logger, GatewayDraining(self.running, len(self.callers.connections)))
         while not plan.may_end(loop.time(), self.running):
+            if plan.is_noticed(loop.time()):
+                self.callers.close_resting(loop.time())
             await asyncio.sleep(STOP_POLL_SECONDS)
+        plan.end()
         seconds = round(loop.time() - plan.began, 3)
-        tell(logger, GatewayDrained(self.running, seconds))
+        open_connections = len(self.callers.connections)
+        tell(logger, GatewayDrained(self.running, open_connections, seconds))
+
+    async def deliver(self, runner):
+        """Wait until callers have their answers, or the time of the stop is over.
+
+        A request has ended when its answer is written, but a caller on a narrow link
+        reads on: what the process still holds of it would be lost with the process, and
+        the caller would have half an answer. A connection is gone once all has left.
+        """
+        for site in list(runner.sites):
+            await site.stop()
+        loop = asyncio.get_running_loop()
+        while self.callers.connections and loop.time() < self.stop_plan.latest:
+            self.callers.close_resting(loop.time(), STOP_REST_SECONDS)
+            await asyncio.sleep(STOP_POLL_SECONDS)
 
 
 async def start(runner, *addresses):
