--- a/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/process/agent.py
@@ -41,6 +41,13 @@
 logger = logging.getLogger(__name__)
 
 DRAIN_POLL_SECONDS = 0.05
+# For the word that the agent leaves to reach its entries, and for what crossed it to
+# come and be refused. With the agent gone it would end as unknown and never run.
+WORD_SECONDS = 0.5
+# For the last bytes on their way to entries, and for these to close: the longest that
+# an entry which does not may hold up the end, and what there is beyond `drain_seconds`.
+LEAVE_SECONDS = 5.0
+LATE_LEAVE_SECONDS = 0.5
 # A large fleet's entries send heartbeats more seldom; so many may be missed.
 SILENT_BEATS = 4
 
@@ -104,9 +111,10 @@
         stop_on_failure([beat, reload], stop)
         lag = asyncio.create_task(watch_loop(self.metrics.loop_delay))
         await stop.wait()
-        await self.drain()
+        deadline = await self.drain()
         await cancel([beat, lag, reload])
         server.close()
+        await self.take_leave(deadline)
         for session in list(self.sessions):
             session.connection.close()
         await self.session.close()
@@ -129,16 +137,38 @@
         session.connection.send(heartbeat=self.heartbeat(session))
 
     async def drain(self):
-        """Refuse new work, tell every entry, and let running requests end."""
+        """Refuse new work and let running requests end; return the time for that."""
         self.gate.close(leaving=True)
         self.send_heartbeats()
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + self.settings.drain_seconds
-        while self.busy() and loop.time() < deadline:
+        now = loop.time()
+        deadline = now + self.settings.drain_seconds
+        heard = now + WORD_SECONDS
+        while (self.busy() or loop.time() < heard) and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        return deadline
+
+    async def take_leave(self, deadline):
+        """Wait a little until the entries have read all."""
+        for session in self.sessions:
+            session.connection.finish()
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        end = min(now + LEAVE_SECONDS, max(deadline, now + LATE_LEAVE_SECONDS))
+        while loop.time() < end:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+            if not any(session.connection.may_lose for session in self.sessions):
+                return
 
     def busy(self):
-        return bool(self.tickets) or any(session.relays for session in self.sessions)
+        """Tell whether a stop must wait, in its time.
+
+        The failure: a booking ran, and the end of its answer stands in this process
+        behind a slow link. Lost with the process, it ends as unknown at its entry.
+        """
+        if self.tickets or any(session.busy for session in self.sessions):
+            return True
+        return self.keyed.has_untaken(asyncio.get_running_loop().time())
 
     async def beat(self):
         while True:
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -8,8 +8,9 @@
 import aiohttp
 from aiohttp import web
 
-from fescuedrum import __version__
+from fescuedrum import __version__, serving
 from fescuedrum.decisions.retries import ServiceRetries
+from fescuedrum.decisions.stopping import StopPlan
 from fescuedrum.events.event import tell
 from fescuedrum.events.processes import EntryStarted, EntryStopped
 from fescuedrum.faults import FaultPoint
@@ -42,14 +43,13 @@
 
 logger = logging.getLogger(__name__)
 
-DRAIN_POLL_SECONDS = 0.05
-
 
 class Entry:
     """Own the links, the configuration and the HTTP server of one entry process."""
 
     __slots__ = (
         "background",
+        "callers",
         "callers_tls",
         "claims",
         "configuration",
@@ -57,7 +57,6 @@
         "faults",
         "following",
         "incarnation",
-        "leaving",
         "link_tasks",
         "links",
         "members",
@@ -71,6 +70,7 @@
         "running",
         "settings",
         "sign_in_limit",
+        "stop_plan",
         "traces",
         "waiting_room",
     )
@@ -86,6 +86,8 @@
         self.links = {}
         self.link_tasks = {}
         self.peers = Peers(settings.peer_keys, settings.peer_tls, self.hello)
+        # The server that holds callers' connections.
+        self.callers = None
         self.callers_tls = Certificates()
         self.platform = None
         self.random = random.Random(incarnation)
@@ -104,7 +106,8 @@
         self.running = 0
         self.traces = TraceBook(settings.trace_count, settings.trace_slow_seconds)
         self.metrics = EntryMetrics()
-        self.leaving = False
+        # Set once the process was told to stop.
+        self.stop_plan = None
         self.metrics.watch(self)
         live_fields["version"] = lambda: self.configuration.version
 
@@ -127,11 +130,13 @@
             stop_on_failure(tasks, stop)
             runner = CallersRunner(self.build_application(), self.settings)
             await runner.setup()
+            self.callers = runner.server
             await self.listen(runner)
             peer_server = await self.members.listen()
             tell(logger, EntryStarted(__version__))
             await stop.wait()
             await self.drain()
+            await serving.deliver(self.stop_plan, self.callers, runner)
             if peer_server is not None:
                 peer_server.close()
             await runner.cleanup()
@@ -146,6 +151,10 @@
         site = web.TCPSite(runner, settings.host, settings.port, ssl_context=context)
         await site.start()
 
+    @property
+    def leaving(self):
+        return self.stop_plan is not None
+
     def build_application(self):
         application = web.Application()
         handler.add_routes(application, self)
@@ -182,13 +191,22 @@
         The balancer goes on sending until it has asked /readyz again. A process that
         closed its listener at once would cut those callers off.
         """
-        self.leaving = True
-        self.send_heartbeats()
-        await asyncio.sleep(self.settings.notice_seconds)
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + self.settings.drain_seconds
-        while (self.running or self.background) and loop.time() < deadline:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        notice = self.settings.notice_seconds
+        seconds = notice + self.settings.drain_seconds
+        plan = self.stop_plan = StopPlan(loop.time(), seconds, notice)
+        self.send_heartbeats()
+        self.callers.leaving = True
+        await serving.let_run(plan, self.callers, self.count_running)
+
+    def count_running(self):
+        """Count what a stop waits for.
+
+        The failure: an order whose body is on its way counts nowhere yet, the process
+        ends, and its caller can't know that it did not run. An operator's change may
+        likewise be at the store. Both are in hand from their head to their answer.
+        """
+        return self.running + len(self.background) + self.callers.count_in_hand()
 
     def start_claims(self):
         """Start what writes claims and what deletes old ones; return the tasks."""
--- a/packages/fescuedrum/src/fescuedrum/wire/connection.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/connection.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import collections
+import fcntl
+import sys
+import termios
 
 from fescuedrum.exceptions import PeerRefusedError, ProtocolError
 from fescuedrum.wire import codec
@@ -25,6 +28,7 @@
     """
 
     __slots__ = (
+        "finished",
         "incoming",
         "loop",
         "maximum_frame_bytes",
@@ -43,6 +47,8 @@
         self.writer.transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
         self.loop = asyncio.get_running_loop()
         self.outgoing = []
+        # Whether the peer was told that nothing more comes.
+        self.finished = False
         self.queued_bytes = 0
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -62,7 +68,7 @@
         frames, self.outgoing = self.outgoing, []
         self.sent_bytes += self.queued_bytes
         self.queued_bytes = 0
-        if not frames or self.writer.is_closing():
+        if not frames or self.finished or self.writer.is_closing():
             return
         self.writer.write(b"".join(frames))
         # A peer that takes nothing would otherwise fill this process's memory.
@@ -137,6 +143,29 @@
             position = begin + length
         del buffer[:position]
 
+    def finish(self):
+        """Tell the peer that nothing more comes, and go on reading until it closes.
+
+        The failure: a process ends while its kernel still sends for it, the peer's next
+        frame finds nobody, and the kernel answers with a reset that drops the rest. The
+        peer closes when it has read all, so what it sends until then must be read.
+        """
+        self.flush()
+        self.finished = True
+        if self.writer.can_write_eof() and not self.writer.is_closing():
+            self.writer.write_eof()
+
+    @property
+    def may_lose(self):
+        """Tell whether the end of the process could lose something that was sent.
+
+        TLS can't be half closed, and its own closing fails when a frame crosses it. It
+        has nothing to lose once the peer's kernel has all, which a reset leaves there.
+        """
+        if self.writer.can_write_eof():
+            return not self.writer.is_closing()
+        return bool(self.unsent_bytes or undelivered_bytes(self.writer))
+
     def close(self):
         """Close when the peer has taken what was sent, or has had its time to."""
         self.flush()
@@ -144,3 +173,12 @@
         # A silent peer takes nothing, so the transport would wait for good and keep
         # its buffer, and the process could not end.
         self.loop.call_later(CLOSE_SECONDS, self.writer.transport.abort)
+
+
+def undelivered_bytes(writer):
+    """Count the bytes in the kernel's hands that the peer's has not confirmed."""
+    sock = writer.get_extra_info("socket")
+    if writer.is_closing() or sock.fileno() < 0:
+        return 0
+    answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    return int.from_bytes(answer, sys.byteorder)
