Say in the soak's findings how much of a wrong answer came

Cause: a finding told of a wrong answer only that its status was 200; the logs don't keep answers, so that what it lacked could not be seen afterwards.

Change: its length and that of the right one. What counts as wrong is the same.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -110,11 +110,17 @@
             ):
                 record.ending = Ending.WRONG
             elif answer.status == 200:
-                right = body == self.expected(record)
-                record.ending = Ending.ANSWERED if right else Ending.WRONG
+                self.compare(body, record)
             else:
                 record.ending = ending_of(answer.status)
 
+    def compare(self, body, record):
+        """Judge an answer's bytes, and note how many a wrong one has."""
+        right = self.expected(record)
+        record.ending = Ending.ANSWERED if body == right else Ending.WRONG
+        if body != right:
+            record.detail += f", {len(body)} bytes for {len(right)}"
+
     def expected(self, record):
         """Return the whole right answer to a request."""
         if record.kind is not Kind.STREAM:
