--- a/tests/integration/test_process_ends.py
+++ b/tests/integration/test_process_ends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 
 import pytest
 from aiohttp import web
@@ -10,6 +11,7 @@
     HOST,
     KEY,
     Caller,
+    TlsCaller,
     narrow,
     open_socket,
     running_agent,
@@ -17,6 +19,7 @@
 )
 from support.peers import Authority, build_entry_side
 
+from fescuedrum.claims.ledger import Verdict
 from fescuedrum.outcomes import Outcome
 from fescuedrum.tls import Certificates
 from fescuedrum.wire import codec
@@ -129,6 +132,27 @@
         assert await running.end() < 4.1
 
 
+async def test_a_stopping_entry_sends_an_answer_to_its_last_byte_over_tls(
+    monkeypatch, tmp_path
+):
+    """The same answer is lost where callers speak TLS to the entry itself."""
+    files = Authority(tmp_path).issue("callers")
+    settings = {"notice_seconds": 0.1, "drain_seconds": 4.0, "callers_tls": files}
+    async with running_entry(monkeypatch, **settings) as (running, answers):
+        context = Certificates().client_context(files)
+        caller = TlsCaller(await open_socket(running.port), context)
+        await caller.handshake()
+        await caller.send(f"/services/bookings/bytes/{ANSWER_BYTES}")
+        await running.until(lambda entry: answers.paths and not entry.running)
+        running.tell()
+        await asyncio.sleep(1.0)
+        async with asyncio.timeout(5.0):
+            status, _, body, whole = await caller.read()
+        assert (status, len(body), whole) == (200, ANSWER_BYTES, True)
+        caller.close()
+        assert await running.end() < 4.1
+
+
 async def test_a_caller_that_reads_nothing_does_not_hold_up_a_stop(monkeypatch):
     """A program hangs with a connection open, and its entry can't be replaced."""
     settings = {"notice_seconds": 0.1, "drain_seconds": 0.9}
@@ -141,6 +165,44 @@
         caller.close()
 
 
+async def test_a_stop_that_cuts_is_told_in_the_log(monkeypatch, caplog):
+    """Nobody can say whether it was the entry or the platform that cut a request."""
+    caplog.set_level(logging.INFO)
+    settings = {"notice_seconds": 0.1, "drain_seconds": 0.9}
+    async with running_entry(monkeypatch, **settings) as (running, _):
+        before = await begin(running, "/wait/4")
+        running.tell()
+        await running.end()
+        await before
+    (began,) = told(caplog, "entry draining")
+    (ended,) = told(caplog, "entry drained")
+    assert (began.running, began.connections) == (1, 1)
+    assert (ended.running, ended.connections) == (1, 1)
+    assert 0.3 < ended.seconds < 1.0
+
+
+async def test_an_agents_stop_is_told_in_the_log(monkeypatch, caplog):
+    caplog.set_level(logging.INFO)
+    async with (
+        endpoint() as (url, _),
+        running_agent(monkeypatch, url, drain_seconds=0.6) as running,
+    ):
+        connection = await link_to(running)
+        connection.send(request=build_request(path="/wait/2", budget_ms=9000))
+        await running.until(lambda agent: agent.gate.running)
+        running.tell()
+        await running.end()
+        connection.close()
+    (began,) = told(caplog, "agent draining")
+    (ended,) = told(caplog, "agent drained")
+    assert (began.running, ended.running, ended.unsent) == (1, 1, 0)
+    assert 0.5 < ended.seconds < 1.6
+
+
+def told(caplog, message):
+    return [record for record in caplog.records if record.getMessage() == message]
+
+
 async def test_a_body_on_its_way_at_a_stop_is_waited_for(monkeypatch):
     """A caller's link is slow, and its order is cut before it is even read.
 
@@ -237,15 +299,19 @@
     return agent.tickets or any(session.relays for session in agent.sessions)
 
 
-async def test_a_stopping_agent_sends_an_answer_to_its_last_byte(monkeypatch):
+@pytest.mark.parametrize("tls", [False, True])
+async def test_a_stopping_agent_sends_an_answer_to_its_last_byte(
+    monkeypatch, tmp_path, tls
+):
     """A booking that ran ends as unknown, and neither its service nor a link failed.
 
     Its agent was told to stop when the end of the answer stood in the agent's own
     buffer, behind a slow link to the entry.
     """
+    files = Authority(tmp_path).issue("peers") if tls else None
     async with (
         endpoint() as (url, _),
-        running_agent(monkeypatch, url, drain_seconds=5.0) as running,
+        running_agent(monkeypatch, url, peer_tls=files) as running,
     ):
         connection = await link_to(running)
         await running.until(lambda agent: agent.sessions)
@@ -316,7 +382,7 @@
         running.tell()
         await asyncio.sleep(0.2)
         connection.send(request=build_request(path="/wait/0", key="k", incarnation=1))
-        refusal = await read_refusal(connection)
+        refusal = await read_body(connection, frames.Refusal)
         assert refusal is not None
         assert refusal.reason == "leaving"
         connection.close()
@@ -324,10 +390,33 @@
     assert seen == []
 
 
-async def read_refusal(connection):
+async def test_a_stopping_agent_answers_what_it_is_asked_of_a_key(monkeypatch):
+    """An entry asks whether a booking ran, and its caller is told unknown.
+
+    The agent waited a little for the booking, which might still have been on its way,
+    and was told to stop meanwhile. Nothing ran, so it ended with the question open.
+    """
+    async with (
+        endpoint() as (url, _),
+        running_agent(monkeypatch, url) as running,
+    ):
+        connection = await link_to(running)
+        fence = frames.Fence(1, 1, "key-1", 1, incarnation=1, patience_ms=1500)
+        connection.send(fence=fence)
+        await asyncio.sleep(0.1)
+        running.tell()
+        reply = await read_body(connection, frames.FenceReply)
+        assert reply is not None
+        assert reply.verdict == Verdict.FENCED
+        connection.close()
+        await running.end()
+
+
+async def read_body(connection, kind):
+    """Return the next body of a kind, or None at the end of the connection."""
     async with asyncio.timeout(5.0):
         while (frame := await connection.receive()) is not None:
-            if isinstance(body := codec.body_of(frame), frames.Refusal):
+            if isinstance(body := codec.body_of(frame), kind):
                 return body
     return None
 
