Let the fault proxy hold what a partition keeps, in place of dropping it

In a run of faults at random two streams came to their end and lacked events in the middle.

Cause: the proxy dropped what came during a partition and carried the same connection's later bytes. No network does that: it carries all of it late, or nothing more.

Ruled out: the gateways, by the logs (one sending each, `answered`, undisturbed). Making such a connection silent for good: that is another mode, which stands.

Change: what comes during a partition is held, and carried when it is over.

Conclusion: a fault of the stand-in.

--- a/packages/fescuedrum-bench/src/fescuedrum_bench/faultproxy.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/faultproxy.py
@@ -6,6 +6,7 @@
 
 STOP_SECONDS = 2.0
 STOP_POLL_SECONDS = 0.01
+PARTITION_POLL_SECONDS = 0.01
 READ_BYTES = 64 * 1024
 
 
@@ -13,7 +14,8 @@
     """Say how a proxy treats its connections."""
 
     PASS = "pass"
-    # New connections are taken and nothing is carried: a partition without a reset.
+    # New connections are taken and nothing is carried: a partition without a reset. What
+    # was sent meanwhile comes when it is over, as the kernels would send it again.
     PARTITION = "partition"
     REFUSE = "refuse"
 
@@ -44,14 +46,25 @@
         while data := await reader.read(READ_BYTES):
             if self.proxy.delay_seconds:
                 await asyncio.sleep(self.proxy.delay_seconds)
+            await self.partition_over()
             # A middlebox that lost track of a connection drops all and resets none.
-            if self.silent or self.proxy.mode is Mode.PARTITION:
+            if self.silent:
                 continue
             writer.write(data)
             await writer.drain()
+        await self.partition_over()
         if not self.silent:
             writer.close()
 
+    async def partition_over(self):
+        """Hold what is carried through a partition.
+
+        Dropped, it would leave a hole in the connection, which no network does: whoever
+        reads would be blamed for an answer that lacks its middle.
+        """
+        while self.proxy.mode is Mode.PARTITION and not self.silent:
+            await asyncio.sleep(PARTITION_POLL_SECONDS)
+
     def cut(self):
         for writer in self.writers:
             writer.transport.abort()
