--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/errors.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/errors.py
@@ -12,7 +12,7 @@
     FescuedrumError,
     HeadersTooLarge,
     MethodNotAllowed,
-    Unavailable,
+    ProcessStopping,
     UnknownRoute,
 )
 from fescuedrum.outcomes import OUTCOME_HEADER, REQUEST_ID_HEADER
@@ -74,7 +74,7 @@
 
 def stopping():
     """Return the refusal of what the end of this process might cut."""
-    return Unavailable("This process stops.", retry_after=STOP_RETRY_SECONDS)
+    return ProcessStopping("This process stops.", retry_after=STOP_RETRY_SECONDS)
 
 
 def from_status(status):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
@@ -95,7 +95,7 @@
             return
         if not plan.takes(now, call.deadline):
             raise stopping()
-        plan.arrived(now)
+        plan.took(now)
         # Before the notice is over all are taken, by the hundred each second.
         if plan.is_noticed(now):
             event = TakenWhileStopping(
