--- a/packages/fescuedrum-bench/src/fescuedrum_bench/faultproxy.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/faultproxy.py
@@ -14,8 +14,8 @@
     """Say how a proxy treats its connections."""
 
     PASS = "pass"
-    # New connections are taken and nothing is carried: a partition without a reset. What
-    # was sent meanwhile comes when it is over, as the kernels would send it again.
+    # New connections are taken and nothing is carried: a partition without a reset.
+    # What was sent meanwhile comes when it is over, as kernels would send it again.
     PARTITION = "partition"
     REFUSE = "refuse"
 
