Send no beacon once a gateway has closed its socket

The log of a gateway that was stopped ended with an error: 'NoneType' object has no attribute 'sendto'.

Cause: a beacon of changes that was due fired after the socket for datagrams was closed; requests end in a stop until just before that, and each end makes one due.

Ruled out: harm to callers: peers had been told of the leave, and the process was ending.

Change: closing cancels what is due and forgets the socket, as `changed` expects it.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
@@ -101,8 +101,12 @@
         tell(logger, DatagramRefused(repr(exc)))
 
     def close(self):
+        """Send nothing from now on; a beacon that is due would find no socket."""
+        if self.pending is not None:
+            self.pending.cancel()
         if self.transport is not None:
             self.transport.close()
+            self.transport = None
 
     @property
     def beacon_interval(self):
--- a/tests/unit/test_beacons.py
+++ b/tests/unit/test_beacons.py
@@ -19,6 +19,9 @@
     def __init__(self):
         self.sent = []
 
+    def close(self):
+        self.closed_at = asyncio.get_running_loop().time()
+
     def sendto(self, payload, address):
         now = asyncio.get_running_loop().time()
         self.sent.append((now, decode(Beacon, payload)))
@@ -54,3 +57,26 @@
         return [now for now, beacon in sent if beacon.leaving]
 
     assert run_paused(run()) == [0.0] * (GATEWAYS - 1)
+
+
+def test_nothing_is_sent_once_a_gateway_has_closed_its_socket(caplog):
+    """An error stands in the log of every gateway that was stopped.
+
+    A beacon that was due in a moment found the socket gone.
+    """
+
+    async def run():
+        gateway = build_gateway()
+        transport = gateway.peers.transport
+        transport.sent.clear()
+        gateway.peers.changed()
+        gateway.peers.close()
+        await asyncio.sleep(1.0)
+        gateway.peers.changed()
+        await asyncio.sleep(1.0)
+        return transport
+
+    transport = run_paused(run())
+    assert transport.closed_at == 0.0
+    assert transport.sent == []
+    assert caplog.records == []
