Answer at the end of a stop who has just connected

Cause: the end of a stop looked for open connections before the loop had taken those that the kernel held for it, found none, closed the listener, and so reset them.

Ruled out: a request that was taken and cut: it has no line in any log, and the gateway had no connections when it was drained.

The gateway's server is made with the gateway, so that a stop before it listens finds one.

Conclusion: what remains is a connection that comes in the instant in which the listener closes; its caller sees a reset before anything was read.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -99,7 +99,7 @@
         self.retries = collections.defaultdict(self.build_retries)
         self.followers = []
         # The server that holds callers' connections.
-        self.callers = None
+        self.callers = build_server(RequestHandler(self).handle, settings)
         # Set once the process was told to stop.
         self.stop_plan = None
         self.metrics = GatewayMetrics()
@@ -175,7 +175,6 @@
         control.router.add_get("/readyz", self.readyz)
         control.router.add_get("/metrics", self.expose_metrics)
         followers.add_routes(control, self.followers)
-        self.callers = build_server(RequestHandler(self).handle, settings)
         callers = web.ServerRunner(self.callers, shutdown_timeout=0.1)
         own = web.AppRunner(control, access_log=None, shutdown_timeout=0.1)
         peer_address = f"{settings.host}:{settings.peer_port}"
--- a/packages/fescuedrum/src/fescuedrum/serving.py
+++ b/packages/fescuedrum/src/fescuedrum/serving.py
@@ -156,8 +156,14 @@
 
 
 async def until_gone(plan, server, find):
-    """Close what rests until find() returns no connection, or the time is over."""
+    """Close what rests until find() returns no connection, or the time is over.
+
+    The first look comes a moment later: a connection that the kernel has taken shows
+    at the server in the next turns of the loop, and would be dropped unanswered.
+    """
     loop = asyncio.get_running_loop()
-    while find() and not plan.is_over(loop.time()):
-        server.close_resting(loop.time(), LAST_REST_SECONDS)
+    while not plan.is_over(loop.time()):
         await asyncio.sleep(STOP_POLL_SECONDS)
+        server.close_resting(loop.time(), LAST_REST_SECONDS)
+        if not find():
+            return
--- a/tests/unit/test_serving.py
+++ b/tests/unit/test_serving.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import contextlib
+import socket
 
-from fescuedrum.serving import REST_SECONDS, HeldConnection, HeldServer
+from aiohttp import web
+
+from fescuedrum.decisions.stopping import StopPlan
+from fescuedrum.serving import REST_SECONDS, HeldConnection, HeldServer, deliver
 
 
 @contextlib.asynccontextmanager
@@ -49,3 +53,27 @@
         now = asyncio.get_running_loop().time()
         server.close_resting(now + REST_SECONDS)
         assert not transport.is_closing()
+
+
+async def test_a_caller_that_has_just_connected_is_answered_at_the_end_of_a_stop():
+    """A request ends without a word, and no log has heard of it.
+
+    It was sent on a connection that the kernel had taken and the process had not, when
+    that found no connection open and ended.
+    """
+
+    async def refuse(_):
+        return web.Response(status=503)
+
+    server = HeldServer(refuse, HeldConnection, access_log=None)
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    plan = StopPlan(asyncio.get_running_loop().time(), stop_seconds=8.0)
+    plan.close()
+    # Blocking, so that the loop has no turn in which it could accept.
+    with socket.create_connection(runner.addresses[0], timeout=1.0) as caller:
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await deliver(plan, server, runner)
+        await runner.cleanup()
+        assert caller.recv(64).startswith(b"HTTP/1.1 503 ")
