--- a/tests/integration/test_gateway_stops.py
+++ b/tests/integration/test_gateway_stops.py
@@ -115,6 +115,8 @@
         running.stop.set()
         await running.until(lambda gateway: gateway.leaving)
         assert (await read_stream(running, session, "r-2"))[2]
+        plan = running.gateway.stop_plan
+        assert plan.last_taken > plan.began
     (taken,) = told(caplog, "request taken while stopping")
     assert (taken.request, taken.kept) == ("r-2", True)
     assert 0 <= taken.since_signal < 1
