Answer in a stop what was sent before the answer to the request before it

A caller that sends two lookups at once had an answer to the first only, when its gateway was told to stop in between.

Cause: each answer of a stopping process ends its connection, also when the next request on it has been read already; that was closed without a word.

Ruled out: leaving it to callers: whether the second ran they can't know.

Change: the answer that ends the connection is the last one that is due there, for gateways and entries, plain answers and streams. The settings' page tells of short stops.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/conf.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/conf.py
@@ -25,7 +25,11 @@
         list, help="HOST:PORT of gateways whose hosts are asked when the store is out."
     )
     stop_seconds: float = setting(
-        8.0, help="Time from SIGTERM to the end.", minimum=0.5, unit="s"
+        8.0,
+        help="Time from SIGTERM to the end. With less than 5.1 s, requests with long "
+        "deadlines are refused from the signal on.",
+        minimum=0.5,
+        unit="s",
     )
     retry_share: float = setting(
         0.2, help="Repeats of a service allowed, as a share of its requests.", minimum=0
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
@@ -150,6 +150,6 @@
     async def begin(self, head):
         self.response = web.StreamResponse(status=head.status, headers=head.headers)
         self.response.enable_chunked_encoding()
-        if self.gateway.leaving:
+        if self.http_request.protocol.ends:
             self.response.force_close()
         await self.response.prepare(self.http_request)
--- a/packages/fescuedrum/src/fescuedrum/serving.py
+++ b/packages/fescuedrum/src/fescuedrum/serving.py
@@ -53,10 +53,19 @@
         waiter = self._waiter
         return waiter is not None and not waiter.done()
 
+    @property
+    def ends(self):
+        """Tell whether the present answer is the last one here.
+
+        A kept connection would bring its caller's next request to a process that stops.
+        A request that was sent before the answer to the one before it has been read
+        already, and would be closed without a word.
+        """
+        return self.server.leaving and not self._messages
+
     async def finish_response(self, request, resp, start_time):
-        """Write an answer to its end; the connection ends with it in a stop."""
-        if self.server.leaving:
-            # A kept connection would bring this caller's next request here as well.
+        """Write an answer to its end; the last one ends the connection."""
+        if self.ends:
             resp.force_close()
         try:
             return await super().finish_response(request, resp, start_time)
--- a/tests/integration/test_gateway_stops.py
+++ b/tests/integration/test_gateway_stops.py
@@ -380,3 +380,26 @@
         async with asyncio.timeout(1.5):
             assert (await reader.readline()).startswith(b"HTTP/1.1 408 ")
         writer.close()
+
+
+async def test_a_request_sent_before_the_answer_to_the_last_is_answered_in_a_stop():
+    """A program sends two lookups at once, and the second has no answer.
+
+    Its gateway had read both when it was told to stop, and closed the connection after
+    the first answer.
+    """
+
+    async def answer_later(seen):
+        await asyncio.sleep(0.3)
+        await engines.whole()(seen)
+
+    endpoint = StandInEndpoint("e-1", answer_later)
+    async with site(endpoint, stop_seconds=8.0) as (running, _):
+        reader, writer = await open_raw(running.callers_port)
+        writer.write(raw_head("one", 2) + b"{}" + raw_head("two", 2) + b"{}")
+        await running.until(lambda gateway: gateway.running)
+        running.stop.set()
+        answers = await asyncio.wait_for(reader.read(-1), 5.0)
+        assert answers.count(b"HTTP/1.1 200 ") == 2
+        assert answers.count(b"Connection: close") == 1
+        writer.close()
