Explain from logs an answer that the end of a process cut

Cause: explain had no sentence checked for the two ends that stops have now.

Measured: the test file passes.

--- a/tests/unit/test_explaining.py
+++ b/tests/unit/test_explaining.py
@@ -82,6 +82,12 @@
     [
         ("request ended", {"result": "answered", "seconds": 0.2}, "Answered after 0.2"),
         ("request ended", {"result": "failed", "detail": "status 500"}, "status 500"),
+        (
+            "request ended",
+            {"result": "cut", "detail": "the process stopped", "seconds": 3.4},
+            "answer was cut after 3.4 s (the process stopped)",
+        ),
+        ("answer not delivered", {}, "whole and not all of it left in time"),
         ("caller left", {"seconds": 0.7}, "left after 0.7 s, before any event"),
         (
             "caller left",
