Let neither idle TLS connections nor a body given up just then hold up or break a stop

An idle entry took 4.75 s to stop for one program that kept a TLS connection; and a process could end at its signal, with all that ran.

Cause: closing a TLS connection waits for the peer's agreement, which a program that reads nothing never gives, and it was counted as a request in hand meanwhile. A limit on a body that expires in the turn of the loop in which the stop begins can't be changed any more, and the error of trying ended the stop.

Ruled out: aborting TLS connections at once: what was written on them would be lost.

Change: a connection that was closed while it rested is no request in hand, and over TLS it is left alone a second later. Limits that have expired are passed over.

--- a/packages/fescuedrum/src/fescuedrum/serving.py
+++ b/packages/fescuedrum/src/fescuedrum/serving.py
@@ -21,6 +21,8 @@
 REST_SECONDS = 1.0
 # The same at the very end of a stop, where such a caller would be refused.
 LAST_REST_SECONDS = 0.2
+# For what was written on a TLS connection to leave, once it is closed.
+AGREEMENT_SECONDS = 1.0
 # Pause between looks at whether a stop may end: little against its margin of 0.6 s.
 STOP_POLL_SECONDS = 0.05
 
@@ -32,7 +34,7 @@
 class HeldConnection(RequestHandler):
     """Know whether a request is in hand."""
 
-    __slots__ = ("answered", "rests_since", "server")
+    __slots__ = ("answered", "closed_at", "rests_since", "server", "tls")
 
     def __init__(self, server, **options):
         super().__init__(server, **options)
@@ -42,6 +44,28 @@
         # Loop time of the end of the last answer, or of the connection's beginning. Not
         # of the last byte: a head that comes byte by byte would hold up a stop.
         self.rests_since = self._loop.time()
+        # Loop time at which it was closed while it rested.
+        self.closed_at = None
+        self.tls = False
+
+    def connection_made(self, transport):
+        self.tls = transport.get_extra_info("sslcontext") is not None
+        super().connection_made(transport)
+
+    def close_rested(self, now):
+        """Close a connection that rests; what was written leaves first."""
+        self.closed_at = now
+        self.force_close()
+
+    def is_left(self, now):
+        """Tell whether nothing but the peer's agreement to the close is missing.
+
+        TLS waits half a minute for it, and a program that does not read never gives it:
+        one such connection would hold up a stop for all of its time.
+        """
+        if not self.tls or self.closed_at is None:
+            return False
+        return now - self.closed_at >= AGREEMENT_SECONDS
 
     @property
     def rests(self):
@@ -99,7 +123,9 @@
         """End each connection with its answer, and wait for bodies until that time."""
         self.ends_at = ends_at
         for limit in self.limits:
-            limit.reschedule(min(limit.when(), ends_at))
+            # One that is over in this very turn can't be changed, and raises an error.
+            if not limit.expired():
+                limit.reschedule(min(limit.when(), ends_at))
 
     @contextlib.asynccontextmanager
     async def body_within(self, seconds):
@@ -125,13 +151,20 @@
 
     def count_in_hand(self):
         """Count connections with a request that is read, runs, or is being answered."""
-        return sum(not connection.rests for connection in self.connections)
+        return sum(
+            not connection.rests and connection.closed_at is None
+            for connection in self.connections
+        )
+
+    def held_connections(self, now):
+        """Return the connections for which a stop has to wait."""
+        return {each for each in self.connections if not each.is_left(now)}
 
     def close_resting(self, now, rest_seconds=REST_SECONDS):
         """Close connections without a request in hand, after so much rest."""
         for connection in self.connections:
             if connection.rests and now - connection.rests_since >= rest_seconds:
-                connection.force_close()
+                connection.close_rested(now)
 
 
 async def let_run(plan, server, count_running):
@@ -157,15 +190,15 @@
     the caller would have half an answer. A connection is gone once all has left.
     Whoever comes meanwhile is refused, which tells more than a closed port.
     """
-    held = set(server.connections)
-    await until_gone(plan, server, lambda: held.intersection(server.connections))
+    first = set(server.connections)
+    await until_gone(plan, server, first.intersection)
     for site in list(runner.sites):
         await site.stop()
-    await until_gone(plan, server, lambda: server.connections)
+    await until_gone(plan, server, set)
 
 
-async def until_gone(plan, server, find):
-    """Close what rests until find() returns no connection, or the time is over.
+async def until_gone(plan, server, among):
+    """Close what rests until among(held connections) is empty, or the time is over.
 
     The first look comes a moment later: a connection that the kernel has taken shows
     at the server in the next turns of the loop, and would be dropped unanswered.
@@ -174,5 +207,5 @@
     while not plan.is_over(loop.time()):
         await asyncio.sleep(STOP_POLL_SECONDS)
         server.close_resting(loop.time(), LAST_REST_SECONDS)
-        if not find():
+        if not among(server.held_connections(loop.time())):
             return
--- a/tests/unit/test_serving.py
+++ b/tests/unit/test_serving.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 
+import pytest
 from aiohttp import web
 
 from fescuedrum.decisions.stopping import StopPlan
@@ -55,6 +56,29 @@
         assert not transport.is_closing()
 
 
+async def test_a_stop_survives_a_body_that_is_given_up_in_the_same_moment():
+    """A process ends at its signal and cuts all that runs.
+
+    The time of a body was over in the very turn of the loop in which the stop began.
+    """
+    loop = asyncio.get_running_loop()
+    server = HeldServer(None, HeldConnection, access_log=None)
+
+    async def read():
+        async with server.body_within(0.05):
+            await loop.create_future()
+
+    task = asyncio.create_task(read())
+    await asyncio.sleep(0)
+    (limit,) = server.limits
+    leaving = loop.create_future()
+    loop.call_at(limit.when() - 1e-6, leaving.set_result, None)
+    await leaving
+    server.leave(loop.time() + 1)
+    with pytest.raises(TimeoutError):
+        await task
+
+
 async def test_a_caller_that_has_just_connected_is_answered_at_the_end_of_a_stop():
     """A request ends without a word, and no log has heard of it.
 
