Refuse changes that an entry's end might cut, end in time, and name lost answers' requests

Cause: operators' changes knew nothing of a stop, so that one was in force while its operator saw a broken connection. The line of an answer that was not delivered had no request id at entries.

Ruled out: a change that is applied twice: its id settles it.

Change: a change is refused when its calls to the platform might outlast the process; the time for shutting down is a third of the margin, twice; entries note the id on the request.

The end in time has no test: its bound of 0.2 s would hang on the machine's speed.

Bodies of the console's forms stay without a bound.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/connection/callers.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/connection/callers.py
@@ -16,9 +16,9 @@
 
 BAD_REQUEST_STATUS = 400
 HEADERS_TOO_LARGE_STATUS = 431
-# At the end of a stop's time, for what is about to end; then for what is cancelled. The
-# library's own 60 s would make the process outlast the time that it is given.
-SHUTDOWN_SECONDS = 0.3
+# At the end of a stop's time, for what is about to end; then, as long again, for what
+# is cancelled. The library's own 60 s would make the process outlast its time.
+SHUTDOWN_SECONDS = 0.2
 
 
 class CallerConnection(HeldConnection):
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/operators/changes.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/changes.py
@@ -1,5 +1,6 @@
 """Let operators read, check, compare and apply the configuration document."""
 
+import asyncio
 import copy
 import datetime
 import json
@@ -19,12 +20,14 @@
 from fescuedrum.versions.audit import read_head, read_trail, verify
 from fescuedrum_entry.operators.access import ACCOUNT, require_role
 from fescuedrum_entry.operators.accounts import Role
-from fescuedrum_entry.request.errors import error_response, new_request_id
+from fescuedrum_entry.request.errors import error_response, new_request_id, stopping
 
 MAXIMUM_DOCUMENT_BYTES = 16 * 1024 * 1024
 DEFAULT_TRAIL_ROWS = 50
 MAXIMUM_TRAIL_ROWS = 10_000
 MAXIMUM_ID_LENGTH = 100
+# The longest that its calls to the platform can take.
+CHANGE_SECONDS = 8.0
 
 
 class Newest:
@@ -142,8 +145,19 @@
             }
         )
 
+    def check_stop(self):
+        plan = self.entry.stop_plan
+        now = asyncio.get_running_loop().time()
+        if plan is not None and not plan.takes(now, now + CHANGE_SECONDS):
+            raise stopping()
+
     async def accept(self, proposal):
-        """Apply a change and put it in force here, from where it spreads."""
+        """Apply a change and put it in force here, from where it spreads.
+
+        Raise ProcessStopping when the end of this process might cut it: it would be in
+        force, and its operator would see a broken connection.
+        """
+        self.check_stop()
         applier = Applier(self.entry.platform)
         accepted = await applier.apply(proposal, self.entry.served_zones())
         self.entry.configuration.offer(
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
@@ -15,6 +15,7 @@
 from fescuedrum.exceptions import FescuedrumError, Unavailable
 from fescuedrum.logs import request_context
 from fescuedrum.outcomes import Outcome
+from fescuedrum.serving import REQUEST_ID
 from fescuedrum_entry.request.call import Repetition
 from fescuedrum_entry.request.dispatch import Dispatcher
 from fescuedrum_entry.request.errors import error_response, new_request_id, stopping
@@ -49,6 +50,7 @@
         """Serve one request to its outcome."""
         loop = asyncio.get_running_loop()
         request_id = new_request_id()
+        http_request[REQUEST_ID] = request_id
         request_context.set({"request": request_id})
         trace = self.entry.traces.begin(request_id, loop.time())
         try:
--- a/tests/integration/test_process_ends.py
+++ b/tests/integration/test_process_ends.py
@@ -21,6 +21,7 @@
 from support.peers import Authority, build_entry_side
 
 from fescuedrum.claims.ledger import Verdict
+from fescuedrum.exceptions import ProcessStopping
 from fescuedrum.outcomes import Outcome
 from fescuedrum.tls import Certificates
 from fescuedrum.wire import codec
@@ -28,6 +29,7 @@
 from fescuedrum.wire.gen.frames import ttypes as frames
 from fescuedrum.wire.gen.members import ttypes as members
 from fescuedrum.wire.handshake import Keyring
+from fescuedrum_entry.operators.changes import Changes
 
 # Over what a narrow link holds, and under the mark at which a sender waits.
 ANSWER_BYTES = 40_000
@@ -154,6 +156,58 @@
         assert await running.end() < 4.1
 
 
+async def test_a_resting_tls_connection_does_not_hold_up_a_stop(monkeypatch, tmp_path):
+    """An idle entry takes five seconds to stop, for a program that does nothing.
+
+    It keeps a connection with TLS. The entry has closed it and waits for the word with
+    which TLS has the other side agree; the program reads nothing, and never says it.
+    """
+    files = Authority(tmp_path).issue("callers")
+    settings = {"notice_seconds": 0.3, "drain_seconds": 6.0, "callers_tls": files}
+    async with running_entry(monkeypatch, **settings) as (running, _):
+        context = Certificates().client_context(files)
+        caller = TlsCaller(await open_socket(running.port), context)
+        await caller.handshake()
+        assert (await caller.ask("/wait/0"))[0] == 200
+        running.tell()
+        assert await running.end() < 4.0
+        caller.close()
+
+
+async def test_a_change_that_might_outlast_a_stop_is_refused(monkeypatch):
+    """An operator's change is in force, and its console shows a broken connection.
+
+    The entry took it a moment before its end.
+    """
+    settings = {"notice_seconds": 0.1, "drain_seconds": 3.0}
+    async with running_entry(monkeypatch, **settings) as (running, _):
+        before = await begin(running, "/wait/1.5")
+        running.tell()
+        await asyncio.sleep(0.5)
+        accepting = Changes(running.process).accept(None)
+        taken = asyncio.run_coroutine_threadsafe(accepting, running.loop)
+        with pytest.raises(ProcessStopping):
+            await asyncio.wrap_future(taken)
+        assert (await before)[0] == 200
+
+
+async def test_an_answer_that_is_not_delivered_is_logged_with_its_request(
+    monkeypatch, caplog
+):
+    """A caller asks why half its answer is missing, and no line has its id."""
+    caplog.set_level(logging.INFO)
+    settings = {"notice_seconds": 0.1, "drain_seconds": 0.9}
+    async with running_entry(monkeypatch, **settings) as (running, answers):
+        caller = await Caller.connect(running)
+        await caller.send(f"/services/bookings/bytes/{20 * ANSWER_BYTES}")
+        await running.until(lambda _: answers.paths)
+        running.tell()
+        await running.end()
+        caller.close()
+    (lost,) = told(caplog, "answer not delivered")
+    assert lost.request
+
+
 async def test_a_caller_that_reads_nothing_does_not_hold_up_a_stop(monkeypatch):
     """A program hangs with a connection open, and its entry can't be replaced."""
     settings = {"notice_seconds": 0.1, "drain_seconds": 0.9}
@@ -419,6 +473,33 @@
     assert seen == []
 
 
+async def test_what_is_asked_after_an_agents_last_word_is_answered_over_tls(
+    monkeypatch, tmp_path
+):
+    """A booking that never ran ends as unknown where agents speak TLS.
+
+    An agent that stops has nothing left to tell and finishes its connections. TLS can't
+    be half closed, so the entry hears nothing of it and asks; the refusal was dropped.
+    """
+    files = Authority(tmp_path).issue("peers")
+    async with (
+        endpoint() as (url, seen),
+        running_agent(monkeypatch, url, peer_tls=files) as running,
+    ):
+        connection = await link_to(running)
+        await running.until(lambda agent: agent.sessions)
+        running.process.gate.close(leaving=True)
+        (session,) = running.process.sessions
+        running.loop.call_soon_threadsafe(session.connection.finish)
+        await asyncio.sleep(0.1)
+        connection.send(request=build_request(path="/wait/0", key="k", incarnation=1))
+        refusal = await read_body(connection, frames.Refusal)
+        assert refusal is not None
+        assert refusal.reason == "leaving"
+        connection.close()
+    assert seen == []
+
+
 async def test_a_stopping_agent_answers_what_it_is_asked_of_a_key(monkeypatch):
     """An entry asks whether a booking ran, and its caller is told unknown.
 
