Check that an entry's stop waits for a booking whose caller left

Cause: a mutant of the reviewer's that did not count it passed all tests.

Change: the test, for what held before.

--- a/tests/integration/test_process_ends.py
+++ b/tests/integration/test_process_ends.py
@@ -156,6 +156,21 @@
         assert await running.end() < 4.1
 
 
+async def test_a_booking_whose_caller_left_ends_before_its_entry(monkeypatch):
+    """Half a booking is left behind, and its repeat can't know what became of it.
+
+    Its caller had left, so that no connection held it, and its entry was told to stop.
+    """
+    settings = {"notice_seconds": 0.1, "drain_seconds": 6.0}
+    async with running_entry(monkeypatch, **settings) as (running, answers):
+        caller = await Caller.connect(running)
+        await caller.send("/services/bookings/wait/2")
+        await running.until(lambda _: answers.paths)
+        caller.close()
+        running.tell()
+        assert await running.end() > 1.5
+
+
 async def test_a_resting_tls_connection_does_not_hold_up_a_stop(monkeypatch, tmp_path):
     """An idle entry takes five seconds to stop, for a program that does nothing.
 
