Write the log line of what a stop takes once, and say what stops do more plainly

Cause: reading the diff showed the same event built in gateway and entry, doc comments that were lost when code moved, and sentences that say less than they should.

Change: serving.tell_taken; doc comments.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/operators/changes.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/changes.py
@@ -146,6 +146,7 @@
         )
 
     def check_stop(self):
+        """Refuse a change whose calls to the platform may outlast this process."""
         plan = self.entry.stop_plan
         now = asyncio.get_running_loop().time()
         if plan is not None and not plan.takes(now, now + CHANGE_SECONDS):
@@ -154,8 +155,8 @@
     async def accept(self, proposal):
         """Apply a change and put it in force here, from where it spreads.
 
-        Raise ProcessStopping when the end of this process might cut it: it would be in
-        force, and its operator would see a broken connection.
+        Raise ProcessStopping when the end of this process might cut it: the change
+        would be in force, and its operator would see a broken connection.
         """
         self.check_stop()
         applier = Applier(self.entry.platform)
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/request/handler.py
@@ -10,12 +10,11 @@
     RequestBroke,
     RequestNotAnswered,
     RequestNotRun,
-    TakenWhileStopping,
 )
 from fescuedrum.exceptions import FescuedrumError, Unavailable
 from fescuedrum.logs import request_context
 from fescuedrum.outcomes import Outcome
-from fescuedrum.serving import REQUEST_ID
+from fescuedrum.serving import REQUEST_ID, tell_taken
 from fescuedrum_entry.request.call import Repetition
 from fescuedrum_entry.request.dispatch import Dispatcher
 from fescuedrum_entry.request.errors import error_response, new_request_id, stopping
@@ -100,14 +99,7 @@
         plan.took(now)
         # Before the notice is over all are taken, by the hundred each second.
         if plan.is_noticed(now):
-            event = TakenWhileStopping(
-                request=call.request_id,
-                since_signal=round(now - plan.began, 4),
-                left=round(plan.latest - now, 4),
-                may_last=round(call.deadline - now, 4),
-                kept=http_request.protocol.answered > 0,
-            )
-            tell(logger, event)
+            tell_taken(plan, call.request_id, call.deadline, http_request.protocol)
 
     def configuration(self):
         if self.entry.configuration.document is None:
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
@@ -56,6 +56,7 @@
 
 
 async def read_body(http_request, limit):
+    """Return the whole body; raise BodyTooLarge."""
     if (http_request.content_length or 0) > limit:
         raise BodyTooLarge(f"At most {limit} bytes are taken.")
     if not http_request.can_read_body:
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -214,7 +214,7 @@
     def may_send_again(self):
         """Tell whether the route, the time and the service's budget allow another.
 
-        Raise ProcessStopping when only the stop of this process does not.
+        Raise ProcessStopping if only the stop of this process is against it.
         """
         call = self.call
         if self.sent >= call.route.maximum_attempts:
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
@@ -14,10 +14,9 @@
     RequestBroke,
     RequestEnded,
     RequestRefused,
-    TakenWhileStopping,
 )
 from fescuedrum.exceptions import BadRequest, FescuedrumError, Overloaded, Unavailable
-from fescuedrum.serving import REQUEST_ID
+from fescuedrum.serving import REQUEST_ID, tell_taken
 from fescuedrum_gateway.request.admission import admit
 from fescuedrum_gateway.request.call import Answered, StreamBroken, StreamEnded
 from fescuedrum_gateway.request.plain import PlainRun
@@ -72,6 +71,7 @@
             self.caller_left(http_request, arrived)
 
     def caller_left(self, http_request, arrived):
+        """Count and log that a caller's connection was gone before its answer was."""
         now = self.loop.time()
         last_event = silent = None
         if (run := http_request.get(STREAM)) and run.event_at is not None:
@@ -93,8 +93,9 @@
             request_id = http_request[REQUEST_ID] = head.request_id
             patience = patience if head.patience is None else head.patience
             call = await admit(http_request, head, self.gateway, arrived)
-            if self.gateway.leaving:
-                self.taken_while_stopping(http_request, call)
+            if plan := self.gateway.stop_plan:
+                plan.took(self.loop.time())
+                tell_taken(plan, request_id, call.ends_at, http_request.protocol)
             self.gateway.retries[call.service].request(arrived)
             return await self.serve(http_request, call)
         except FescuedrumError as error:
@@ -106,18 +107,6 @@
             tell(logger, RequestBroke(request_id), error=error)
             return self.refuse(FescuedrumError(), request_id, arrived)
 
-    def taken_while_stopping(self, http_request, call):
-        plan, now = self.gateway.stop_plan, self.loop.time()
-        plan.took(now)
-        event = TakenWhileStopping(
-            request=call.head.request_id,
-            since_signal=round(now - plan.began, 4),
-            left=round(plan.latest - now, 4),
-            may_last=round(call.ends_at - now, 4),
-            kept=http_request.protocol.answered > 0,
-        )
-        tell(logger, event)
-
     async def serve(self, http_request, call):
         if not call.route.kind.is_stream:
             return self.reply(call, await PlainRun(call, self.gateway).run())
--- a/packages/fescuedrum/src/fescuedrum/decisions/stopping.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/stopping.py
@@ -8,10 +8,10 @@
 the last ones off in the middle; one that refuses at once turns away what it could have
 served.
 
-So requests are taken as usual until the balancer has noticed. After that only those are
-taken whose own limit is over before the process ends: they can't be cut, however long
-their answers take. All others are refused, to be sent elsewhere. The process ends as
-soon as nothing runs and no more comes.
+So requests are taken until the balancer has noticed, while a usual answer still fits.
+After that only those are taken whose own deadline is before the process's end: they
+can't be cut, however long their answers take. All others are refused, to be sent
+elsewhere. The process ends as soon as nothing runs and no more comes.
 """
 
 # The balancer asks once a second and needs two misses.
--- a/packages/fescuedrum/src/fescuedrum/serving.py
+++ b/packages/fescuedrum/src/fescuedrum/serving.py
@@ -8,7 +8,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from fescuedrum.events.event import tell
-from fescuedrum.events.requests import AnswerNotDelivered
+from fescuedrum.events.requests import AnswerNotDelivered, TakenWhileStopping
 
 logger = logging.getLogger(__name__)
 
@@ -32,7 +32,7 @@
 
 
 class HeldConnection(RequestHandler):
-    """Know whether a request is in hand."""
+    """Know whether a caller's connection has a request in hand, or rests."""
 
     __slots__ = ("answered", "closed_at", "rests_since", "server", "tls")
 
@@ -167,6 +167,19 @@
                 connection.close_rested(now)
 
 
+def tell_taken(plan, request_id, deadline, connection):
+    """Log that a stopping process takes a request, with what decided it."""
+    now = asyncio.get_running_loop().time()
+    event = TakenWhileStopping(
+        request=request_id,
+        since_signal=round(now - plan.began, 4),
+        left=round(plan.latest - now, 4),
+        may_last=round(deadline - now, 4),
+        kept=connection.answered > 0,
+    )
+    tell(logger, event)
+
+
 async def let_run(plan, server, count_running):
     """Wait until a stop may end.
 
