--- a/tests/integration/test_process_ends.py
+++ b/tests/integration/test_process_ends.py
@@ -397,6 +397,13 @@
     return agent.tickets or any(session.relays for session in agent.sessions)
 
 
+def ask_unread(connection):
+    """Ask an agent for a long answer, and read none of it yet."""
+    path = f"/bytes/{LINK_BYTES}"
+    connection.writer.transport.pause_reading()
+    connection.send(request=build_request(path=path, window=2 * LINK_BYTES))
+
+
 @pytest.mark.parametrize("tls", [False, True])
 async def test_a_stopping_agent_sends_an_answer_to_its_last_byte(
     monkeypatch, tmp_path, tls
@@ -414,9 +421,7 @@
         connection = await link_to(running)
         await running.until(lambda agent: agent.sessions)
         running.loop.call_soon_threadsafe(narrow_sessions, running.process)
-        path = f"/bytes/{LINK_BYTES}"
-        connection.writer.transport.pause_reading()
-        connection.send(request=build_request(path=path, window=2 * LINK_BYTES))
+        ask_unread(connection)
         await running.until(lambda agent: agent.gate.answers and not runs(agent))
         running.tell()
         await asyncio.sleep(0.5)
@@ -449,9 +454,7 @@
     ):
         connection = await link_to(running)
         await running.until(lambda agent: agent.sessions)
-        path = f"/bytes/{LINK_BYTES}"
-        connection.writer.transport.pause_reading()
-        connection.send(request=build_request(path=path, window=2 * LINK_BYTES))
+        ask_unread(connection)
         await running.until(lambda agent: agent.gate.answers and not runs(agent))
         beating = asyncio.create_task(send_heartbeats(connection))
         running.tell()
@@ -554,9 +557,7 @@
         connection = await link_to(running)
         await running.until(lambda agent: agent.sessions)
         running.loop.call_soon_threadsafe(narrow_sessions, running.process)
-        path = f"/bytes/{LINK_BYTES}"
-        connection.writer.transport.pause_reading()
-        connection.send(request=build_request(path=path, window=2 * LINK_BYTES))
+        ask_unread(connection)
         await running.until(lambda agent: agent.gate.answers)
         running.tell()
         assert await running.end() < 0.8 + END_SECONDS
