Share out what a cold endpoint bears so that any number of gateways stays under it

Cause: each gateway kept to its even part of the bound, but at least one request a second, or no endpoint would ever get warm. With 46 gateways before an engine that bears 26 a second that is 46. Each sees the engine that has just returned as the least loaded one, and they send at the same moment.

Ruled out: a longer window for parts below one (all may still send in the same second); a duty that rotates each second (gateways' clocks differ and jump; two turns overlap in a window, which halves what may be sent); parts drawn by chance (a mean of 20 is above 26 now and then); leave from a row of the store (a call for each request, nothing during an outage).

Change: the bound is a whole number of requests that is divided among the gateways, and what is left over goes to the first of them in an order of each endpoint's own (rendezvous hashing). With more gateways than requests only some may send to an endpoint, others at each. Gateways of which a process has only been told count until they are forgotten, and so do those that leave as long as they run; an answer to one that starts tells all hosts.

A service of few endpoints before very many gateways may leave a gateway with none; then its callers are refused and meet another.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
@@ -4,6 +4,7 @@
 import collections
 import logging
 
+from fescuedrum.decisions.coldness import ColdShares, cold_requests
 from fescuedrum.decisions.placement import (
     Load,
     Option,
@@ -13,7 +14,6 @@
     Refused,
     Standing,
     candidates_for,
-    cold_part,
     place,
 )
 from fescuedrum.decisions.presence import Presences
@@ -63,6 +63,7 @@
     __slots__ = (
         "adapter",
         "changed",
+        "cold_shares",
         "configuration",
         "loop",
         "paces",
@@ -87,6 +88,7 @@
         self.presences = Presences()
         self.standings = collections.defaultdict(Standing)
         self.refusals = collections.defaultdict(Refusals)
+        self.cold_shares = ColdShares(settings.host)
         self.zones_out = {}
         # Called when the own load at an endpoint changes.
         self.changed = lambda: None
@@ -99,6 +101,7 @@
         for row in rows:
             if row.value is None:
                 self.presences.unlisted(row.key, now)
+                self.cold_shares.forget(row.key)
                 tell(logger, EndpointUnlisted(row.key, row.version))
             else:
                 self.take_endpoint(row, now)
@@ -140,6 +143,7 @@
     def expire(self):
         """Drop endpoints whose entries lapsed and did not come back."""
         for name in self.presences.expire(self.loop.time()):
+            self.cold_shares.forget(name)
             tell(logger, EndpointGone(name))
 
     # Choosing
@@ -172,12 +176,6 @@
         described = self.configuration.table.services.get(service)
         if described is None:
             return PlacementLimits()
-        arrivals = cold_part(
-            described.cold_per_second,
-            self.settings.cold_factor,
-            self.settings.cold_slack,
-            self.peers.count_entries(),
-        )
         is_engine = described.engine is not None
         strain = self.strain(service) if is_engine else 0.0
         return PlacementLimits(
@@ -188,10 +186,22 @@
                 strain=strain,
                 ranks=endpoints,
             ),
-            cold_arrivals=arrivals,
+            arrivals=self.arrivals(described),
             candidates=candidates_for(self.peers.change_interval),
         )
 
+    def arrivals(self, described):
+        """Return the bound on what this gateway may send an endpoint in a second."""
+        total = cold_requests(
+            described.cold_per_second,
+            self.settings.cold_factor,
+            self.settings.cold_slack,
+        )
+        if total is None:
+            return None
+        self.cold_shares.follow(self.peers.sharing_hosts())
+        return lambda endpoint: self.cold_shares.allowed(endpoint.name, total)
+
     def strain(self, service):
         """Return the length of passes over the pause allowed; 0 when unknown."""
         pause = self.configuration.table.pauses.get(service)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
@@ -48,6 +48,8 @@
     """Hold what another gateway told last; times are loop time in seconds."""
 
     host: str
+    # When its address was learned.
+    known_at: float = float("-inf")
     heard_at: float = float("-inf")
     probed_at: float = float("-inf")
     incarnation: int = 0
@@ -122,7 +124,7 @@
     def add_host(self, host):
         """Take note of an address at which a gateway may be."""
         if host != self.settings.host and host not in self.hosts:
-            self.hosts[host] = PeerGateway(host)
+            self.hosts[host] = PeerGateway(host, known_at=self.loop.time())
             self.send_to(self.hosts[host], wants_answer=True)
 
     def is_heard(self, peer, seconds):
@@ -134,12 +136,23 @@
         return [each for each in self.hosts.values() if self.is_heard(each, seconds)]
 
     def count_entries(self):
-        """Return how many gateways may share a bound, this one included.
+        """Return how many gateways may share a bound, this one included."""
+        return 1 + len(self.sharing_hosts())
 
-        Gateways that were cut off still send: they count until they are forgotten.
+    def sharing_hosts(self):
+        """Return the addresses of the others that may share a bound.
+
+        Gateways that were cut off still send: they count until they are forgotten. So
+        do those of which this one has only been told, as it has just started, and those
+        that leave, as long as they run.
         """
-        sharing = self.heard_within(FORGOTTEN_SECONDS)
-        return 1 + sum(not each.leaving for each in sharing)
+        since = self.loop.time() - FORGOTTEN_SECONDS
+        return [
+            each.host
+            for each in self.hosts.values()
+            if max(each.heard_at, each.known_at) >= since
+            and not (each.leaving and not self.is_heard(each, LOAD_SECONDS))
+        ]
 
     def is_first(self):
         """Tell whether this gateway is the first of those that are heard and stay."""
@@ -216,7 +229,7 @@
             self.pending.cancel()
             self.pending = None
         now = self.sent_at = self.loop.time()
-        payload = self.build(wants_answer=False)
+        payload = self.build(wants_answer=False, tells_hosts=False)
         for peer in self.hosts.values():
             if self.is_heard(peer, LOAD_SECONDS):
                 self.transport.sendto(payload, (peer.host, self.settings.peer_port))
@@ -227,10 +240,10 @@
         if self.transport is None:
             return
         peer.probed_at = self.loop.time()
-        payload = self.build(wants_answer=wants_answer)
+        payload = self.build(wants_answer=wants_answer, tells_hosts=True)
         self.transport.sendto(payload, (peer.host, self.settings.peer_port))
 
-    def build(self, *, wants_answer):
+    def build(self, *, wants_answer, tells_hosts):
         beacon = self.describe()
         self.sequence += 1
         beacon.instance = self.settings.name
@@ -239,7 +252,7 @@
         beacon.sequence = self.sequence
         beacon.link_megabits = self.settings.link_megabits
         beacon.wants_answer = wants_answer or None
-        known = self.heard_within(FORGOTTEN_SECONDS) if wants_answer else ()
+        known = self.heard_within(FORGOTTEN_SECONDS) if tells_hosts else ()
         beacon.known_hosts = [each.host for each in known][:MAXIMUM_KNOWN_HOSTS]
         return encode(beacon)
 
--- a/packages/fescuedrum/src/fescuedrum/decisions/placement.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/placement.py
@@ -15,31 +15,18 @@
 
 An endpoint that can't be connected to is left out for a pause that doubles with each
 failure in a row, unless all are. A cold endpoint fails when it gets too many requests
-in a second; each entry keeps to its part of that bound.
-
-Grounds for the figures. FIRST_PAUSE_SECONDS: a restart takes about a second.
-LONGEST_PAUSE_SECONDS: about as long as the list takes to drop a dead endpoint, so that
-one that is back is not left out for longer than a dead one is listed. COLD_PART: what
-the entries send in the same second arrives within another one, so a fifth of the bound
-is kept free. CANDIDATES, FRESH_SECONDS: worked out by playing the choice of 39 entries
-that tell each other every 0.6 s (63 endpoints of five places, half of them taken): 20%
-of requests met a full endpoint with all compared, 1.5% to 2% with three or four, 4%
-with eight. With counts of 0.1 s and 12 endpoints, two thirds of their places taken, it
-was 2.9% with all and 2.1% with four, at a mean load 1 in 20 higher.
-REFUSING_ENDPOINTS within REFUSAL_SECONDS: at five requests a second and
-entry two refusals come within that time when all refuse.
+in a second; each entry keeps to its part of that bound (fescuedrum.decisions.coldness).
 """
 
 import enum
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from fescuedrum.decisions.coldness import WINDOW_SECONDS
 from fescuedrum.decisions.retries import SlidingCount
 
 FIRST_PAUSE_SECONDS = 0.5
 LONGEST_PAUSE_SECONDS = 4.0
-COLD_WINDOW_SECONDS = 1.0
-COLD_PART = 0.8
 CANDIDATES = 4
 FRESH_SECONDS = 0.2
 REFUSAL_SECONDS = 0.5
@@ -61,9 +48,7 @@
     own: Load = field(default_factory=Load)
     failures: int = 0
     avoided_until: float = 0.0
-    arrivals: SlidingCount = field(
-        default_factory=lambda: SlidingCount(COLD_WINDOW_SECONDS)
-    )
+    arrivals: SlidingCount = field(default_factory=lambda: SlidingCount(WINDOW_SECONDS))
 
     def failed(self, now):
         """Leave the endpoint out for a pause that doubles with each failure."""
@@ -141,21 +126,13 @@
 
     # Returns how many requests may be at an endpoint; None for no bound.
     room: Callable[[object], int] | None = None
-    # Requests that this entry may send one endpoint in a second; 0 for no bound.
-    cold_arrivals: float = 0.0
+    # Returns how many requests this entry may send an endpoint in a second; None for
+    # no bound.
+    arrivals: Callable[[object], int] | None = None
     # Endpoints that are compared; None for all.
     candidates: int | None = None
 
 
-def cold_part(cold_per_second, factor, slack, entries):
-    """Return how many requests a second one entry may send a cold endpoint."""
-    if cold_per_second <= 0:
-        return 0.0
-    bound = cold_per_second * factor + slack
-    # One a second must stay possible, or no endpoint ever gets warm.
-    return max(COLD_PART * bound / max(entries, 1), 1.0)
-
-
 def place(options, limits, now, random):
     """Choose among options."""
     if not options:
@@ -196,9 +173,9 @@
 
 
 def has_cold_room(option, limits, now):
-    if not limits.cold_arrivals:
+    if limits.arrivals is None:
         return True
-    return option.standing.arrivals.value(now) + 1 <= limits.cold_arrivals
+    return option.standing.arrivals.value(now) < limits.arrivals(option.endpoint)
 
 
 def rank(option, random):
--- a/tests/unit/test_beacons.py
+++ b/tests/unit/test_beacons.py
@@ -6,7 +6,7 @@
 from support.dialect import MemoryRowStore, PlainAdapter
 from support.gateways import build_settings
 
-from fescuedrum.wire.datagrams import decode
+from fescuedrum.wire.datagrams import decode, encode
 from fescuedrum.wire.gen.gateways.ttypes import Beacon
 from fescuedrum_gateway.process.gateway import Gateway
 
@@ -80,3 +80,23 @@
     assert transport.closed_at == 0.0
     assert transport.sent == []
     assert caplog.records == []
+
+
+def test_a_gateway_that_starts_is_told_of_all_others_by_the_first_that_answers():
+    """A cold engine is overrun: the newest gateway counts only those of its seeds."""
+
+    async def run():
+        gateway = build_gateway()
+        asking = Beacon(
+            instance="new",
+            host="10.0.0.9",
+            incarnation=2,
+            sequence=1,
+            wants_answer=True,
+        )
+        gateway.peers.transport.sent.clear()
+        gateway.peers.datagram_received(encode(asking), ("10.0.0.9", 1))
+        return [beacon for _, beacon in gateway.peers.transport.sent]
+
+    answers = run_paused(run())
+    assert [len(beacon.known_hosts) for beacon in answers] == [GATEWAYS - 1]
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -14,7 +14,6 @@
     Refusals,
     Refused,
     Standing,
-    cold_part,
     place,
 )
 from fescuedrum.decisions.rooms import room
@@ -74,7 +73,7 @@
 
 def test_a_cold_endpoint_gets_no_more_than_this_gateways_part():
     standing = Standing()
-    limits = PlacementLimits(cold_arrivals=2.0)
+    limits = PlacementLimits(arrivals=lambda endpoint: 2)
     options = [build_option("a", standing=standing)]
     for now in (0.0, 0.1):
         assert isinstance(choose(options, limits, now), Chosen)
@@ -83,21 +82,6 @@
     assert isinstance(choose(options, limits, 1.05), Chosen)
 
 
-def test_all_parts_together_stay_under_the_cold_bound():
-    for entries in (1, 6, 7, 39):
-        assert entries * cold_part(26, 1.5, 5, entries) <= 26 * 1.5 + 5
-    assert cold_part(0, 1.5, 5, 7) == 0
-
-
-def test_more_gateways_than_a_cold_endpoint_bears_requests_stay_under_its_bound():
-    """An engine that turned cold fails under 34 requests in a second; it bears 26.
-
-    Forty gateways know it, all are busy, and each may send it one request a second: a
-    part below one would never let it get warm, and so is rounded up.
-    """
-    assert 40 * cold_part(14, 1.5, 5, 40) <= 14 * 1.5 + 5
-
-
 def test_new_callers_find_places_that_returned_ones_must_leave():
     """After an outage no new caller is answered on time for as long as it lasted.
 
