Tell all refused callers to come back late, and keep none of them waiting

Cause: with three times the callers for 8 s fewer were on time (37 a second) than at the usual load (47). Callers refused by a full service were told to come back within 0.5 to 1.0 s. They had as much time left as new callers then, were taken for such, and filled the places of those who would have been on time. Those who were recognized waited up to 0.4 s for a place and were mostly refused all the same.

Change: one time to return for all refusals, a quarter to a third of the time left; who comes back gets a place that is free or is refused at once. The queue of returned callers and four constants go.

A caller who meets a moment's crowd comes back after two seconds where it would have been half a second; its answer is late in either case.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -37,7 +37,6 @@
 from fescuedrum_gateway.process.followers import Follower
 from fescuedrum_gateway.process.metrics import GatewayMetrics
 from fescuedrum_gateway.process.peers import ENDPOINTS, OPERATORS, Peers, loads_of
-from fescuedrum_gateway.process.returns import ReturnQueue
 from fescuedrum_gateway.request.handler import RequestHandler
 from fescuedrum_gateway.version.configuration import RoutingConfiguration
 from fescuedrum_gateway.version.replica import Replica
@@ -69,7 +68,6 @@
         "random",
         "reread",
         "retries",
-        "return_queues",
         "running",
         "session",
         "settings",
@@ -95,7 +93,6 @@
         )
         self.directory.changed = self.peers.changed
         self.patience = collections.defaultdict(UsualPatience)
-        self.return_queues = collections.defaultdict(ReturnQueue)
         self.retries = collections.defaultdict(self.build_retries)
         self.followers = []
         # The server that holds callers' connections.
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -24,10 +24,6 @@
 WAY_SECONDS = 0.01
 # Work with less than this left would end late; a plain request takes some 20 ms.
 LEAST_SECONDS = 0.02
-# A place comes free every some 30 ms; who is not among the next dozen is refused soon.
-RETURN_WAIT_SECONDS = 0.4
-# What is left must suffice for an answer; a stream takes one to two seconds.
-SERVICE_SECONDS = 2.0
 # The endpoint at the address is another than the one that was meant.
 MISDIRECTED_STATUS = 421
 
@@ -83,35 +79,19 @@
                 return self.ran or result
             last = result
 
-    async def choose(self):
+    def choose(self):
         """Return an endpoint; raise Overloaded or Unavailable."""
-        placed = self.find_place()
-        if placed is None and self.call.returned:
-            queue = self.gateway.return_queues[self.call.service]
-            placed = await queue.find(self.find_place, self.latest_start())
-        match placed or self.place():
+        call = self.call
+        placed = self.gateway.directory.place(call.service, self.tried, call.returned)
+        match placed:
             case Chosen(endpoint, load):
                 self.check_stop()
                 self.log_choice(endpoint, load)
                 return endpoint
             case Refused(RefusalCause.NONE_LISTED):
-                raise Unavailable(f"No endpoint of {self.call.service} may get work.")
+                raise Unavailable(f"No endpoint of {call.service} may get work.")
             case Refused(cause):
-                raise Overloaded(f"{self.call.service}: {cause}.")
-
-    def place(self):
-        call = self.call
-        return self.gateway.directory.place(call.service, self.tried, call.returned)
-
-    def find_place(self):
-        """Return what came of placing; None while all endpoints are full."""
-        placed = self.place()
-        return None if placed == Refused(RefusalCause.ALL_FULL) else placed
-
-    def latest_start(self):
-        """Return until when a caller who came back may wait for a place."""
-        longest = self.loop.time() + RETURN_WAIT_SECONDS
-        return min(longest, self.call.ends_at - SERVICE_SECONDS)
+                raise Overloaded(f"{call.service}: {cause}.")
 
     def log_choice(self, endpoint, load):
         event = RequestSent(
@@ -126,10 +106,10 @@
     def check_stop(self):
         """Refuse to begin what the end of this process might cut.
 
-        A slow body or a wait for a place brings a request here long after it came, and
-        one that was not run at an endpoint is sent anew when much of the stop's time
-        has passed. What may have run is sent again all the same: cut now or later, its
-        caller has no answer, and no refusal could say that it has not run.
+        A slow body brings a request here long after it came, and one that was not run
+        at an endpoint is sent anew when much of the stop's time has passed. What may
+        have run is sent again all the same: cut now or later, its caller has no answer,
+        and no refusal could say that it has not run.
         """
         plan = self.gateway.stop_plan
         if plan is None or self.ran is not None:
@@ -140,7 +120,7 @@
     async def open(self, last_event_id=""):
         """Send the call once: Opened, NotRun or Lost; raise when it can't be sent."""
         call = self.call
-        endpoint = await self.choose()
+        endpoint = self.choose()
         left = call.ends_at - self.loop.time() - WAY_SECONDS
         if left < LEAST_SECONDS:
             raise DeadlinePassed("Too little time is left to send it.")
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/handler.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from fescuedrum.decisions.returns import Outage, return_after
+from fescuedrum.decisions.returns import return_after
 from fescuedrum.events.event import tell
 from fescuedrum.events.requests import (
     ANSWERED,
@@ -15,7 +15,7 @@
     RequestEnded,
     RequestRefused,
 )
-from fescuedrum.exceptions import BadRequest, FescuedrumError, Overloaded, Unavailable
+from fescuedrum.exceptions import BadRequest, FescuedrumError, Overloaded
 from fescuedrum.serving import REQUEST_ID, tell_taken
 from fescuedrum_gateway.request.admission import admit
 from fescuedrum_gateway.request.call import Answered, StreamBroken, StreamEnded
@@ -32,8 +32,6 @@
 ENDED_BY_STOP = "the process stopped"
 # A caller that says nothing is taken to wait as long as most programs do.
 DEFAULT_PATIENCE_SECONDS = 10.0
-# A full endpoint ends one of its requests within about this time.
-FULL_RETRY_SECONDS = 0.5
 
 
 class RequestHandler:
@@ -140,10 +138,7 @@
         """Set the time after which a refused caller should come back."""
         if not isinstance(error, Overloaded) or error.retry_after is not None:
             return
-        outage = Outage.LONG if isinstance(error, Unavailable) else Outage.FULL
-        error.retry_after = return_after(
-            outage, max(patience, 0.0), FULL_RETRY_SECONDS, self.gateway.random
-        )
+        error.retry_after = return_after(max(patience, 0.0), self.gateway.random)
 
     def refuse(self, error, request_id, arrived):
         event = RequestRefused(
--- a/packages/fescuedrum/src/fescuedrum/decisions/rooms.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/rooms.py
@@ -9,9 +9,8 @@
 New callers are sent on as long as an endpoint has a place, or nearly one: places of a
 full group of a dozen engines come free every some 30 ms (72 places, streams of two
 seconds), so that a few waiting requests can still be answered on time. Callers who came
-back get only the places that new ones leave free. They have no further try, so they
-wait in order for such a place, but only as long as one is likely to come; when more
-wait than can be served they are refused at once.
+back get only the places that new ones leave free, or are refused at once: while more
+come than can be served, waiting for such a place is mostly for nothing.
 
 The more requests a group runs, the longer its passes are, while it makes hardly more
 events in a second: beyond some load every stream pauses for longer than its caller
@@ -30,22 +29,6 @@
 
 Plain services run requests of some tens of milliseconds; there a few rounds of waiting
 are short against the time that callers have.
-
-Grounds for the figures. WAITING: one, two and four gave the same within noise on days
-of all kinds; on a day of lasting overload one was better than four. RETURNED_PART: on a
-calm day the engine chosen had three of six places taken at most (1,114 requests), so
-two thirds leave new callers what they need; half was no better. PLAIN_ROUNDS: three
-rounds of 25 ms leave an answer within 100 ms. EASY_STRAIN, FULL_STRAIN, LEAST_PART: on
-a day of lasting load at 63 engines of five places, with passes of 93 ms and a pause of
-120 ms, at most seven, four and three requests at an engine left 24%, 39% and 66% of all
-requests on time between second 10 and 22; calm passes take 44 to 60 ms. BASE_RANKS,
-MOVE_GROWTH: a move made passes 1.45 times as long with 12 ranks (44 to 64 ms) and 1.75
-with 63 (62 to 108 ms); the bounds that follow, 0.42 and 0.62 with 63 ranks, gave two
-plays of the heaviest day a worth of 0.48 instead of 0.46, while with 12 ranks they took
-0.01 off. LATE_STRAIN:
-one rank at 2.9 times its usual time made passes of 150 ms. MAXIMUM_RETURNED: estimated;
-an entry's part of the spare places serves one or two in a second, and after an outage
-many are free.
 """
 
 import math
@@ -62,7 +45,6 @@
 LATE_STRAIN = 1.1
 RETURNED_PART = 2 / 3
 PLAIN_ROUNDS = 3
-MAXIMUM_RETURNED = 6
 
 
 def room(slots, *, is_engine, returned, strain=0.0, ranks=BASE_RANKS):
