Use all places of engines until passes come nearer to the pause allowed, and let none wait

One bound stood for two things: requests that wait at an engine, which are late as soon as more come than can be served, and requests that run.

Change: requests wait at engines up to a strain of 0.5 as before; fewer places are used from 0.65 on, and the least from 0.95 on.

--- a/packages/fescuedrum/src/fescuedrum/decisions/rooms.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/rooms.py
@@ -16,7 +16,9 @@
 events in a second: beyond some load every stream pauses for longer than its caller
 allows, and all are late for as long as the load lasts. So as passes come near the pause
 that callers allow, fewer requests are sent to each engine, but never less than half of
-its places: a few are refused and come back, and the others are on time.
+its places: a few are refused and come back, and the others are on time. Long before
+that none is sent to wait at an engine: while more come than can be served, a place that
+is free at once goes to a caller who is on time then.
 
 When demand for experts moves, a pass gets half as long again or more until the map
 follows, and if it is longer than the pause then, every stream that runs is late. The
@@ -34,9 +36,12 @@
 import math
 
 WAITING = 2
-# Length of a pass over the pause that callers allow, in a group of BASE_RANKS.
-EASY_STRAIN = 0.5
-FULL_STRAIN = 0.75
+# Length of a pass over the pause that callers allow, in a group of BASE_RANKS: up to
+# the first, requests may wait at an engine; from the second on fewer places are used,
+# and from the third on the least.
+WAITING_STRAIN = 0.5
+EASY_STRAIN = 0.65
+FULL_STRAIN = 0.95
 BASE_RANKS = 12
 MOVE_GROWTH = 0.125
 # Part of an engine's places that is used at FULL_STRAIN and beyond.
@@ -47,7 +52,14 @@
 PLAIN_ROUNDS = 3
 
 
-def room(slots, *, is_engine, returned, strain=0.0, ranks=BASE_RANKS):
+def room(
+    slots: int,
+    *,
+    is_engine: bool,
+    returned: bool,
+    strain: float = 0.0,
+    ranks: int = BASE_RANKS,
+) -> int:
     """Return how many requests may be at an endpoint with so many slots.
 
     strain is the length of its group's passes over the pause that callers allow; ranks
@@ -58,16 +70,16 @@
     places = slots * open_part(strain, ranks)
     if returned:
         return max(int(places * RETURNED_PART), 1)
-    waiting = WAITING if strain * move_factor(ranks) <= EASY_STRAIN else 0
+    waiting = WAITING if strain * move_factor(ranks) <= WAITING_STRAIN else 0
     return math.ceil(places) + waiting
 
 
-def move_factor(ranks):
+def move_factor(ranks: int) -> float:
     """Return by how much more a move lengthens passes than in a group of BASE_RANKS."""
     return max(1 + MOVE_GROWTH * math.log(max(ranks, 1) / BASE_RANKS), 1.0)
 
 
-def open_part(strain, ranks=BASE_RANKS):
+def open_part(strain: float, ranks: int = BASE_RANKS) -> float:
     """Return the part of an engine's places that may be used."""
     if strain >= LATE_STRAIN:
         return 1.0
