--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
@@ -3,7 +3,9 @@
 import asyncio
 import collections
 import logging
+from collections.abc import Callable
 
+from fescuedrum.conf.routing import RoutedService
 from fescuedrum.decisions.coldness import ColdShares, cold_requests
 from fescuedrum.decisions.placement import (
     Load,
@@ -16,7 +18,7 @@
     candidates_for,
     place,
 )
-from fescuedrum.decisions.presence import Presences
+from fescuedrum.decisions.presence import ListedEndpoint, Presences
 from fescuedrum.decisions.rooms import room
 from fescuedrum.events.event import tell
 from fescuedrum.events.tables import (
@@ -190,7 +192,9 @@
             candidates=candidates_for(self.peers.change_interval),
         )
 
-    def arrivals(self, described):
+    def arrivals(
+        self, described: RoutedService
+    ) -> Callable[[ListedEndpoint], int] | None:
         """Return the bound on what this gateway may send an endpoint in a second."""
         total = cold_requests(
             described.cold_per_second,
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
@@ -135,11 +135,11 @@
     def heard_within(self, seconds):
         return [each for each in self.hosts.values() if self.is_heard(each, seconds)]
 
-    def count_entries(self):
+    def count_entries(self) -> int:
         """Return how many gateways may share a bound, this one included."""
         return 1 + len(self.sharing_hosts())
 
-    def sharing_hosts(self):
+    def sharing_hosts(self) -> list[str]:
         """Return the addresses of the others that may share a bound.
 
         Gateways that were cut off still send: they count until they are forgotten. So
@@ -243,7 +243,7 @@
         payload = self.build(wants_answer=wants_answer, tells_hosts=True)
         self.transport.sendto(payload, (peer.host, self.settings.peer_port))
 
-    def build(self, *, wants_answer, tells_hosts):
+    def build(self, *, wants_answer: bool, tells_hosts: bool) -> bytes:
         beacon = self.describe()
         self.sequence += 1
         beacon.instance = self.settings.name
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from fescuedrum.decisions.placement import Chosen, RefusalCause, Refused
+from fescuedrum.decisions.presence import ListedEndpoint
 from fescuedrum.events.event import tell
 from fescuedrum.events.requests import RequestSent, SendingFailed
 from fescuedrum.exceptions import (
@@ -79,7 +80,7 @@
                 return self.ran or result
             last = result
 
-    def choose(self):
+    def choose(self) -> ListedEndpoint:
         """Return an endpoint; raise Overloaded or Unavailable."""
         call = self.call
         placed = self.gateway.directory.place(call.service, self.tried, call.returned)
--- a/packages/fescuedrum/src/fescuedrum/decisions/admission.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/admission.py
@@ -9,11 +9,6 @@
 the endpoint serves cost: its places over the time that a unit of cost takes. What is
 left after a zone went out needs no separate figure: each endpoint predicts from its
 own rate.
-
-Grounds for the figures. MARGIN: predictions from a rate smoothed over 32 answers miss
-by up to a tenth; work admitted into that last tenth would often end too late, and one
-late answer costs as much as the refusal it replaced saved. RETRY_SPREAD: callers that
-were refused together must not return together.
 """
 
 import enum
--- a/packages/fescuedrum/src/fescuedrum/decisions/allowances.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/allowances.py
@@ -6,10 +6,7 @@
 expectations that a busy one disappoints.
 
 The limits are for the whole fleet. No entry asks another: the balancer spreads callers
-evenly, so each of n entries grants an n-th part. Grounds for the figures: with arrivals
-at random an entry sees bursts above its part, so it grants BURST_SECONDS of its rate at
-once; and one request always, since an n-th part of a small limit would be none. So a
-fleet of n entries may grant up to n requests above the limit before it holds.
+evenly, so each of n entries grants an n-th part.
 """
 
 from dataclasses import dataclass
--- a/packages/fescuedrum/src/fescuedrum/decisions/breakers.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/breakers.py
@@ -4,10 +4,6 @@
 more and more, and it answers a whole fleet's requests with errors. A breaker opens
 after failures in a row, lets one trial request through after a pause, and closes when
 that succeeds. Each failed trial doubles the pause.
-
-Grounds for the figures. FAILURES: at a failure rate of 10% five in a row come once in
-100,000 requests, at 90% within nine. The pause starts at a second, which a restart
-takes, and ends at 30 s, so that a healed endpoint is missed for no longer.
 """
 
 import enum
--- a/packages/fescuedrum/src/fescuedrum/decisions/experts/demand.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/experts/demand.py
@@ -4,12 +4,6 @@
 run at a time, and then half of it moves to other experts at once. A long mean would
 see the move late; a short one makes noise look like moves. So counts of one interval
 are joined to the mean while they are like it, and replace it when they are not.
-
-Grounds for the figures. JUMP: measured on counts of half a second, noise moves 4% to
-13% of the demand from one interval to the next, and a change of demand 30% to 55% among
-72 experts, 17% to 21% among 252.
-NEW_WEIGHT: half leaves noise of four intervals' mean, and forgets within two.
-LEAST_COUNTS: less than a request's worth says nothing.
 """
 
 JUMP = 0.15
--- a/packages/fescuedrum/src/fescuedrum/decisions/experts/even.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/experts/even.py
@@ -13,12 +13,6 @@
 others hold as well, or let two ranks exchange an expert. A step is judged by the sum of
 a high power of the ranks' loads, which follows the fullest rank and still tells apart
 steps that leave it as it is.
-
-Grounds for the figures. POWER: at 8 a rank 10% above the others counts double. GOAL:
-counts of half a second miss the true demand by 8%, so that less is noise. GIVERS,
-RECEIVERS, VICTIMS: measured on the counts of ten shifts at 12 ranks with two copies a
-rank; with 4 receivers the skew after a change was 1.50, with 6 1.48, with 8 1.45 and
-with 12 1.43, at 78, 86, 123 and 180 ms of work for ten changes of both samples.
 """
 
 from dataclasses import dataclass
--- a/packages/fescuedrum/src/fescuedrum/decisions/experts/pace.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/experts/pace.py
@@ -15,15 +15,6 @@
 counts are read for another reason. What is usual outlives the change, so that passes
 which do not get shorter by it are noticed at once. Where the demand was measured and
 the map suits it, slow passes are load, and the keeper accepts them as the usual ones.
-
-Grounds for the figures, from the events of one entry of seven on a calm day. Passes
-took 41 to 48 ms, some 53 with a prompt; after a move 55 to 70, the least of all moves
-51. SLOWER: 1.17 of 44 ms. ALL_SLOWER: under load passes vary by more; with all of them
-1.15 times as long a move was missed for two seconds on a heavy day. RECENT_SECONDS:
-three or four passes; a pass in ten read a prompt. LEAST_RECENT: one stream in as many
-passes, so that one late event alone says nothing. RISE_SECONDS: load doubles in ten
-seconds at the fastest seen, which leaves what is usual a seventh behind. FALL_SECONDS:
-a new map makes passes half as long, and the next move may come a second later.
 """
 
 from collections import deque
--- a/packages/fescuedrum/src/fescuedrum/decisions/fairness.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/fairness.py
@@ -18,17 +18,6 @@
 "alike", never below zero, and a finding is raised at a threshold that grows with the
 number of comparisons. So the rate of false findings holds over all organisations and
 measures, however often one looks.
-
-Grounds for the figures. HARM: above the line twice as often as the peers is what an
-organisation notices; less is found later. The threshold log(comparisons / LEVEL) is
-Wald's bound. INTERVAL_EVIDENCE: requests of one interval share its bursts and are not
-independent, so that one interval counts for at most this much, and a finding needs
-seven bad intervals however many requests they hold. DEMAND_EVIDENCE: a queue's busy
-spells outlast intervals, so that waits and refusals need twenty. A finding clears when
-the evidence has run back to zero or CLEAR_INTERVALS in a row were alike. PEER_SAMPLE
-keeps the work for one organisation the same at any number of requests. PLACE_LIFT: a
-place that holds two fifths of the worse answers, and half as many again as of all
-answers, is where to look.
 """
 
 import enum
--- a/packages/fescuedrum/src/fescuedrum/decisions/following.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/following.py
@@ -10,10 +10,6 @@
 lose the store or are cut off, those behind them step in, and each side of a cut has
 readers of its own. The order is by a digest of the address, as neighbours in the order
 of addresses often share a zone and are lost together.
-
-Grounds for the figures. READERS: where a third of the entries are turned away in a way
-that shows nothing but silence, all six are so once in 700 outages; a calm day of 39
-entries took 2,925 calls when all read.
 """
 
 import zlib
--- a/packages/fescuedrum/src/fescuedrum/decisions/leading.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/leading.py
@@ -12,9 +12,6 @@
 
 All processes order alike by what each says of itself. Where some don't hear others
 there is more than one holder; what they do must be safe then.
-
-Grounds: measured on a group of 63 ranks. From a slowdown to the end of a change took
-0.58 s on a link of 200 Mbit/s, and 0.99 s on one of 40.
 """
 
 from dataclasses import dataclass
--- a/packages/fescuedrum/src/fescuedrum/decisions/limits.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/limits.py
@@ -13,13 +13,6 @@
 window of very slow answers. After a pause the old limit proves nothing, since the
 endpoint may have been restarted meanwhile, so it is climbed again (as TCP does after
 idling).
-
-Grounds for the figures. SLOW: a full batch makes an engine's step about one and a
-half times as long as a small one, which is no congestion; twice is. COLD: coldness
-shows as several times the delay; the median of a window is not moved by one caller.
-BACK_OFF: a tenth a window empties an endpoint's own queue in a few windows without
-letting it run dry. FORGET: a best delay that can't be reached any more, as after a
-new model, is forgotten within some 15 windows at the floor.
 """
 
 import enum
--- a/packages/fescuedrum/src/fescuedrum/decisions/outliers.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/outliers.py
@@ -6,12 +6,6 @@
 ejected when its delay for each unit of cost is a multiple of its peers' median for
 some reports in a row. It comes back gently: after a pause it gets one request at a
 time, and only good delays bring it back in full.
-
-Grounds for the figures. SLOWER: a full batch against an empty one differs by up to
-1.5, so 2.5 is not load. REPORTS: three half-second reports in a row outlast a burst.
-MAXIMUM_SHARE: at a third ejected, two thirds still carry a site planned to lose one
-of three zones; when more are slow, it is no outlier but the load. TRIAL_EVERY: one
-request in two seconds of hundreds a second stays far under one in a hundred.
 """
 
 import statistics
--- a/packages/fescuedrum/src/fescuedrum/decisions/presence.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/presence.py
@@ -9,9 +9,6 @@
 that is found deleted right after an outage is kept on trial until the store has been
 back for RETURN_SECONDS: live engines are listed again within that time. An engine that
 had announced its leave is gone at once in either case.
-
-Grounds for the figures. RETURN_SECONDS: the platform promises entries back within two
-seconds of its return.
 """
 
 import enum
--- a/packages/fescuedrum/src/fescuedrum/decisions/queueing.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/queueing.py
@@ -11,13 +11,6 @@
 cost is known, so guessing low gains nothing. An organisation that returns from idling
 starts a burst of a few requests below the others' counter and no lower: unused share
 is not saved up. Inside an organisation, classes go by rank and then by deadline.
-
-Grounds for the figures. FLOOR_SHARE: a fiftieth of the service is more than an equal
-share at 50 backlogged organisations on one endpoint, and still leaves 98% to weights.
-OLDEST_EVERY: one pick in eight by age bounds the wait of the lowest class at eight
-times its length, and costs the highest class an eighth at most. BURST: at four fifths
-of a share, Poisson arrivals hold eight requests or fewer in 19 of 20 moments; what is
-kept is used up after eight requests, however long the idling was.
 """
 
 import enum
--- a/packages/fescuedrum/src/fescuedrum/decisions/retries.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/retries.py
@@ -7,13 +7,6 @@
 of recent requests, whatever share of those fails. Hedges pay for the slowest few
 requests by a second copy and have a share of their own, so that a time in which all
 are slow, when a copy helps nobody, costs little.
-
-Grounds for the figures. RETRY_SHARE: a fifth more load is what an endpoint at its
-usual target of four fifths can take. HEDGE_SHARE: hedges start after the delay that
-one request in twenty exceeds, so a twentieth is what they need on an ordinary day.
-WINDOW_SECONDS: long enough to hold a few hundred requests of a small site, short
-enough that last minute's traffic buys no retries now. MINIMUM: a service with one
-request a minute may still retry it.
 """
 
 import math
--- a/packages/fescuedrum/src/fescuedrum/decisions/routing.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/routing.py
@@ -14,12 +14,6 @@
 
 The view is kept up to date by reports, and a choice looks at a few candidates only,
 so that its cost doesn't grow with the number of endpoints.
-
-Grounds for the figures. SAMPLES: two choices, and two more when both are full: with
-half of the endpoints full all four are in one choice of sixteen. AFFINITY_BOUND: 1.25
-of the mean load is the usual bound of consistent hashing with bounded loads; a home is
-left before it is a fifth slower than the mean. RING_POINTS: 32 points each keep homes'
-shares within about 18% of even.
 """
 
 import bisect
