Read counts of experts every two seconds again

Cause: with eight seconds maps stayed behind for nine seconds and more. Where a process begins to lead while passes are slow already, as after a stop or the end of all gateways, it takes them for the usual ones; its first measure may fall together with a move; and then only the next read tells that the map does not suit.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/keeper.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/keeper.py
@@ -26,9 +26,10 @@
 
 logger = logging.getLogger(__name__)
 
-# Time between reads of counts while the pace of streams would show a move of demand: a
-# move that stayed below what is noticed is found then.
-READ_SECONDS = 8.0
+# Time between reads of counts while the pace of streams would show a move of demand.
+# Passes that are slow already when a process begins to lead are taken for the usual ones;
+# the next read finds that the map does not suit.
+READ_SECONDS = 2.0
 # The same while too few streams pass through this process to tell the pace: a move is
 # then seen about as late as by two reads half a second apart.
 BLIND_READ_SECONDS = 0.75
