Check that a map which never suited is found before demand moves again

Change: a test in which passes are slow already when a process begins to lead, so that the pace of streams shows nothing. Its bound is the shortest time between two moves of demand.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/keeper.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/keeper.py
@@ -27,8 +27,8 @@
 logger = logging.getLogger(__name__)
 
 # Time between reads of counts while the pace of streams would show a move of demand.
-# Passes that are slow already when a process begins to lead are taken for the usual ones;
-# the next read finds that the map does not suit.
+# Passes that are slow already when a process begins to lead are taken for the usual
+# ones; the next read finds that the map does not suit.
 READ_SECONDS = 2.0
 # The same while too few streams pass through this process to tell the pace: a move is
 # then seen about as late as by two reads half a second apart.
--- a/tests/unit/test_group_keeper.py
+++ b/tests/unit/test_group_keeper.py
@@ -18,6 +18,7 @@
 from fescuedrum_gateway.process.metrics import GatewayMetrics
 
 RANKS = 4
+SHORTEST_TIME_BETWEEN_MOVES = 3.4
 EXPERTS = 16
 LAYERS = 2
 PROFILE = ExpertProfile(
@@ -177,6 +178,28 @@
     assert followed_at[0] - moved_at[0] < 1.9
 
 
+def test_a_map_that_never_suited_is_found_before_demand_moves_again():
+    """Every stream is late for nine seconds after all gateways were restarted.
+
+    Passes were slow when the new leader began, so that it takes them for usual.
+    """
+    followed_at = []
+
+    async def story(keeper, group):
+        loop = asyncio.get_running_loop()
+        pace_events(keeper, loop.time())
+        await look_for(keeper, 2.5)
+        group.hot = 7
+        moved_at = loop.time()
+        while hosts(group, 7) == 1:
+            pace_events(keeper, loop.time())
+            await look_for(keeper, 0.25)
+        followed_at.append(loop.time() - moved_at)
+
+    play(story)
+    assert followed_at[0] < SHORTEST_TIME_BETWEEN_MOVES
+
+
 def pace_events(keeper, now):
     """Let the keeper see streams of a steady pace."""
     for number in range(10):
