--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/duty.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/duty.py
@@ -19,7 +19,7 @@
 class GroupSupervisor:
     """Run a keeper for the groups of each service while this process is the leader."""
 
-    __slots__ = ("engines", "gateway", "keepers", "leads")
+    __slots__ = ("change_lock", "engines", "gateway", "keepers", "leads")
 
     def __init__(self, gateway, engines):
         self.gateway = gateway
@@ -27,6 +27,8 @@
         # Keepers by service name.
         self.keepers = {}
         self.leads = False
+        # Held while a group is checked, and perhaps its map changed.
+        self.change_lock = asyncio.Lock()
 
     async def run(self):
         """Check all groups periodically while this process is the leader."""
@@ -34,15 +36,45 @@
             await self.wait_for_next_check()
             self.update_leadership()
             if self.leads:
-                for keeper in self.update_keepers():
-                    await keeper.check_groups()
+                async with self.change_lock:
+                    for keeper in self.update_keepers():
+                        await keeper.check_groups()
+
+    async def finish_change(self, latest):
+        """Wait until no map change is under way, at most until a loop time.
+
+        A process that ends in the middle of a change leaves a pass held, and the whole
+        group waits until another process has noticed.
+        """
+        try:
+            async with asyncio.timeout_at(latest), self.change_lock:
+                self.leads = False
+        except TimeoutError:
+            log_event(logger, events.MapChangeCut())
+
+    def stand_still_seconds(self) -> float:
+        """Return the longest time since a group's last pass; -1 if not the leader."""
+        now = asyncio.get_running_loop().time()
+        return max((now - each.last_pass_at for each in self.groups()), default=-1.0)
+
+    def hold_seconds(self) -> float:
+        """Return for how long a group has been seen to hold a pass; 0 if none does."""
+        now = asyncio.get_running_loop().time()
+        held = (each for each in self.groups() if each.held_step is not None)
+        return max((now - each.held_since for each in held), default=0.0)
+
+    def groups(self):
+        """Return the groups that this process manages as the leader."""
+        keepers = self.keepers.values() if self.leads else ()
+        return [group for keeper in keepers for group in keeper.finder.groups.values()]
 
     async def wait_for_next_check(self):
         """Wait for the next check of the groups; as leader, watch for slowdowns."""
         for _ in range(SLOWDOWN_CHECKS if self.leads else 0):
             await asyncio.sleep(CHECK_INTERVAL_SECONDS / SLOWDOWN_CHECKS)
-            for keeper in self.keepers.values():
-                await keeper.check_slowdown()
+            async with self.change_lock:
+                for keeper in self.keepers.values():
+                    await keeper.check_slowdown()
         if not self.leads:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -82,6 +82,7 @@
         "stop_plan",
         "store",
         "store_session",
+        "supervisor",
     )
 
     def __init__(self, settings, adapter, incarnation, read_settings=None):
@@ -118,6 +119,8 @@
         self.session = None
         self.store = None
         self.store_session = None
+        # Manages the groups of ranks; None until the gateway runs.
+        self.supervisor = None
 
     def build_retry_budget(self):
         """Return the budget of retries of one service."""
@@ -144,11 +147,11 @@
             engines = self.adapter.open_engines(
                 self.store_session, self.settings.link_megabits
             )
-            supervisor = GroupSupervisor(self, engines)
+            self.supervisor = GroupSupervisor(self, engines)
             background_tasks += [
                 self.peers.run,
                 self.register_address,
-                supervisor.run,
+                self.supervisor.run,
                 self.measure_loop_delay,
             ]
             tasks = [
@@ -161,6 +164,7 @@
             await serving.wait_for_delivery(
                 self.stop_plan, self.caller_server, caller_runner
             )
+            await self.supervisor.finish_change(self.stop_plan.latest)
             cut_connections = len(self.caller_server.connections)
             await caller_runner.cleanup()
             await control_runner.cleanup()
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
@@ -7,7 +7,7 @@
 from fescuedrum.decisions.experts import even
 from fescuedrum.events.event import log_event
 from fescuedrum.events.groups import GroupFound, GroupNotWhole
-from fescuedrum.groups.switching import newest_version
+from fescuedrum.groups.settling import newest_version
 from fescuedrum_gateway.process.demand import DemandSample
 
 logger = logging.getLogger(__name__)
@@ -31,8 +31,12 @@
     map_step: int
     # Highest version that was sent to any rank.
     highest_version: int
-    # Pass of the latest report.
+    # Pass of the latest report, and the loop times of that report and of the pass.
     last_seen_step: int
+    reported_at: float
+    last_pass_at: float
+    # Last pass at which all ranks were searched for a held one.
+    searched_at_step: int | None = None
     sample: DemandSample = field(default_factory=DemandSample)
     # Pass that is held, and the loop time since when it is.
     held_step: int | None = None
@@ -116,6 +120,8 @@
             map_step=first.step,
             highest_version=highest_version,
             last_seen_step=first.step,
+            reported_at=self.loop.time(),
+            last_pass_at=self.loop.time(),
         )
         log_event(logger, GroupFound(name, epoch, len(members), first.map_version))
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/keeper.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/keeper.py
@@ -9,18 +9,15 @@
 from fescuedrum.events.groups import (
     GroupBeganAnew,
     GroupHasOtherMap,
+    GroupStandsStill,
+    GroupStateOutdated,
     MapChangeBegun,
     MapChangeEnded,
     StreamsSlowedDown,
 )
-from fescuedrum.groups.switching import (
-    HOLDING_RANK,
-    MapChange,
-    MapSwitch,
-    SwitchResult,
-    recover_held_group,
-    steps_ahead,
-)
+from fescuedrum.groups.orders import GroupOrders
+from fescuedrum.groups.settling import HOLDING_RANK, SwitchResult, settle_held_group
+from fescuedrum.groups.switching import MapChange, MapSwitch, steps_ahead
 from fescuedrum_gateway.process.demand import DemandReader
 from fescuedrum_gateway.process.groups import GroupFinder
 
@@ -39,11 +36,17 @@
 # Time after which a held pass counts as abandoned by its process; a switch takes a
 # fraction of it.
 ABANDONED_HOLD_SECONDS = 0.5
+# Time without a pass after which all ranks are asked whether they hold one.
+STAND_STILL_SECONDS = 1.0
+# Longest time since a group's last report at which its map may be changed. Planning and
+# measuring take half a second; a process that was suspended exceeds it.
+MAX_REPORT_AGE_SECONDS = 2.0
 # Length of a pass at low load, used if no streams pass through this process.
 DEFAULT_PASS_SECONDS = 0.05
 # Size of a block of versions. A block contains the version of one change and the one
-# that replaces it; a random offset distinguishes processes that use the same block.
-VERSION_BLOCK_SIZE = 1000
+# that replaces it; a random offset distinguishes processes that use the same block. A
+# rank that two processes arm with the same version could switch for either of them.
+VERSION_BLOCK_SIZE = 100_000
 # Rebalancing steps between yields to other tasks; a step takes about 1 ms.
 STEPS_PER_YIELD = 4
 
@@ -107,6 +110,7 @@
         if report is None:
             # The engine may fail to answer for a moment; the group is still the same.
             return True
+        now = group.reported_at = self.loop.time()
         if report.epoch != group.epoch or not report.is_open:
             log_event(logger, GroupBeganAnew(group.name))
             return False
@@ -120,10 +124,31 @@
             return False
         if report.step == group.last_seen_step:
             # An idle group makes no passes; it has no demand, and reads are expensive.
-            return True
+            return await self.check_stand_still(group)
         group.last_seen_step = report.step
+        group.last_pass_at = now
         return await self.update_demand(group)
 
+    async def check_stand_still(self, group):
+        """Look for a pass held at any rank, once each time a group stands still.
+
+        The holding rank shows most holds, but a process that ends while it settles a
+        hold may leave one at another rank. Return False if the group must be searched
+        again.
+        """
+        if (
+            group.searched_at_step == group.last_seen_step
+            or self.loop.time() - group.last_pass_at < STAND_STILL_SECONDS
+        ):
+            return True
+        group.searched_at_step = group.last_seen_step
+        reports = await GroupOrders(
+            self.engines, group.addresses, group.epoch
+        ).read_reports()
+        held = sum(report.held_step is not None for report in reports.values())
+        log_event(logger, GroupStandsStill(group.name, group.last_seen_step, held))
+        return await self.settle_hold(group, reports) if held else True
+
     async def update_demand(self, group):
         """Read counts if due, and improve the map if that is worthwhile.
 
@@ -177,21 +202,25 @@
             return True
         if self.loop.time() - group.held_since < ABANDONED_HOLD_SECONDS:
             return True
-        ranks = sorted(group.addresses)
-        reports = await asyncio.gather(
-            *(self.engines.read_report(group.addresses[rank]) for rank in ranks)
-        )
-        if any(each is None or each.epoch != group.epoch for each in reports):
+        orders = GroupOrders(self.engines, group.addresses, group.epoch)
+        return await self.settle_hold(group, await orders.read_reports())
+
+    async def settle_hold(self, group, reports):
+        """Release the pass that some ranks hold; the group must be searched again.
+
+        reports are those of the ranks that responded. Return False.
+        """
+        epochs = {report.epoch for report in reports.values()}
+        if len(reports) < group.ranks or epochs != {group.epoch}:
+            return False
+        if all(report.held_step is None for report in reports.values()):
             return False
-        by_rank = dict(zip(ranks, reports, strict=True))
-        holding = by_rank[HOLDING_RANK]
         expert_map = await self.finder.read_map_in_force(
-            group.addresses, holding, self.profile
+            group.addresses, reports[HOLDING_RANK], self.profile
         )
         if expert_map is not None:
-            await recover_held_group(
-                self.engines, group.addresses, by_rank, to_sorted_lists(expert_map)
-            )
+            orders = GroupOrders(self.engines, group.addresses, group.epoch)
+            await settle_held_group(orders, reports, to_sorted_lists(expert_map))
         return False
 
     # Changing
@@ -230,6 +259,10 @@
         The change is abandoned if ranks refuse its orders, because another process may
         have changed the map or be changing it.
         """
+        age = self.loop.time() - group.reported_at
+        if age > MAX_REPORT_AGE_SECONDS:
+            log_event(logger, GroupStateOutdated(group.name, round(age, 3)))
+            return False
         pass_seconds = (
             self.pass_timer.current_pass_seconds(self.loop.time())
             or DEFAULT_PASS_SECONDS
@@ -294,6 +327,8 @@
             previous=to_sorted_lists(group.expert_map),
             copy_seconds=seconds,
             steps_ahead=steps_ahead(self.profile.report_lag, pass_seconds),
+            previous_version=group.map_version,
+            previous_step=group.map_step,
         )
 
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
@@ -6,7 +6,7 @@
 RESULT = Label("result", "5: answered, failed, cut, refused, left")
 ATTEMPT = Label("result", "3: opened, not-run, lost")
 CODE = Label("code", "the error codes of the callers' interface")
-CHANGE = Label("result", "3: switched, abandoned, epoch-ended")
+CHANGE = Label("result", "4: switched, abandoned, epoch-ended, unsettled")
 
 
 class GatewayMetrics:
@@ -15,6 +15,7 @@
     __slots__ = (
         "attempts",
         "catalogue",
+        "deadlines_passed",
         "first_event",
         "loop_delay",
         "map_changes",
@@ -51,6 +52,11 @@
             "Requests refused by the gateway itself.",
             CODE,
         )
+        self.deadlines_passed = catalogue.counter(
+            "fescuedrum_gateway_deadlines_passed_total",
+            "Requests whose deadline passed while an endpoint had them.",
+            SERVICE,
+        )
         self.loop_delay = catalogue.histogram(
             "fescuedrum_gateway_loop_delay_seconds",
             "Delay with which the event loop runs a timer.",
@@ -112,6 +118,24 @@
                 "leaves the store to others.",
                 lambda: gateway.store_answers,
             ),
+            (
+                "group_stand_still_seconds",
+                "Longest time since the last pass of a group that this gateway "
+                "manages; -1 if it manages none.",
+                lambda: (
+                    gateway.supervisor.stand_still_seconds()
+                    if gateway.supervisor
+                    else -1.0
+                ),
+            ),
+            (
+                "group_hold_seconds",
+                "Longest time for which a group that this gateway manages has been "
+                "seen to hold a pass.",
+                lambda: (
+                    gateway.supervisor.hold_seconds() if gateway.supervisor else 0.0
+                ),
+            ),
             ("leaving", "1 while the process stops.", lambda: gateway.leaving),
         )
         for name, text, read in gauges:
@@ -127,6 +151,10 @@
         """Count a request that the gateway refused."""
         self.refusals.labels(code).inc()
 
+    def count_deadline_passed(self, service):
+        """Count a request whose deadline passed while an endpoint had it."""
+        self.deadlines_passed.labels(service).inc()
+
     def count_attempt(self, result):
         """Count an attempt to send a request to an endpoint."""
         self.attempts.labels(result).inc()
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -201,6 +201,11 @@
                 history.succeeded()
                 self.refusals.answered()
 
+    def record_deadline_passed(self):
+        """Count that the deadline passed while an endpoint had the call."""
+        if self.reservation is not None:
+            self.gateway.metrics.count_deadline_passed(self.call.service)
+
     def log_failure(self, endpoint, result, reason):
         """Log an attempt without an answer of the endpoint's own."""
         request_id = self.call.head.request_id
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/plain.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/plain.py
@@ -33,6 +33,7 @@
                     )
                 )
         except TimeoutError:
+            self.attempts.record_deadline_passed()
             raise AnswerOverdue("No answer came before the deadline.") from None
         finally:
             self.attempts.release()
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
@@ -67,6 +67,7 @@
                     )
                 )
         except TimeoutError:
+            self.attempts.record_deadline_passed()
             if self.response is None:
                 raise AnswerOverdue("No event came before the deadline.") from None
             return StreamBroken("the caller's deadline passed")
--- a/packages/fescuedrum/src/fescuedrum/events/groups.py
+++ b/packages/fescuedrum/src/fescuedrum/events/groups.py
@@ -106,7 +106,7 @@
     version: MapVersion
     skew_before: Annotated[float, "pass time relative to evenly loaded ranks"]
     skew_after: Annotated[float, "the same with the new map"]
-    result: Annotated[str, "`switched`, `abandoned` or `epoch-ended`"]
+    result: Annotated[str, "`switched`, `abandoned`, `epoch-ended`, `unsettled`"]
     seconds: Annotated[float, "time since it began, in seconds"]
     step: Annotated[int, "number of the first pass with the new map"]
 
@@ -123,11 +123,64 @@
     unanswered: Annotated[int, "ranks that did not respond"]
 
 
+@event
+class MapChangeOutdated(Event):
+    """Logged when another gateway has changed the map while a change was prepared."""
+
+    message = "map change outdated"
+
+    version: MapVersion
+    map: Annotated[int, "version of the map in force"]
+
+
+@event
+class GroupStateOutdated(Event):
+    """Logged when a group's state is too old to change its map.
+
+    This process was suspended, or the group's first rank has not responded.
+    """
+
+    message = "group state outdated"
+
+    group: GroupName
+    seconds: Annotated[float, "age of the state, in seconds"]
+
+
+@event
+class GroupStandsStill(Event):
+    """Logged when a group has begun no pass for some time; it may have no requests."""
+
+    message = "group stands still"
+
+    group: GroupName
+    step: Annotated[int, "number of its last pass"]
+    held: Annotated[int, "ranks that hold a pass"]
+
+
+@event
+class MapChangeCut(Event):
+    """Logged when the process ends before a map change that it leads."""
+
+    message = "map change cut"
+    level = logging.WARNING
+
+
+@event
+class HeldPassNotSettled(Event):
+    """Logged when a held pass could not be released; this is tried again."""
+
+    message = "held pass not settled"
+    level = logging.ERROR
+
+    step: Annotated[int, "number of the pass that is held"]
+    ranks: Annotated[int, "ranks that did not accept the last orders"]
+
+
 @event
 class HeldGroupSettled(Event):
-    """Logged when a pass that another gateway left held is released.
+    """Logged when a process begins to release a pass that another gateway left held.
 
-    The change that held it is completed or undone.
+    The change that held it is undone.
     """
 
     message = "held group settled"
--- a/tests/support/groups.py
+++ b/tests/support/groups.py
@@ -95,6 +95,13 @@
         if len({rank.map_version for rank in self.ranks}) > 1:
             self.mixed_passes.append(self.step)
 
+    def map_in_force(self):
+        """Return the map in force as lists of experts[layer][rank]."""
+        return [
+            list(layer)
+            for layer in zip(*(rank.held for rank in self.ranks), strict=True)
+        ]
+
     def restart(self):
         """Begin a new epoch with ranks that have no state."""
         self.epoch += 1
--- a/tests/unit/test_group_keeper.py
+++ b/tests/unit/test_group_keeper.py
@@ -1,71 +1,24 @@
 """Check that maps are adapted to demand despite failures of ranks and leaders."""
 
 import asyncio
-import random
 
 from support.clock import run_paused
-from support.groups import REPORT_LAG_SECONDS, StandInGroup
-from support.routing import build_endpoint
+from support.keepers import (
+    EXPERTS,
+    LAYERS,
+    PROFILE,
+    RANKS,
+    build_group,
+    build_group_keeper,
+    grow,
+)
 
-from fescuedrum.conf.routing import EngineProfile, ExpertProfile, RoutedService
 from fescuedrum.decisions.experts import even
-from fescuedrum.decisions.experts.pace import PassTimer
-from fescuedrum.decisions.presence import EndpointPresence
 from fescuedrum.groups.engines import HoldPass, PrepareMap
 from fescuedrum.groups.switching import MapChange, MapSwitch, SwitchResult
 from fescuedrum_gateway.process.demand import DemandSample
-from fescuedrum_gateway.process.keeper import build_keeper
-from fescuedrum_gateway.process.metrics import GatewayMetrics
 
-RANKS = 4
 MIN_SECONDS_BETWEEN_SHIFTS = 3.4
-EXPERTS = 16
-LAYERS = 2
-PROFILE = ExpertProfile(
-    LAYERS,
-    EXPERTS,
-    places=6,
-    spare=3,
-    copy_seconds=0.1,
-    report_lag=REPORT_LAG_SECONDS,
-)
-
-
-def hot_loads(hot):
-    """Return loads in which one of sixteen experts has half of the load."""
-    return [50 if expert == hot else 3 for expert in range(EXPERTS)]
-
-
-def build(group):
-    """Return a keeper of the group's service."""
-    service = RoutedService("advice", engine=EngineProfile(6, experts=PROFILE))
-    presences = EndpointPresence()
-    for rank in range(RANKS):
-        presences.listed(build_endpoint(f"e-{rank}", host="engine", port=rank))
-    return build_keeper(
-        service, group, presences, PassTimer(), GatewayMetrics(), random.Random(1)
-    )
-
-
-def build_group(**faults):
-    held = even.initial_map(EXPERTS, RANKS, LAYERS)
-    group = StandInGroup([[sorted(each) for each in layer] for layer in held], **faults)
-    group.counts = [[0] * EXPERTS * LAYERS for _ in range(RANKS)]
-    # The expert that is in demand.
-    group.hot = 0
-    return group
-
-
-async def grow(group, ranks, loads=None):
-    """Increase the counts of some ranks as requests do."""
-    while True:
-        await asyncio.sleep(0.05)
-        for rank in ranks:
-            layer_loads = (loads or hot_loads(group.hot)) * LAYERS
-            group.counts[rank] = [
-                count + 100 * load
-                for count, load in zip(group.counts[rank], layer_loads, strict=True)
-            ]
 
 
 def play(story, group_faults=None, ranks=range(RANKS)):
@@ -73,7 +26,7 @@
 
     async def run():
         group = build_group(**group_faults or {})
-        keeper = build(group)
+        keeper = build_group_keeper(group)
         tasks = [
             asyncio.create_task(group.run()),
             asyncio.create_task(grow(group, ranks)),
@@ -225,7 +178,13 @@
         # Each rank gets the experts of the next rank.
         other = [layer[1:] + layer[:1] for layer in before]
         group.spare = None
-        change = MapChange(50_000, other, before, copy_seconds=0.1)
+        change = MapChange(
+            50_000_000,
+            other,
+            before,
+            copy_seconds=0.1,
+            previous_version=group.ranks[0].map_version,
+        )
         switch = MapSwitch(group, group.addresses, 1, change)
         assert await switch.run() is SwitchResult.SWITCHED
         group.spare = PROFILE.spare
@@ -253,7 +212,7 @@
 
     async def run():
         group = build_group()
-        keeper = build(group)
+        keeper = build_group_keeper(group)
         read_counts = group.read_counts
 
         async def record_read(address):
@@ -273,7 +232,7 @@
 
     async def run():
         group = build_group()
-        keeper = build(group)
+        keeper = build_group_keeper(group)
         passes = asyncio.create_task(group.run())
         growing = asyncio.create_task(grow(group, range(RANKS), [5] * EXPERTS))
         await story(keeper, group)
--- a/tests/unit/test_switching.py
+++ b/tests/unit/test_switching.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 import pytest
 from support.clock import run_paused
@@ -14,15 +15,11 @@
     HoldPass,
     OrderResult,
     PrepareMap,
+    ReleasePass,
 )
-from fescuedrum.groups.switching import (
-    HOLDING_RANK,
-    MapChange,
-    MapSwitch,
-    SwitchResult,
-    recover_held_group,
-    steps_ahead,
-)
+from fescuedrum.groups.orders import GroupOrders
+from fescuedrum.groups.settling import HOLDING_RANK, SwitchResult, settle_held_group
+from fescuedrum.groups.switching import MapChange, MapSwitch, steps_ahead
 
 RANKS = 4
 EXPERTS = 8
@@ -41,11 +38,22 @@
     )
 
 
-def play(story, **faults):
+def build_next_change(group, version, held, **changes):
+    """Return a change from the map that is in force now."""
+    return MapChange(
+        version,
+        held,
+        group.map_in_force(),
+        previous_version=group.ranks[0].map_version,
+        **{"copy_seconds": 0.1, **changes},
+    )
+
+
+def play(story, held=None, **faults):
     """Run story(group) while the group makes passes; return the group."""
 
     async def run():
-        group = StandInGroup(build_held(), **faults)
+        group = StandInGroup(held or build_held(), **faults)
         passes = asyncio.create_task(group.run())
         await asyncio.sleep(0.5)
         await story(group)
@@ -270,7 +278,8 @@
 
     async def story(group):
         for number in range(1, 6):
-            change = build_change(number * 1000, shift=number % RANKS)
+            shifted = build_held(number % RANKS)
+            change = build_next_change(group, number * 1000, shifted)
             switch = MapSwitch(group, group.addresses, 1, change)
             running = asyncio.create_task(switch.run())
             if chance.random() < 0.5:
@@ -293,12 +302,127 @@
         report = await group.read_report(group.addresses[HOLDING_RANK])
         if report.held_step is None:
             return
-        reports = {
-            rank: await group.read_report(address)
-            for rank, address in group.addresses.items()
-        }
-        held = [
-            [group.ranks[rank].held[layer] for rank in range(RANKS)]
-            for layer in range(2)
-        ]
-        await recover_held_group(group, group.addresses, reports, held)
+        orders = GroupOrders(group, group.addresses, group.epoch)
+        reports = await orders.read_reports()
+        await settle_held_group(orders, reports, group.map_in_force())
+
+
+def swap(held, first, second):
+    """Return a one-layer map with two experts exchanged."""
+    exchanged = {first: second, second: first}
+    return [
+        [sorted(exchanged.get(each, each) for each in experts) for experts in layer]
+        for layer in held
+    ]
+
+
+def test_leader_that_sleeps_before_its_hold_does_not_stop_the_group():
+    """Guard against a group that makes no pass for as long as it lives.
+
+    A leader freezes between preparing and holding, others change the map twice, and the
+    leader goes on with its old change. No rank can be armed for it, and none accepts
+    the leader's previous map, of which too many experts are new to it.
+    """
+    held = [[[0, 1], [2, 3], [4, 5], [6, 7]]]
+
+    async def story(group):
+        slow = build_next_change(group, 1000, swap(held, 0, 2), copy_seconds=4.0)
+        sleeping = asyncio.create_task(MapSwitch(group, group.addresses, 1, slow).run())
+        await asyncio.sleep(0.5)
+        for version, pair in ((2000, (1, 4)), (3000, (0, 6))):
+            exchanged = swap(group.map_in_force(), *pair)
+            change = build_next_change(group, version, exchanged)
+            switch = MapSwitch(group, group.addresses, 1, change)
+            assert await switch.run() is SwitchResult.SWITCHED
+            await asyncio.sleep(1.0)
+        async with asyncio.timeout(5):
+            assert await sleeping is SwitchResult.ABANDONED
+        step = group.step
+        await asyncio.sleep(2.0)
+        assert group.step > step + 30
+
+    group = play(story, held=held, spare=1)
+    assert group.mixed_passes == []
+    assert versions(group) == {3000}
+
+
+def test_a_change_is_undone_although_the_map_in_force_is_another():
+    """Guard against a group that makes no pass for as long as it lives.
+
+    A leader freezes after its look at a report and before its hold. The hold is carried
+    out when others have changed the map, and no rank accepts the leader's old one.
+    """
+    held = [[[0, 1], [2, 3], [4, 5], [6, 7]]]
+
+    async def story(group):
+        send_order = group.send_order
+        resumed = asyncio.Event()
+
+        async def freeze(address, epoch, order):
+            if isinstance(order, HoldPass) and not resumed.is_set():
+                await resumed.wait()
+                order = replace(order, step=group.step + 3)
+            return await send_order(address, epoch, order)
+
+        group.send_order = freeze
+        old = build_next_change(group, 1000, swap(held, 0, 2))
+        frozen = MapSwitch(group, group.addresses, 1, old)
+        freezing = asyncio.create_task(frozen.run())
+        await asyncio.sleep(0.5)
+        group.send_order = send_order
+        for version, pair in ((2000, (1, 4)), (3000, (0, 6))):
+            exchanged = swap(group.map_in_force(), *pair)
+            change = build_next_change(group, version, exchanged)
+            switch = MapSwitch(group, group.addresses, 1, change)
+            assert await switch.run() is SwitchResult.SWITCHED
+            await asyncio.sleep(1.0)
+        frozen.step = group.step + 3
+        resumed.set()
+        async with asyncio.timeout(5):
+            assert await freezing is SwitchResult.ABANDONED
+        step = group.step
+        await asyncio.sleep(2.0)
+        assert group.step > step + 30
+
+    group = play(story, held=held, spare=1)
+    assert group.mixed_passes == []
+    assert versions(group) == {3000}
+
+
+def test_a_late_release_does_not_begin_a_pass_that_is_being_settled():
+    """Guard against wrong answers from a pass with two maps.
+
+    A leader freezes when all ranks are armed. Another one disarms them, and the first
+    one's release arrives when half of the ranks are disarmed.
+    """
+
+    async def story(group):
+        send_order = group.send_order
+        disarmed = []
+
+        async def release_late(address, epoch, order):
+            if isinstance(order, DisarmMap):
+                disarmed.append(address)
+                if len(disarmed) == RANKS // 2:
+                    group.take(HOLDING_RANK, epoch, ReleasePass(switch.step))
+                await asyncio.sleep(0.06 * len(disarmed))
+            return await send_order(address, epoch, order)
+
+        async def freeze(address, epoch, order):
+            if isinstance(order, ReleasePass):
+                await asyncio.sleep(100)
+            return await send_order(address, epoch, order)
+
+        group.send_order = freeze
+        switch = MapSwitch(group, group.addresses, 1, build_change())
+        freezing = asyncio.create_task(switch.run())
+        await asyncio.sleep(1.5)
+        freezing.cancel()
+        assert {rank.armed.version for rank in group.ranks} == {1000}
+        group.send_order = release_late
+        await recover_when_abandoned(group)
+
+    group = play(story)
+    assert group.mixed_passes == []
+    assert versions(group) == {0}
+    assert group.step > 200
