--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,8 @@
 	$(PYTHON) -m fescuedrum_bench bench
 
 # Fresh seeds; play one again with SEEDS="--seed N". Logs are kept in build/soak.
-# SEEDS="--kind stops --seeds 10" plays runs with planned stops and nothing else.
+# SEEDS="--kind stops --seeds 10" plays runs with planned stops and nothing else,
+# SEEDS="--kind groups --seeds 10" suspensions of the leader of a group of ranks.
 SEEDS := --seeds 10
 soak: setup
 	cd tests && ../$(PYTHON) -m soak $(SEEDS) --logs ../build/soak
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -8,11 +8,12 @@
 import pytest
 from soak.balancer import Balancer
 from soak.callers import Ending, Record
-from soak.conditions import FAULTS, STOPS, RequestKind, Streams
+from soak.conditions import FAULTS, GROUPS, STOPS, RequestKind, Streams
 from soak.endpoints import RateLimit, Run
 from soak.faults import GatewayStopped, HistoryLost, PathFault, StoreFault, draw_fault
 from soak.judge import RECONNECT_SECONDS, GuaranteeChecker, Reading
 from soak.planned import draw_work
+from soak.ranks import RankGroup
 from soak.run import play
 from soak.site import Span
 from soak.store import StoreMode
@@ -232,3 +233,17 @@
     result = await asyncio.wait_for(play(SEED, SHORT_SECONDS, tmp_path), 60)
     assert result.findings == []
     assert result.endings["answered"] > 100
+
+
+async def test_a_group_of_ranks_goes_on_although_its_leader_is_suspended():
+    result = await play(SEED, SHORT_SECONDS, conditions=GROUPS)
+    assert result.findings == []
+    assert result.endings["answered"] > 0
+
+
+def test_a_pass_with_two_maps_is_found():
+    ranks = RankGroup(SEED)
+    assert ranks.findings() == []
+    ranks.group.ranks[1].map_version = 5
+    ranks.group.begin_pass()
+    assert ranks.findings() == ["pass 1 of the group began with two maps"]
--- a/tests/soak/conditions.py
+++ b/tests/soak/conditions.py
@@ -2,7 +2,7 @@
 
 import enum
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 EVENT_SECONDS = 0.04
 CALM_EVENT_SECONDS = 0.1
@@ -15,6 +15,8 @@
     FAULTS = "faults"
     # Planned work only, with many stops: no truncated response is allowed.
     STOPS = "stops"
+    # Faults of the gateway that manages a group of ranks, and late orders to ranks.
+    GROUPS = "groups"
 
 
 class RequestKind(enum.StrEnum):
@@ -80,7 +82,9 @@
     fewest_events=3,
     most_events=40,
 )
-CONDITIONS = {each.kind: each for each in (FAULTS, STOPS)}
+# A stopping gateway may be in the middle of a map change.
+GROUPS = replace(FAULTS, kind=RunKind.GROUPS, stop_seconds=4.0)
+CONDITIONS = {each.kind: each for each in (FAULTS, STOPS, GROUPS)}
 
 
 class Streams:
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -134,8 +134,12 @@
         # A fault may have closed the connection.
         with contextlib.suppress(ConnectionError):
             await response.prepare(request)
-            for number in range(first, self.streams.event_count(request_id) + 1):
-                await asyncio.sleep(self.streams.conditions.event_interval_seconds)
-                await response.write(encode_event(request_id, number))
+            await self.send_events(response, request_id, first)
             await response.write_eof()
         return response
+
+    async def send_events(self, response, request_id, first):
+        """Send the events of a stream from the given number on."""
+        for number in range(first, self.streams.event_count(request_id) + 1):
+            await asyncio.sleep(self.streams.conditions.event_interval_seconds)
+            await response.write(encode_event(request_id, number))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,8 @@
 
 LONGEST_FAULT_SECONDS = 3.0
 RESTART_SECONDS = 0.5
+# Time of a map change whose orders are all answered.
+LONGEST_CHANGE_SECONDS = 0.25
 # An endpoint serves for this long after it announced that it is draining.
 DRAIN_SECONDS = 2.5
 DELAY_SECONDS = 0.3
@@ -71,6 +73,23 @@
     announced: bool
 
 
+@dataclass(slots=True, frozen=True)
+class GatewayPausedInChange:
+    """Suspend a gateway some time after the next order to a rank of the group."""
+
+    target: str
+    delay_seconds: float
+    seconds: float
+
+
+@dataclass(slots=True, frozen=True)
+class OrdersUnanswered:
+    """Let a share of the orders to ranks be lost, and as many be carried out late."""
+
+    share: float
+    seconds: float
+
+
 @dataclass(slots=True, frozen=True)
 class GatewayKilled:
     """Kill a gateway process and start it again."""
@@ -149,6 +168,26 @@
     )
 
 
+def draw_group_fault(random, site):
+    """Return a random fault of a gateway that leads or would lead, or of orders."""
+    seconds = random.uniform(0.3, LONGEST_FAULT_SECONDS)
+    delay = random.uniform(0.0, LONGEST_CHANGE_SECONDS)
+    first, second = (each.name for each in site.gateways[:2])
+    leader = random.choice((first, first, first, second))
+    return random.choice(
+        (
+            GatewayPausedInChange(leader, delay, seconds),
+            GatewayPausedInChange(leader, delay, seconds),
+            GatewayPausedInChange(leader, delay, seconds),
+            GatewayPaused(leader, seconds),
+            GatewayKilled(leader),
+            GatewayStopped(leader),
+            OrdersUnanswered(round(random.uniform(0.1, 0.4), 2), seconds),
+            DocumentChanged(random.randint(1, RACING_CHANGES)),
+        )
+    )
+
+
 async def inject(fault, site):
     """Inject a fault, end it and record what it disturbed in between."""
     match fault:
@@ -172,12 +211,21 @@
             await kill_gateway(site.gateway(target), site)
         case GatewayPaused(target, seconds):
             await pause_gateway(site.gateway(target), seconds, site)
+        case GatewayPausedInChange(target, delay_seconds, seconds):
+            await site.ranks.wait_for_order()
+            await asyncio.sleep(delay_seconds)
+            await pause_gateway(site.gateway(target), seconds, site)
         case GatewayStopped(target):
             await stop_gateway(site.gateway(target), site)
         case SettingsReloaded(target):
             await reload_settings(site.gateway(target))
         case ZoneTakenOut(zone, seconds):
             await take_zone_out(zone, seconds, site)
+        case OrdersUnanswered(share, seconds):
+            group = site.ranks.group
+            group.late = group.lost = share / 2
+            await asyncio.sleep(seconds)
+            group.late = group.lost = 0.0
         case DocumentChanged(count):
             for _ in range(count):
                 change_document(site)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,11 +8,12 @@
 from pathlib import Path
 
 import aiohttp
+from support.groups import LATE_ORDER_DELAY_SECONDS
 
 from soak.balancer import Balancer
 from soak.callers import Caller, KeepingCaller
 from soak.conditions import FAULTS, Conditions, RunKind
-from soak.faults import draw_fault, draw_rate_limit, inject
+from soak.faults import draw_fault, draw_group_fault, draw_rate_limit, inject
 from soak.judge import RECOVERED_SHARE, GuaranteeChecker, Reading
 from soak.planned import draw_work
 from soak.site import Site
@@ -81,6 +82,9 @@
             case RunKind.FAULTS:
                 lasting += self.start_callers(Caller)
                 await self.inject_faults()
+            case RunKind.GROUPS:
+                lasting += self.start_callers(Caller)
+                await self.inject_group_faults()
             case RunKind.STOPS:
                 balancer = Balancer(self.site.gateways)
                 await balancer.probe_gateways(session)
@@ -89,7 +93,7 @@
                 await self.do_planned_work()
         await asyncio.sleep(RECOVERY_SECONDS)
         recovered_at = self.loop.time()
-        await asyncio.sleep(WATCHED_SECONDS)
+        await self.watch_recovery()
         broken = [repr(task.exception()) for task in lasting if task.done()]
         self.site.findings += [
             f"a part of the run broke off: {each}" for each in broken
@@ -119,6 +123,30 @@
             )
         await asyncio.gather(*running)
 
+    async def inject_group_faults(self):
+        """Inject faults of the leader of a group; they may overlap."""
+        until = self.loop.time() + self.plan.seconds
+        running = []
+        while self.loop.time() < until:
+            running.append(self.start_fault(draw_group_fault(self.random, self.site)))
+            await asyncio.sleep(
+                self.random.uniform(SHORTEST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS)
+            )
+        await asyncio.gather(*running)
+        # The last late orders are carried out by then.
+        await asyncio.sleep(max(LATE_ORDER_DELAY_SECONDS))
+
+    async def watch_recovery(self):
+        """Watch for WATCHED_SECONDS whether the site has recovered."""
+        ranks = self.site.ranks
+        step = None if ranks is None else ranks.group.step
+        await asyncio.sleep(WATCHED_SECONDS)
+        if ranks is None:
+            return
+        self.site.findings += ranks.findings()
+        if ranks.group.step == step:
+            self.site.findings.append(f"the group stands still at pass {step}")
+
     async def inject_rate_limits(self, until):
         """Inject rate limits; a separate generator keeps the faults of a seed."""
         rng = random.Random(f"{self.plan.seed}/needs")
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -2,18 +2,20 @@
 
 import asyncio
 import contextlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 
 from support.gateways import free_ports
 
 from soak import wire
-from soak.conditions import RequestKind, Streams
+from soak.conditions import RequestKind, RunKind, Streams
 from soak.endpoints import Journal, StandInEndpoint
 from soak.processes import GatewayProcess, Ports
+from soak.ranks import ENGINE, RankEndpoint, RankGroup
 from soak.store import StandInStore
 
 ZONES = ("zone-1", "zone-2", "zone-3")
 SERVICES = ("plain", "streams")
+RANKED_SERVICE = "streams"
 
 
 @dataclass(slots=True, frozen=True)
@@ -35,6 +37,9 @@
     timeout_ms: int
     services: tuple[str, ...] = SERVICES
     keys: frozenset[str] = frozenset(("club-key",))
+    # The service whose endpoints are the ranks of a group, and how its engines work.
+    ranked_service: str = ""
+    engine: dict = field(default_factory=dict)
 
 
 ROUTES = (
@@ -75,6 +80,13 @@
         ]
         timeout = round(self.conditions.patience_seconds * 1000)
         self.document = SoakDocument(1, ROUTES, timeout)
+        # The group of ranks, and the task that runs it; None if the run has none.
+        self.ranks = self.ranks_task = None
+        if plan.conditions.kind is RunKind.GROUPS:
+            self.ranks = RankGroup(plan.seed)
+            self.document = replace(
+                self.document, ranked_service=RANKED_SERVICE, engine=ENGINE
+            )
         self.disturbances = []
         self.stops = []
         self.zone_spans = []
@@ -90,6 +102,8 @@
     async def open(self):
         """Start the store, the endpoints and the gateways."""
         port = await self.store.start("127.0.0.1")
+        if self.ranks is not None:
+            self.ranks_task = asyncio.create_task(self.ranks.run())
         self.put_document(self.document)
         for zone in ZONES:
             for service in SERVICES:
@@ -103,6 +117,8 @@
         self.closing = True
         for gateway in self.gateways:
             await gateway.close()
+        if self.ranks_task is not None:
+            self.ranks_task.cancel()
         for endpoint in list(self.endpoints):
             await endpoint.stop()
         await self.store.stop()
@@ -118,9 +134,17 @@
     async def add_endpoint(self, service, zone):
         """Start an endpoint and list it in the store."""
         self.endpoints_added += 1
-        endpoint = StandInEndpoint(
-            f"i-{self.endpoints_added}", service, zone, self.journal, self.streams
+        arguments = (
+            f"i-{self.endpoints_added}",
+            service,
+            zone,
+            self.journal,
+            self.streams,
         )
+        if service == self.document.ranked_service:
+            endpoint = RankEndpoint(*arguments, ranks=self.ranks)
+        else:
+            endpoint = StandInEndpoint(*arguments)
         await endpoint.start()
         self.endpoints.append(endpoint)
         line = wire.encode_endpoint(endpoint, draining=False)
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -44,6 +44,9 @@
         for route in document.routes
     ]
     services = [{"name": name, "max_conns": 200} for name in document.services]
+    for service in services:
+        if service["name"] == document.ranked_service:
+            service["engine"] = document.engine
     organisations = [{"name": "club", "api_keys": sorted(document.keys)}]
     return json.dumps(
         {
