--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
@@ -15,6 +15,8 @@
 # Time between searches while groups are missing or incomplete. A group of a dozen ranks
 # forms within a second of the return of its last rank.
 SEARCH_INTERVAL_SECONDS = 0.3
+# Time without a pass after which all ranks are asked whether they hold one.
+STAND_STILL_SECONDS = 1.0
 
 
 @dataclass(slots=True)
@@ -35,8 +37,8 @@
     last_seen_step: int
     reported_at: float
     last_pass_at: float
-    # Last pass at which all ranks were searched for a held one.
-    searched_at_step: int | None = None
+    # Loop time from which on all ranks are searched for a held pass.
+    next_search_at: float
     sample: DemandSample = field(default_factory=DemandSample)
     # Pass that is held, and the loop time since when it is.
     held_step: int | None = None
@@ -122,6 +124,7 @@
             last_seen_step=first.step,
             reported_at=self.loop.time(),
             last_pass_at=self.loop.time(),
+            next_search_at=self.loop.time() + STAND_STILL_SECONDS,
         )
         log_event(logger, GroupFound(name, epoch, len(members), first.map_version))
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/keeper.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/keeper.py
@@ -19,7 +19,7 @@
 from fescuedrum.groups.settling import HOLDING_RANK, SwitchResult, settle_held_group
 from fescuedrum.groups.switching import MapChange, MapSwitch, steps_ahead
 from fescuedrum_gateway.process.demand import DemandReader
-from fescuedrum_gateway.process.groups import GroupFinder
+from fescuedrum_gateway.process.groups import STAND_STILL_SECONDS, GroupFinder
 
 logger = logging.getLogger(__name__)
 
@@ -36,8 +36,8 @@
 # Time after which a held pass counts as abandoned by its process; a switch takes a
 # fraction of it.
 ABANDONED_HOLD_SECONDS = 0.5
-# Time without a pass after which all ranks are asked whether they hold one.
-STAND_STILL_SECONDS = 1.0
+# Longest time between two searches of a group that stands still; it grows meanwhile.
+MAX_SEARCH_INTERVAL_SECONDS = 60.0
 # Longest time since a group's last report at which its map may be changed. Planning and
 # measuring take half a second; a process that was suspended exceeds it.
 MAX_REPORT_AGE_SECONDS = 2.0
@@ -127,24 +127,23 @@
             return await self.check_stand_still(group)
         group.last_seen_step = report.step
         group.last_pass_at = now
+        group.next_search_at = now + STAND_STILL_SECONDS
         return await self.update_demand(group)
 
     async def check_stand_still(self, group):
-        """Look for a pass held at any rank, once each time a group stands still.
+        """Look from time to time for a pass held at any rank if a group stands still.
 
         The holding rank shows most holds, but a process that ends while it settles a
-        hold may leave one at another rank. Return False if the group must be searched
-        again.
+        hold may leave one at another rank, and an order to hold may be carried out
+        late. Return False if the group must be searched again.
         """
-        if (
-            group.searched_at_step == group.last_seen_step
-            or self.loop.time() - group.last_pass_at < STAND_STILL_SECONDS
-        ):
+        now = self.loop.time()
+        if now < group.next_search_at:
             return True
-        group.searched_at_step = group.last_seen_step
-        reports = await GroupOrders(
-            self.engines, group.addresses, group.epoch
-        ).read_reports()
+        still_for = now - group.last_pass_at
+        group.next_search_at = now + min(still_for, MAX_SEARCH_INTERVAL_SECONDS)
+        orders = GroupOrders(self.engines, group.addresses, group.epoch)
+        reports = await orders.read_reports()
         held = sum(report.held_step is not None for report in reports.values())
         log_event(logger, GroupStandsStill(group.name, group.last_seen_step, held))
         return await self.settle_hold(group, reports) if held else True
--- a/tests/unit/test_group_keeper.py
+++ b/tests/unit/test_group_keeper.py
@@ -1,6 +1,7 @@
 """Check that maps are adapted to demand despite failures of ranks and leaders."""
 
 import asyncio
+from dataclasses import replace
 
 from support.clock import run_paused
 from support.keepers import (
@@ -110,6 +111,35 @@
     assert play(story).mixed_passes == []
 
 
+def test_a_hold_at_another_rank_is_found_although_it_appears_late():
+    """Guard against a group that stops forever.
+
+    A process that settled a hold ended before it released the second rank, and that
+    rank's report shows the hold only after the group was searched for the first time.
+    """
+
+    async def story(keeper, group):
+        await check_for(keeper, 0.5)
+        loop, read_report = asyncio.get_running_loop(), group.read_report
+        shown_at = loop.time() + 3.0
+
+        async def hide_hold(address):
+            report = await read_report(address)
+            if loop.time() < shown_at:
+                return replace(report, held_step=None)
+            return report
+
+        group.read_report = hide_hold
+        step = group.step + 2
+        assert group.take(1, 1, HoldPass(step))
+        await check_for(keeper, 2.5)
+        assert group.step < step
+        await check_for(keeper, 5.0)
+        assert group.step > step
+
+    assert play(story).mixed_passes == []
+
+
 def test_shift_while_demand_is_measured_is_detected():
     """Guard against streams that are late for another two seconds after a shift.
 
