Show how long a call to the store has been unanswered

The logs could not tell a store that refuses calls from one that takes them and answers none: `store lost` named the error but not how long the call had been waiting, and while it waited nothing showed at all.

`store lost` has `unanswered_seconds`, and the gauge fescuedrum_gateway_store_unanswered_seconds shows the longest call that waits. No decision changes.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
@@ -55,6 +55,7 @@
     """Keep the copy of one table up to date and pass its new rows to on_rows."""
 
     __slots__ = (
+        "call_sent_at",
         "confirmed_at",
         "loop",
         "name",
@@ -81,6 +82,8 @@
         self.loop = asyncio.get_running_loop()
         # Whether the store answered the last call; None while others follow the store.
         self.store_answers = None
+        # When the call to the store that is not answered yet was sent; None for none.
+        self.call_sent_at = None
         # When the store, or a gateway that it answers, last confirmed the copy.
         self.confirmed_at = None
         self.pull_task = None
@@ -106,23 +109,24 @@
                 log_event(logger, events.HistoryLost(self.name))
                 read_whole = True
             except StoreUnavailable as error:
-                self.record_store_answer(False, error.detail)
+                self.record_store_lost(error.detail)
                 await asyncio.sleep(pause)
                 pause = min(pause * 2, LONGEST_RETRY_SECONDS)
 
     async def call_store(self, read_whole):
         """Make one call to the store; return whether the next must read all rows."""
+        self.call_sent_at = self.loop.time()
         if not read_whole:
             changes = await self.store.wait_for_changes(
                 self.replica.table, self.replica.version, LONG_POLL_SECONDS
             )
-            self.record_store_answer(True)
+            self.record_store_answers()
             self.apply(changes, "store")
             if changes.rows:
                 await asyncio.sleep(BATCH_SECONDS)
             return False
         changes = await self.store.read_table(self.replica.table)
-        self.record_store_answer(True)
+        self.record_store_answers()
         if changes.version < self.replica.version:
             # A lagging replica of the store answered: the copy here is newer.
             copied = self.replica.version
@@ -138,17 +142,32 @@
             log_event(logger, events.StoreLeftToOthers(self.name))
             self.store_answers = None
 
-    def record_store_answer(self, answered, detail=""):
-        """Record whether the store answered a call; log it if that has changed."""
-        if answered == self.store_answers:
+    def record_store_answers(self):
+        """Record that the store answered a call; log it if it did not before."""
+        self.call_sent_at = None
+        if self.store_answers:
+            return
+        self.store_answers = True
+        log_event(logger, events.StoreAnswers(self.name))
+        self.on_store_state_change()
+
+    def record_store_lost(self, detail):
+        """Record that a call failed; log it if the store answered before."""
+        unanswered = self.unanswered_seconds
+        self.call_sent_at = None
+        if self.store_answers is False:
             return
-        self.store_answers = answered
-        if answered:
-            log_event(logger, events.StoreAnswers(self.name))
-        else:
-            log_event(logger, events.StoreLost(self.name, detail))
+        self.store_answers = False
+        log_event(logger, events.StoreLost(self.name, detail, round(unanswered, 3)))
         self.on_store_state_change()
 
+    @property
+    def unanswered_seconds(self):
+        """Return how long a call to the store has been unanswered; 0 for no call."""
+        if self.call_sent_at is None:
+            return 0.0
+        return self.loop.time() - self.call_sent_at
+
     @property
     def age(self):
         """Return the seconds since the copy was last confirmed; -1 for never."""
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
@@ -118,6 +118,15 @@
                 "leaves the store to others.",
                 lambda: gateway.store_answers,
             ),
+            (
+                "store_unanswered_seconds",
+                "Longest time for which a call to the platform's store has been "
+                "unanswered; 0 for no call.",
+                lambda: max(
+                    (each.unanswered_seconds for each in gateway.followers),
+                    default=0.0,
+                ),
+            ),
             (
                 "group_stand_still_seconds",
                 "Longest time since the last pass of a group that this gateway "
--- a/packages/fescuedrum/src/fescuedrum/events/tables.py
+++ b/packages/fescuedrum/src/fescuedrum/events/tables.py
@@ -156,6 +156,7 @@
 
     table: TableName
     detail: Annotated[str, "how the call failed"]
+    unanswered_seconds: Annotated[float, "time since the call was sent, in seconds"]
 
 
 @event
