Test that silent peers do not keep a change from a gateway

Found when looking for the cause of the late configuration elsewhere. A gateway that the store turns away asks the peers that are ahead one after the other and waits 1 s for each. Peers that froze with a newer copy answer nothing: two of them take all of the 2 s in which a change has to be in force, five take 5.1 s.

--- a/tests/integration/test_store_sharing.py
+++ b/tests/integration/test_store_sharing.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 
 import aiohttp
+import pytest
 from support.clock import run_paused
 from support.dialect import MemoryRowStore
 from support.gateways import build_settings, free_ports, running_gateway
@@ -15,7 +16,11 @@
 
 from fescuedrum.decisions.following import STORE_READERS
 from fescuedrum.platform.interfaces import VersionedRow
-from fescuedrum_gateway.process.followers import CHANGES_PATH, TableFollower
+from fescuedrum_gateway.process.followers import (
+    CHANGES_PATH,
+    PEER_TIMEOUT_SECONDS,
+    TableFollower,
+)
 from fescuedrum_gateway.version.replica import Replica
 
 GATEWAYS = STORE_READERS + 4
@@ -149,6 +154,17 @@
         return self.answered(self)
 
 
+class SilentPeersFollower(RecordingFollower):
+    """Get no answer from peers whose host says that they are silent."""
+
+    async def pull_from(self, peer):
+        if not peer.host.startswith("silent"):
+            return await super().pull_from(peer)
+        self.asked.append((self.loop.time(), peer))
+        await asyncio.sleep(PEER_TIMEOUT_SECONDS)
+        return False
+
+
 async def test_changes_are_requested_from_the_same_zone_first():
     """Guard against sending a change of half a megabyte between zones eighty times."""
     zones = ["zone-8", "zone-1", "zone-9", "zone-1", "zone-7"]
@@ -164,6 +180,29 @@
     assert sorted(asked) == sorted(zones)
 
 
+@pytest.mark.parametrize("silent", [1, 2, 5])
+def test_silent_peers_do_not_keep_a_change_from_a_gateway(silent):
+    """Guard against peers that froze with a newer copy and are asked first."""
+
+    async def run():
+        ahead = [
+            SimpleNamespace(host=f"silent-{number}", zone="zone-1")
+            for number in range(silent)
+        ]
+        ahead.append(SimpleNamespace(host="answering", zone="zone-2"))
+        peers = SimpleNamespace(
+            peers_ahead_of=lambda table, version: list(ahead),
+            count_sharing_gateways=lambda: len(ahead) + 1,
+        )
+        follower = SilentPeersFollower(peers, answered=lambda follower: True)
+        await follower.pull()
+        return follower.asked[-1], asyncio.get_running_loop().time()
+
+    (_, last), seconds = run_paused(run())
+    assert last.host == "answering"
+    assert seconds <= IN_FORCE_SECONDS
+
+
 def test_gateways_that_learn_of_a_change_together_ask_different_peers():
     """Guard against all gateways requesting a change from the same reader.
 
