Give up a call to the store that is never answered in time

Cause: a gateway learns of changes by one call that waits for them, for 10 s and 1.5 s more. A store that takes calls and answers none swallows the call of every reader; the calls sent during the outage hang on after it. No reader then learns of a version that is confirmed after the outage, so that no peer is ahead either, and all gateways say that the store answers them. Class: silence of one call is taken for silence of what it waits for, and nothing bounds it by the promise.

The test had 44 of 84 silences late, by up to 8 s.

Ruled out in these plays: rows taken without the document in force (no such line), peers that are behind (no peer was ahead).

Change: a call waits for 1.5 s at most and the follower itself gives it up after 1 s more; a store that did not answer the last call is asked without a wait, for 2 s, at pauses of up to 0.4 s. So a change is in force within 3 s of the store's return, whatever the phase of the calls. This holds for the configuration and for the list of endpoints.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
@@ -21,9 +21,14 @@
 logger = logging.getLogger(__name__)
 
 # Longest wait of one call for changes. Each call costs money, so a long wait saves
-# calls; but a store that accepts a machine's calls and answers none of them is only
-# noticed after this time.
-LONG_POLL_SECONDS = 10.0
+# calls; but a call that the store has taken and never answers is given up only after
+# this time and ANSWER_SECONDS. All readers may have such a call open when an outage
+# ends, and a change has to be in force within 2 s of its confirmation then, too.
+POLL_SECONDS = 1.5
+# Time for the store's answer beyond the wait. A loaded store takes a few 100 ms.
+ANSWER_SECONDS = 1.0
+# Time for the answer of a store that did not answer the last call, as it may be slow.
+LOST_ANSWER_SECONDS = 2.0
 # Pause after a change, so that one call returns all changes that follow it shortly.
 # Otherwise each engine that registers at a start, and each of several configurations
 # in quick succession, would cost a call.
@@ -31,10 +36,9 @@
 # Time between checks of a gateway that does not follow the store that enough others
 # do: as long as the longest time between two of their beacons.
 IDLE_CHECK_SECONDS = 0.4
-# Pauses between calls to a store that does not answer. Several calls fit into the two
-# seconds within which a configuration must be in force.
+# Pauses between calls to a store that does not answer.
 FIRST_RETRY_SECONDS = 0.1
-LONGEST_RETRY_SECONDS = 0.8
+LONGEST_RETRY_SECONDS = 0.4
 # Pause before reading again after a read that was older than the copy.
 STALE_RETRY_SECONDS = 0.25
 # Time that the store gets to deliver a change that a peer already has.
@@ -117,9 +121,7 @@
         """Make one call to the store; return whether the next must read all rows."""
         self.call_sent_at = self.loop.time()
         if not read_whole:
-            changes = await self.store.wait_for_changes(
-                self.replica.table, self.replica.version, LONG_POLL_SECONDS
-            )
+            changes = await self.wait_for_changes()
             self.record_store_answers()
             self.apply(changes, "store")
             if changes.rows:
@@ -136,6 +138,24 @@
         self.apply(changes, "store")
         return False
 
+    async def wait_for_changes(self):
+        """Return the next changes; raise StoreUnavailable if no answer comes in time.
+
+        A store that did not answer the last call is asked not to wait, so that its
+        return is noticed at once.
+        """
+        wait = POLL_SECONDS if self.store_answers else 0.0
+        limit = wait + ANSWER_SECONDS if self.store_answers else LOST_ANSWER_SECONDS
+        table, version = self.replica.table, self.replica.version
+        try:
+            async with asyncio.timeout(limit):
+                return await self.store.wait_for_changes(table, version, wait)
+        except TimeoutError:
+            raise StoreUnavailable(
+                f"The store sent no changes of {table} after {version}, and no empty "
+                f"answer, within {limit} s."
+            ) from None
+
     def stop_following(self):
         """Note that other gateways follow the store in place of this one."""
         if self.store_answers is not None:
