Ask the next peer for a change when one is silent

Cause, of the class of the late configuration: a gateway that learns from peers asked those that are ahead one after the other, 1 s each, and began no other request meanwhile. A peer that froze with a newer copy answers nothing, so that two such peers use up the 2 s in which a change has to be in force.

Change: the next peer is asked as well after 0.25 s, or at once if a peer fails; the first answer ends the others. A half megabyte, compressed, takes less than that over the narrowest link.

Before: 2.1 s with two silent peers, 5.1 s with five.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
@@ -50,6 +50,9 @@
 # timeout another peer is asked, still within the time in which a change must be in
 # force.
 PEER_TIMEOUT_SECONDS = 1.0
+# Time after which the next peer is asked as well. Peers that froze answer nothing, and
+# several of them may be asked before one that answers.
+HEDGE_SECONDS = 0.25
 CHANGES_PATH = "/changes"
 # Answers to peers that are longer than this are compressed.
 COMPRESSION_THRESHOLD_BYTES = 4096
@@ -228,6 +231,7 @@
 
     async def pull(self):
         """Ask peers with a newer copy for changes until one of them answers."""
+        calls = set()
         try:
             await asyncio.sleep(self.pause_before_pull())
             ahead = self.peers.peers_ahead_of(self.name, self.replica.version)
@@ -236,10 +240,16 @@
             self.random.shuffle(ahead)
             ahead.sort(key=lambda peer: peer.zone != self.settings.zone)
             for peer in ahead:
-                if await self.pull_from(peer):
+                calls.add(asyncio.create_task(self.pull_from(peer)))
+                if await has_answer(calls, HEDGE_SECONDS):
+                    return
+            while calls:
+                if await has_answer(calls, None):
                     return
         finally:
             self.pull_task = None
+            for call in calls:
+                call.cancel()
 
     def pause_before_pull(self) -> float:
         """Return the seconds to wait before asking peers for a change.
@@ -272,6 +282,18 @@
         return dump_changes(self.replica.changes_after(after))
 
 
+async def has_answer(calls, seconds):
+    """Wait for the first call that ends; return whether it got a peer's changes.
+
+    seconds is the longest wait, None for any. Calls that have ended are removed.
+    """
+    ended, _ = await asyncio.wait(
+        calls, timeout=seconds, return_when=asyncio.FIRST_COMPLETED
+    )
+    calls -= ended
+    return any(call.result() for call in ended)
+
+
 def add_routes(application, followers):
     """Add the route on which peers ask for changes."""
     by_name = {each.name: each for each in followers}
