Apply the rows beside one that raises an error

A configuration whose rate of copies is 0 raised ZeroDivisionError while it was decoded. The copy of the table already counted the rows as taken, so that the rows after it (zones taken out, a newer configuration) were never applied: the task began again behind them.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -24,7 +24,10 @@
     SettingsReloaded,
     TaskFailed,
 )
-from fescuedrum.events.tables import OperatorsRowNotUnderstood
+from fescuedrum.events.tables import (
+    OperatorsRowNotApplied,
+    OperatorsRowNotUnderstood,
+)
 from fescuedrum.exceptions import RowNotUnderstood, StoreUnavailable
 from fescuedrum.metrics import measure_loop_delay
 from fescuedrum.process import cancel, on_reload
@@ -253,7 +256,11 @@
         self.announce_versions()
 
     def apply_operators_row(self, row):
-        """Apply a configuration, or pass on a row that concerns a zone."""
+        """Apply a configuration, or pass on a row that concerns a zone.
+
+        The copy of the table already counts the row as taken, so an error here must not
+        keep the rows after it from being applied.
+        """
         try:
             if row.value is not None:
                 decoded = self.adapter.read_operators_row(row)
@@ -266,6 +273,8 @@
             log_event(
                 logger, OperatorsRowNotUnderstood(row.key, row.version, error.detail)
             )
+        except Exception as error:
+            log_event(logger, OperatorsRowNotApplied(row.key, row.version), error=error)
 
     def apply_endpoint_rows(self, rows):
         """Apply changed rows of the list of endpoints."""
--- a/packages/fescuedrum/src/fescuedrum/events/tables.py
+++ b/packages/fescuedrum/src/fescuedrum/events/tables.py
@@ -41,6 +41,20 @@
     error: Error
 
 
+@event
+class OperatorsRowNotApplied(Event):
+    """Logged when a row of the operators' table causes an unexpected error.
+
+    The traceback follows. The other rows are applied.
+    """
+
+    message = "operators' row not applied"
+    level = logging.CRITICAL
+
+    row: RowKey
+    row_version: RowVersion
+
+
 @event
 class ZoneTakenOut(Event):
     """Logged when operators take an availability zone out of service."""
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -298,6 +298,20 @@
         assert (await call(running, session))[0] == 200
 
 
+async def test_a_row_that_raises_an_error_does_not_keep_later_rows_from_applying():
+    """Guard against a zone that keeps getting work because another row has a fault."""
+    endpoint = StandInEndpoint("e-1", engines.whole())
+    async with site(endpoint) as (running, _):
+        gateway, store = running.gateway, running.gateway.store
+        store.put("operators", "faulty", None)
+        store.put("operators", "out/zone-1", ZoneOut("zone-1"))
+        rows = store.changes("operators", store.version - 2)
+        del store.objects[rows[0].value]
+        gateway.directory.zones_out.clear()
+        gateway.apply_operators_rows(rows)
+        assert gateway.directory.zones_out
+
+
 async def test_an_invalid_row_does_not_affect_others():
     endpoint = StandInEndpoint("e-1", engines.whole())
     async with site(endpoint) as (running, session):
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -114,6 +114,12 @@
         documents.read_operators_row(row("config", changed))
 
 
+def test_a_rate_of_zero_is_malformed():
+    changed = CONFIG | {"services": [SERVICE | {"engine": ENGINE | {"link_mbps": 0}}]}
+    with pytest.raises(RowNotUnderstood, match="link_mbps"):
+        documents.read_operators_row(row("config", changed))
+
+
 def test_row_is_decoded_to_a_listed_endpoint():
     endpoint = listing.read_endpoint(row("i-1", ENTRY | {"born": 17}))
     assert endpoint.name == "i-1"
