Log the rest that an endpoint asks for with its refusal

The logs of engines that got requests in their rest could not tell whether a refusal had asked for rest, and for how long: `sending failed` said `refused with 503` either way. It has `rest_seconds` now, read from `Retry-After` of a 503. A date, a value of 0 or below, or one that isn't finite asks for nothing.

No decision uses it yet.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/adapter.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/adapter.py
@@ -60,6 +60,9 @@
     headers: list[tuple[str, str]]
     # Requests a second that the endpoint accepts from all gateways together.
     rate: Rate = Unlimited()
+    # For how long the endpoint asks to get nothing from this gateway, in seconds; None
+    # if it does not ask.
+    rest_seconds: float | None = None
 
     @property
     def succeeded(self):
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -210,7 +210,8 @@
                     self.attempt_count += 1
                     self.refusals.refused(endpoint.name, self.loop.time())
                 self.gateway.metrics.count_attempt("not-run")
-                self.log_failure(endpoint, "not run", reason)
+                rest = None if answer is None else answer.head.rest_seconds
+                self.log_failure(endpoint, "not run", reason, rest)
             case Lost(reason):
                 self.may_have_arrived = True
                 self.attempt_count += 1
@@ -229,10 +230,16 @@
         if self.reservation is not None:
             self.gateway.metrics.count_deadline_passed(self.call.service)
 
-    def log_failure(self, endpoint, result, reason):
+    def log_failure(self, endpoint, result, reason, rest_seconds=None):
         """Log an attempt without an answer of the endpoint's own."""
-        request_id = self.call.head.request_id
-        log_event(logger, SendingFailed(request_id, endpoint.name, result, reason))
+        event = SendingFailed(
+            request=self.call.head.request_id,
+            endpoint=endpoint.name,
+            result=result,
+            reason=reason,
+            rest_seconds=rest_seconds,
+        )
+        log_event(logger, event)
 
     def may_retry(self):
         """Return whether the route, the deadline and the retry budget allow a retry.
--- a/packages/fescuedrum/src/fescuedrum/events/requests.py
+++ b/packages/fescuedrum/src/fescuedrum/events/requests.py
@@ -49,6 +49,9 @@
     endpoint: EndpointName
     result: Annotated[str, "`not run` (proven) or `lost` (may have run)"]
     reason: Annotated[str, "how the failure was detected"]
+    rest_seconds: Annotated[
+        float | None, "time in which the endpoint asks for no more requests, in seconds"
+    ]
 
 
 @event
--- a/tests/support/dialect.py
+++ b/tests/support/dialect.py
@@ -140,6 +140,7 @@
             encoded="Content-Encoding" in headers,
             headers=end_to_end_headers(headers, without=frozenset(("content-length",))),
             rate=Limited(float(headers["Rate"])) if "Rate" in headers else Unlimited(),
+            rest_seconds=float(headers["Rest"]) if "Rest" in headers else None,
         )
 
     def refusal_headers(self, request_id, retry_after):
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -234,6 +234,24 @@
     assert headers.read_answer(200, CIMultiDict()).rate == Unlimited()
 
 
+@pytest.mark.parametrize(
+    ("status", "text", "rest"),
+    [
+        (503, "3", 3.0),
+        (503, "0.25", 0.25),
+        (503, "0", None),
+        (503, "-1", None),
+        (503, "inf", None),
+        (503, "Thu, 01 Jan 2026 00:00:00 GMT", None),
+        (429, "3", None),
+        (200, "3", None),
+    ],
+)
+def test_rest_is_decoded_from_a_refusal(status, text, rest):
+    answer = headers.read_answer(status, CIMultiDict({"Retry-After": text}))
+    assert answer.rest_seconds == rest
+
+
 REPORT = {
     "group": {"name": "g", "epoch": 2, "rank": 3, "state": "open"},
     "size": 12,
