--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -8,28 +8,25 @@
 from support import engines
 from support.dialect import MemoryRowStore
 from support.engines import StandInEndpoint
-from support.gateways import caller_headers, free_ports, running_gateway, site
+from support.gateways import (
+    PATH,
+    call,
+    caller_headers,
+    free_ports,
+    running_gateway,
+    site,
+)
 from support.routing import build_route, build_routing_document
 
 from fescuedrum.conf.routing import EngineProfile, RequestKind, RoutedService
 from fescuedrum_gateway.adapter import ZoneOut
 
-PATH = "/advice/tension?court=clay%20dust"
-
 
 def document_of(kind, **changes):
     """Return a document with one route of a kind."""
     return build_routing_document(routes=(build_route(kind=kind, **changes),))
 
 
-async def call(running, session, method="POST", path=PATH, body=b"{}", **headers):
-    """Send one request; return (status, headers, body)."""
-    async with session.request(
-        method, running.url + path, data=body, headers=caller_headers(**headers)
-    ) as answer:
-        return answer.status, answer.headers, await answer.read()
-
-
 async def test_a_request_is_forwarded_unchanged_except_for_the_gateways_headers():
     endpoint = StandInEndpoint("e-1", engines.whole(b"loosen it", X_Extra="1"))
     async with site(endpoint) as (running, session):
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -1,4 +1,4 @@
-"""Run gateways inside the test process on loopback addresses."""
+"""Run gateways inside the test process on loopback addresses, and call them."""
 
 import asyncio
 import contextlib
@@ -13,6 +13,9 @@
 
 READY_SECONDS = 5.0
 
+# Path and query of requests on the route that build_route makes.
+PATH = "/advice/tension?court=clay%20dust"
+
 
 def free_ports(count):
     """Return ports that are free at the moment."""
@@ -114,3 +117,11 @@
         "Patience": "2.0",
     }
     return values | {name.replace("_", "-"): text for name, text in changes.items()}
+
+
+async def call(running, session, method="POST", path=PATH, body=b"{}", **headers):
+    """Send one request; return (status, headers, body)."""
+    async with session.request(
+        method, running.url + path, data=body, headers=caller_headers(**headers)
+    ) as answer:
+        return answer.status, answer.headers, await answer.read()
