Send an endpoint nothing while it has asked for rest

Cause: nothing read `Retry-After` of an endpoint. Its refusal counted only for the question whether the whole service refuses; the endpoint itself had the fewest requests and was chosen first by the next request and the next retry. Class: what an endpoint's answer asks of the process is read for one caller, not kept for the process.

Ruled out: only one way (both ways went there), and an answer that ends the rest (nothing was kept that could end).

Change: EndpointNotices holds the rests by endpoint, and the directory, through which every first attempt, retry and resumed stream chooses its endpoint, passes over those that rest. If all rest, the caller is refused at once (all-resting). The rest counts with a refusal, with a failure and with an answer that is not the endpoint's own; a later answer doesn't shorten it; a restart ends it, unless the list may have shown that start late. Reports and orders of a group of ranks are still sent: they are no requests, and the group needs them.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
@@ -138,7 +138,7 @@
         return Lost("answer of another request")
     if head.encoded or (head.succeeded and not head.signed):
         response.close()
-        return Lost("answer is not the endpoint's own")
+        return Lost("answer is not the endpoint's own", head)
     return OpenedAnswer(head, response)
 
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
@@ -7,6 +7,7 @@
 
 from fescuedrum.conf.routing import RoutedService
 from fescuedrum.decisions.coldness import cold_request_limit
+from fescuedrum.decisions.notices import EndpointNotices
 from fescuedrum.decisions.placement import (
     EndpointHistory,
     Load,
@@ -36,13 +37,14 @@
     EndpointLimited,
     EndpointListed,
     EndpointRateNotUnderstood,
+    EndpointRests,
     EndpointRowNotUnderstood,
     EndpointUnlisted,
     ZoneTakenBack,
     ZoneTakenOut,
 )
 from fescuedrum.exceptions import RowNotUnderstood
-from fescuedrum_gateway.adapter import ZoneOut
+from fescuedrum_gateway.adapter import AnswerHead, ZoneOut
 
 logger = logging.getLogger(__name__)
 
@@ -83,6 +85,7 @@
         "configuration",
         "histories",
         "loop",
+        "notices",
         "pass_timers",
         "peers",
         "presences",
@@ -108,6 +111,7 @@
         self.refusals = collections.defaultdict(RecentRefusals)
         self.shares = BoundShares(settings.host, settings.zone)
         self.rate_limits = RateLimits()
+        self.notices = EndpointNotices()
         self.zones_out = {}
         # Called with an endpoint's zone when this gateway's load there changes.
         self.announce_change = lambda zone: None
@@ -142,6 +146,7 @@
             # The endpoint has restarted under its name: its earlier state is invalid.
             self.histories.pop(endpoint.name, None)
             self.rate_limits.forget(endpoint.name)
+            self.notices.restarted(endpoint.name, now)
         self.presences.listed(endpoint)
         if known is None or known.endpoint != endpoint:
             event = EndpointListed(
@@ -203,6 +208,20 @@
             case Unlimited():
                 log_event(logger, EndpointLimited(endpoint, None, host))
 
+    # Notices
+
+    def record_notices(self, endpoint: ListedEndpoint, head: AnswerHead) -> None:
+        """Record what an endpoint's answer asks of this gateway."""
+        if head.rest_seconds is None:
+            return
+        now, seconds = self.loop.time(), head.rest_seconds
+        if not self.notices.ask_rest(endpoint.name, seconds, now):
+            log_event(logger, EndpointRests(endpoint.name, seconds))
+
+    def count_resting(self) -> int:
+        """Return how many endpoints get no requests, as they asked for rest."""
+        return len(self.notices.resting(self.loop.time()))
+
     # Choosing
 
     def choose_endpoint(self, service, tried, is_caller_retry):
@@ -215,19 +234,22 @@
         untried = [each for each in usable if each.name not in tried]
         if not untried and tried:
             return Refused(RefusalCause.NONE_LISTED)
+        now = self.loop.time()
+        awake = [
+            each for each in untried if not self.notices.is_resting(each.name, now)
+        ]
+        if untried and not awake:
+            return Refused(RefusalCause.ALL_RESTING)
         loads = self.peers.loads()
-        now, limits = (
-            self.loop.time(),
-            self.limits(service, is_caller_retry, len(usable)),
-        )
-        mesh = [each for each in untried if self.is_in_mesh(each)]
-        if len(mesh) < len(untried):
+        limits = self.limits(service, is_caller_retry, len(usable))
+        mesh = [each for each in awake if self.is_in_mesh(each)]
+        if len(mesh) < len(awake):
             # Most requests are placed here, which saves building an option for every
             # endpoint of a large fleet.
             options = [self.build_option(each, loads[each.name]) for each in mesh]
             if placed := choose_healthy(options, limits, now, self.random):
                 return placed
-        options = [self.build_option(each, loads[each.name]) for each in untried]
+        options = [self.build_option(each, loads[each.name]) for each in awake]
         return choose_endpoint(options, limits, now, self.random)
 
     def is_in_mesh(self, endpoint: ListedEndpoint) -> bool:
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
@@ -107,6 +107,12 @@
                 "Endpoints that limit the requests a second that they accept.",
                 lambda: len(gateway.directory.rate_limits.limited()),
             ),
+            (
+                "resting_endpoints",
+                "Endpoints that get no requests from this gateway, as they asked for "
+                "rest.",
+                lambda: gateway.directory.count_resting(),
+            ),
             (
                 "gateways_sharing",
                 "Gateways that share bounds and budgets, this one included.",
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -16,7 +16,7 @@
     TooSlow,
     Unavailable,
 )
-from fescuedrum_gateway.adapter import ForwardHead
+from fescuedrum_gateway.adapter import AnswerHead, ForwardHead
 from fescuedrum_gateway.connection.endpoints import OpenedAnswer, send_call
 from fescuedrum_gateway.request.admission import build_stopping_error
 from fescuedrum_gateway.request.call import Answered, Lost, NotRun
@@ -201,6 +201,9 @@
             case NotRun(answer=Answered(head)) | OpenedAnswer(head):
                 if head.status != MISDIRECTED_STATUS:
                     directory.record_rate(endpoint, head.rate)
+                    directory.record_notices(endpoint, head)
+            case Lost(head=AnswerHead() as head):
+                directory.record_notices(endpoint, head)
         match opened:
             case NotRun(reason, answer):
                 self.may_have_arrived |= answer is not None
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/call.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/call.py
@@ -50,6 +50,8 @@
     """Report that the request may have run and that its answer is lost."""
 
     reason: str
+    # Head of the answer that arrived in its place, if there is one.
+    head: AnswerHead | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/fescuedrum/src/fescuedrum/decisions/placement.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/placement.py
@@ -128,6 +128,7 @@
     ALL_FULL = "all-full"
     ALL_AT_COLD_BOUND = "all-at-cold-bound"
     ALL_RATE_LIMITED = "all-rate-limited"
+    ALL_RESTING = "all-resting"
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/fescuedrum/src/fescuedrum/events/tables.py
+++ b/packages/fescuedrum/src/fescuedrum/events/tables.py
@@ -140,6 +140,19 @@
     ]
 
 
+@event
+class EndpointRests(Event):
+    """Logged when an endpoint asks for rest; it gets no request until that is over.
+
+    Not logged again while it rests, though later refusals may extend the rest.
+    """
+
+    message = "endpoint rests"
+
+    endpoint: EndpointName
+    rest_seconds: Annotated[float, "time for which it asks, in seconds"]
+
+
 @event
 class EndpointRateNotUnderstood(Event):
     """Logged when an endpoint announces a rate that can't be parsed.
