Send nothing more to an endpoint that announces its leave

Until now only the platform's list counted, which a gateway that is cut off from the store does not see, and which some engines leave without a word.

EndpointNotices holds the leaves by endpoint and start, so that an engine that starts anew under its name gets work; the directory passes over those that leave for each kind of request, retry and resumed stream. The header is not passed on to callers.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/adapter.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/adapter.py
@@ -63,6 +63,8 @@
     # For how long the endpoint asks to get nothing from this gateway, in seconds; None
     # if it does not ask.
     rest_seconds: float | None = None
+    # Whether the endpoint announces that it leaves.
+    is_leaving: bool = False
 
     @property
     def succeeded(self):
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
@@ -34,6 +34,7 @@
 from fescuedrum.events.event import log_event
 from fescuedrum.events.tables import (
     EndpointGone,
+    EndpointLeaves,
     EndpointLimited,
     EndpointListed,
     EndpointRateNotUnderstood,
@@ -212,10 +213,11 @@
 
     def record_notices(self, endpoint: ListedEndpoint, head: AnswerHead) -> None:
         """Record what an endpoint's answer asks of this gateway."""
-        if head.rest_seconds is None:
-            return
-        now, seconds = self.loop.time(), head.rest_seconds
-        if not self.notices.ask_rest(endpoint.name, seconds, now):
+        now = self.loop.time()
+        if head.is_leaving and not self.notices.announce_leave(endpoint, now):
+            log_event(logger, EndpointLeaves(endpoint.name))
+        seconds = head.rest_seconds
+        if seconds and not self.notices.ask_rest(endpoint.name, seconds, now):
             log_event(logger, EndpointRests(endpoint.name, seconds))
 
     def count_resting(self) -> int:
@@ -227,14 +229,16 @@
     def choose_endpoint(self, service, tried, is_caller_retry):
         """Return Chosen with an untried endpoint for a request, or Refused."""
         self.expire()
+        now = self.loop.time()
         zones_out = set(self.zones_out.values())
         usable = [
-            each for each in self.presences.ready(service) if each.zone not in zones_out
+            each
+            for each in self.presences.ready(service)
+            if each.zone not in zones_out and not self.notices.is_leaving(each, now)
         ]
         untried = [each for each in usable if each.name not in tried]
         if not untried and tried:
             return Refused(RefusalCause.NONE_LISTED)
-        now = self.loop.time()
         awake = [
             each for each in untried if not self.notices.is_resting(each.name, now)
         ]
--- a/packages/fescuedrum/src/fescuedrum/events/tables.py
+++ b/packages/fescuedrum/src/fescuedrum/events/tables.py
@@ -140,6 +140,18 @@
     ]
 
 
+@event
+class EndpointLeaves(Event):
+    """Logged when an endpoint announces in an answer that it leaves.
+
+    It gets no request any more, whatever the platform's list says.
+    """
+
+    message = "endpoint leaves"
+
+    endpoint: EndpointName
+
+
 @event
 class EndpointRests(Event):
     """Logged when an endpoint asks for rest; it gets no request until that is over.
--- a/tests/integration/test_endpoint_notices.py
+++ b/tests/integration/test_endpoint_notices.py
@@ -78,3 +78,46 @@
         await call_until(lambda: resting.seen, running, session)
         await asyncio.sleep(0.4)
         await call_until(lambda: len(resting.seen) > 1, running, session)
+
+
+def build_leaving(kind):
+    """Return an endpoint whose answers announce that it leaves."""
+    told = {"Leaving": "1"}
+    stream = engines.streaming(1, 2, **told)
+    return StandInEndpoint(
+        "leaving", stream if kind.is_stream else engines.whole(**told)
+    )
+
+
+@pytest.mark.parametrize("kind", RequestKind)
+async def test_an_endpoint_that_announces_its_leave_gets_no_further_request(kind):
+    """Guard against requests at an endpoint whose leave the list does not show."""
+    leaving = build_leaving(kind)
+    async with site(leaving, build_good(kind), document=document_of(kind)) as (
+        running,
+        session,
+    ):
+        await call_until(lambda: leaving.seen, running, session)
+        for _ in range(REQUESTS):
+            assert (await call(running, session))[0] == 200
+    assert len(leaving.seen) == 1
+
+
+@pytest.mark.parametrize("status", [500, 503])
+async def test_a_failure_that_announces_a_leave_counts_as_well(status):
+    leaving = StandInEndpoint("leaving", engines.whole(b"", status, Leaving="1"))
+    async with site(leaving, build_good(RequestKind.IDEMPOTENT)) as (running, session):
+        await call_until(lambda: leaving.seen, running, session)
+        for _ in range(REQUESTS):
+            assert (await call(running, session))[0] == 200
+    assert len(leaving.seen) == 1
+
+
+async def test_an_endpoint_that_starts_anew_after_its_leave_gets_requests():
+    leaving = build_leaving(RequestKind.IDEMPOTENT)
+    async with site(leaving) as (running, session):
+        await call_until(lambda: leaving.seen, running, session)
+        assert (await call(running, session))[0] == 503
+        started = leaving.listed(started_at=18)
+        running.gateway.store.put("endpoints", "leaving", started)
+        await call_until(lambda: len(leaving.seen) > 1, running, session)
--- a/tests/support/dialect.py
+++ b/tests/support/dialect.py
@@ -141,6 +141,7 @@
             headers=end_to_end_headers(headers, without=frozenset(("content-length",))),
             rate=Limited(float(headers["Rate"])) if "Rate" in headers else Unlimited(),
             rest_seconds=float(headers["Rest"]) if "Rest" in headers else None,
+            is_leaving="Leaving" in headers,
         )
 
     def refusal_headers(self, request_id, retry_after):
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -128,12 +128,12 @@
     return f"id: {number}\ndata: part {number}\n\n".encode()
 
 
-def streaming(first, last, *, ends=True, pause=0.0, tail=b""):
+def streaming(first, last, *, ends=True, pause=0.0, tail=b"", **headers):
     """Return an answer function that streams events and may truncate the stream."""
 
     async def answer(seen):
         begin = int(seen["Last-Event"] or 0) + 1 if seen["Last-Event"] else first
-        told = {"Signed": "yes", "Transfer_Encoding": "chunked"}
+        told = {"Signed": "yes", "Transfer_Encoding": "chunked"} | headers
         seen.writer.write(head(seen, **told))
         for number in range(begin, last + 1):
             seen.writer.write(chunk(event(number)))
--- a/tests/unit/test_notices.py
+++ b/tests/unit/test_notices.py
@@ -1,6 +1,12 @@
 """Check how long a gateway keeps to what endpoints ask of it."""
 
-from fescuedrum.decisions.notices import RESTART_LAG_SECONDS, EndpointNotices
+from support.routing import build_endpoint
+
+from fescuedrum.decisions.notices import (
+    LEAVE_SECONDS,
+    RESTART_LAG_SECONDS,
+    EndpointNotices,
+)
 
 
 def build_notices(seconds=3.0, asked_at=10.0):
@@ -52,3 +58,19 @@
     assert notices.resting(12.0) == ["e-1"]
     assert notices.resting(13.0) == []
     assert notices.rests == {}
+
+
+def test_a_leave_holds_for_one_start_of_an_endpoint():
+    notices = EndpointNotices()
+    before, after = (build_endpoint("e-1", started_at=at) for at in (17, 18))
+    assert not notices.announce_leave(before, 10.0)
+    assert notices.announce_leave(before, 11.0)
+    assert notices.is_leaving(before, 400.0)
+    assert not notices.is_leaving(after, 11.0)
+
+
+def test_leaves_are_forgotten_long_after_the_endpoint_has_ended():
+    notices = EndpointNotices()
+    for number in range(5):
+        notices.announce_leave(build_endpoint(f"e-{number}"), LEAVE_SECONDS * number)
+    assert list(notices.leaves) == ["e-4"]
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -252,6 +252,15 @@
     assert answer.rest_seconds == rest
 
 
+@pytest.mark.parametrize(("text", "leaving"), [("1", True), ("0", False), ("", False)])
+def test_a_leave_is_decoded_from_any_answer_and_not_passed_on(text, leaving):
+    received = CIMultiDict({"Server-Leaving": text})
+    for status in (200, 500, 503):
+        assert headers.read_answer(status, received).is_leaving == leaving
+        assert headers.read_answer(status, received).headers == []
+    assert not headers.read_answer(200, CIMultiDict()).is_leaving
+
+
 REPORT = {
     "group": {"name": "g", "epoch": 2, "rank": 3, "state": "open"},
     "size": 12,
