Leave the calls to a silent store unanswered in the soak

The soak's silent store answered the calls that it had kept with 503 as soon as the silence was over, so that no gateway ever waited for an answer that does not come: one reason why the soak did not find the late configuration. It never answers them now, which is a stricter check.

--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -20,7 +20,7 @@
     SERVING = "serving"
     BUSY = "busy"
     SLOW = "slow"
-    # Writes are applied, but neither writes nor reads get a response.
+    # Writes are applied, but neither writes nor reads ever get a response.
     SILENT = "silent"
 
 
@@ -69,9 +69,7 @@
             case StoreMode.SLOW:
                 await asyncio.sleep(SLOW_SECONDS)
             case StoreMode.SILENT:
-                while self.mode is StoreMode.SILENT:
-                    await asyncio.sleep(0.1)
-                return web.Response(status=503)
+                await asyncio.get_running_loop().create_future()
         return None
 
     def answer(self, rows):
