Play rests and leaves that endpoints announce in the soak

The soak knew endpoints that refuse and endpoints that limit their rate, but none that asks for rest or says in its answers that it leaves.

The checker counts for each gateway what an endpoint gets from half a second after it asked for rest (two requests are allowed), and what reaches a leaving endpoint that its caller sent more than 2 s after an answer said so.

--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -9,7 +9,7 @@
 from soak.balancer import Balancer
 from soak.callers import Ending, Record
 from soak.conditions import FAULTS, GROUPS, STOPS, RequestKind, Streams
-from soak.endpoints import RateLimit, Run
+from soak.endpoints import Arrival, RateLimit, Run
 from soak.faults import GatewayStopped, HistoryLost, PathFault, StoreFault, draw_fault
 from soak.judge import RECONNECT_SECONDS, GuaranteeChecker, Reading
 from soak.planned import draw_work
@@ -46,10 +46,14 @@
     return Run(**values | changes)
 
 
-def find_violations(records=(), runs=(), readings=(), rate_limits=(), **site):
+def find_violations(
+    records=(), runs=(), readings=(), rate_limits=(), arrivals=(), **site
+):
     """Return the findings on a site with only the given irregularities."""
     quiet = {
-        "journal": SimpleNamespace(runs=list(runs), rate_limits=list(rate_limits)),
+        "journal": SimpleNamespace(
+            runs=list(runs), rate_limits=list(rate_limits), arrivals=list(arrivals)
+        ),
         "findings": [],
         "disturbances": [],
         "stops": [],
@@ -117,6 +121,36 @@
     )
 
 
+def build_arrivals(asked, *times, **changes):
+    """Return the arrivals at an endpoint and their records; the first asks."""
+    arrivals = [Arrival("n-0", "i-1", 10.0, **asked)]
+    arrivals += [Arrival(f"n-{at}", "i-1", at) for at in times]
+    records = [
+        build_record(
+            request_id=each.request_id, began=each.at, ended=each.at, **changes
+        )
+        for each in arrivals
+    ]
+    return {"arrivals": arrivals, "records": records}
+
+
+def test_the_checker_finds_a_third_request_in_an_endpoints_rest():
+    asked = {"rest": 3.0}
+    assert find_violations(**build_arrivals(asked, 10.4, 10.6, 12.0, 13.0)) == []
+    third = build_arrivals(asked, 10.6, 12.0, 12.9)
+    assert "got 3 requests" in find_violations(**third)[0]
+    spans = [Span("g-1", 11.0, 11.1)]
+    assert find_violations(**third, disturbances=spans) == []
+
+
+def test_the_checker_finds_requests_after_an_endpoints_leave():
+    asked = {"leaving": True}
+    assert find_violations(**build_arrivals(asked, 11.9)) == []
+    late = build_arrivals(asked, 12.1)
+    assert "which was leaving" in find_violations(**late)[0]
+    assert find_violations(**late, stops=[Span("g-1", 11.0, 11.1)]) == []
+
+
 def test_streams_have_the_length_that_their_kind_of_run_gives_them():
     assert {Streams(1, FAULTS).event_count(f"c1-{n}") for n in range(50)} == {12}
     counts = [Streams(1, STOPS).event_count(f"c1-{number}") for number in range(500)]
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -44,11 +44,25 @@
     arrivals: list[tuple[float, str]] = field(default_factory=list)
 
 
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """Record a request that reached an endpoint and what its answer asked for."""
+
+    request_id: str
+    endpoint: str
+    at: float
+    # Seconds of rest that the endpoint asked for with its refusal; 0 for none.
+    rest: float = 0.0
+    # Whether the endpoint announced that it leaves.
+    leaving: bool = False
+
+
 @dataclass(slots=True)
 class Journal:
-    """Hold the executions and the rate limits of all endpoints."""
+    """Hold the executions, arrivals and rate limits of all endpoints."""
 
     runs: list[Run] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
     rate_limits: list[RateLimit] = field(default_factory=list)
 
 
@@ -64,6 +78,10 @@
         self.slots = streams.conditions.slots
         self.fails = False
         self.refuses = False
+        # Seconds of rest that it asks for with each refusal; 0 for none.
+        self.rest = 0.0
+        # Whether it announces in all responses that it leaves.
+        self.leaving = False
         # The current rate limit, or None.
         self.rate_limit = None
         self.proxy = None
@@ -94,9 +112,16 @@
             return web.Response(status=wire.MISDIRECTED_STATUS, headers=own)
         await request.read()
         own |= self.record_arrival(request_id)
-        if self.refuses:
-            return web.Response(status=503, headers=own | {wire.NOT_RUN: "1"})
         now = asyncio.get_running_loop().time()
+        self.journal.arrivals.append(
+            Arrival(request_id, self.name, now, self.rest, self.leaving)
+        )
+        if self.leaving:
+            own[wire.LEAVING] = "1"
+        if self.rest:
+            own[wire.REST] = str(self.rest)
+        if self.refuses or self.rest:
+            return web.Response(status=503, headers=own | {wire.NOT_RUN: "1"})
         run = Run(request_id, self.name, self.zone, now)
         self.journal.runs.append(run)
         if self.fails and len(self.journal.runs) % FAILING_ONE_IN == 0:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,6 +20,8 @@
 INTERPRETER_POLLS = 100
 # Longer than the seconds that gateways have before they must follow a rate limit.
 RATE_LIMIT_SECONDS = (5.0, 12.0)
+# An endpoint serves for this long after it announced in an answer that it leaves.
+ANNOUNCED_SECONDS = 6.0
 # Versions that concurrent operators write in quick succession.
 RACING_CHANGES = 3
 
@@ -65,6 +67,22 @@
     seconds: float
 
 
+@dataclass(slots=True, frozen=True)
+class EndpointRests:
+    """Make an endpoint refuse all requests and ask for rest."""
+
+    target: str
+    rest: float
+    seconds: float
+
+
+@dataclass(slots=True, frozen=True)
+class EndpointLeaves:
+    """Replace an endpoint that announces its leave in its answers only."""
+
+    target: str
+
+
 @dataclass(slots=True, frozen=True)
 class EndpointReplaced:
     """Replace an endpoint by a new one, after it drained or crashed."""
@@ -168,6 +186,18 @@
     )
 
 
+def draw_notice(random, site):
+    """Return a random notice of one of the current endpoints."""
+    endpoint = random.choice(site.endpoints).name
+    if random.random() < 0.3:
+        return EndpointLeaves(endpoint)
+    return EndpointRests(
+        endpoint,
+        rest=random.choice((0.3, 1.0, 3.0, 5.5)),
+        seconds=random.uniform(1.0, 2 * LONGEST_FAULT_SECONDS),
+    )
+
+
 def draw_group_fault(random, site):
     """Return a random fault of a gateway that leads or would lead, or of orders."""
     seconds = random.uniform(0.3, LONGEST_FAULT_SECONDS)
@@ -205,6 +235,10 @@
             await disrupt_endpoint(site.endpoint(target), refuses, seconds, site)
         case EndpointInNeed(target, rate, seconds):
             await limit_rate(site.endpoint(target), rate, seconds)
+        case EndpointRests(target, rest, seconds):
+            await ask_for_rest(site.endpoint(target), rest, seconds)
+        case EndpointLeaves(target):
+            await announce_leave(site.endpoint(target), site)
         case EndpointReplaced(target, announced):
             await replace_endpoint(site.endpoint(target), announced, site)
         case GatewayKilled(target):
@@ -286,6 +320,29 @@
     endpoint.end_rate_limit()
 
 
+async def ask_for_rest(endpoint, rest, seconds):
+    """Make an endpoint refuse all requests and ask for rest for a time."""
+    if endpoint is None or endpoint.rest:
+        return
+    endpoint.rest = rest
+    await asyncio.sleep(seconds)
+    endpoint.rest = 0.0
+
+
+async def announce_leave(endpoint, site):
+    """Replace an endpoint that stays listed as ready until it ends."""
+    if endpoint is None or endpoint.name in site.leaving:
+        return
+    site.leaving.add(endpoint.name)
+    await site.add_endpoint(endpoint.service, endpoint.zone)
+    endpoint.leaving = True
+    await asyncio.sleep(ANNOUNCED_SECONDS)
+    site.store.put(wire.ENDPOINTS, endpoint.name, None)
+    site.record_departure(endpoint.name)
+    await asyncio.sleep(DRAIN_SECONDS)
+    await site.remove_endpoint(endpoint)
+
+
 async def replace_endpoint(endpoint, announced, site):
     """Add an endpoint and drain or crash the one that it replaces."""
     if endpoint is None or endpoint.name in site.leaving:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -25,6 +25,10 @@
 RATE_TOLERANCE = 1.5
 RATE_SLACK_REQUESTS = 5
 PEER_NOTICE_SECONDS = 0.5
+# A gateway may send an endpoint REST_REQUESTS from this time after its refusal on until
+# the end of the rest that it asked for.
+REST_NOTICE_SECONDS = 0.5
+REST_REQUESTS = 2
 # Below 1: callers may still use a connection that a fault has left silent.
 RECOVERED_SHARE = 0.9
 
@@ -63,7 +67,7 @@
             found += self.check_execution(run)
         for rate_limit in self.site.journal.rate_limits:
             found += self.check_rate_limit(rate_limit)
-        return found
+        return found + self.check_notices()
 
     # Requests
 
@@ -210,6 +214,46 @@
             span.what == gateway and span.overlaps(began, ended) for span in spans
         )
 
+    # Notices of endpoints
+
+    def check_notices(self):
+        """Return the endpoints that got work in their rest or after their leave."""
+        found = []
+        arrivals = collections.defaultdict(list)
+        for each in self.site.journal.arrivals:
+            if record := self.by_id.get(each.request_id):
+                arrivals[each.endpoint, record.gateway].append((each, record))
+        for (endpoint, gateway), pairs in arrivals.items():
+            for asked, _ in pairs:
+                found += self.check_rest(endpoint, gateway, asked, pairs)
+            found += self.check_leave(endpoint, gateway, pairs)
+        return found
+
+    def check_rest(self, endpoint, gateway, asked, pairs):
+        """Yield a finding if a gateway sent too much in the rest that was asked for."""
+        ends_at = asked.at + asked.rest
+        since = asked.at + REST_NOTICE_SECONDS
+        in_rest = [each for each, _ in pairs if since <= each.at < ends_at]
+        disturbed = self.is_gateway_disturbed(gateway, asked.at, ends_at)
+        if len(in_rest) > REST_REQUESTS and not disturbed:
+            yield (
+                f"{endpoint} asked {gateway} for {asked.rest} s of rest at "
+                f"{asked.at:.3f} and got {len(in_rest)} requests in that time"
+            )
+
+    def check_leave(self, endpoint, gateway, pairs):
+        """Yield requests that a gateway sent late to an endpoint that leaves."""
+        announced = [
+            record.ended
+            for each, record in pairs
+            if each.leaving and record.ending is Ending.ANSWERED
+        ]
+        for each, record in pairs:
+            if not announced or record.began <= min(announced) + DRAIN_SECONDS:
+                continue
+            if not self.is_gateway_disturbed(gateway, min(announced), each.at):
+                yield self.describe(record, f"reached {endpoint}, which was leaving")
+
     # Recovery
 
     def answered_share(self, since):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,7 +13,13 @@
 from soak.balancer import Balancer
 from soak.callers import Caller, KeepingCaller
 from soak.conditions import FAULTS, Conditions, RunKind
-from soak.faults import draw_fault, draw_group_fault, draw_rate_limit, inject
+from soak.faults import (
+    draw_fault,
+    draw_group_fault,
+    draw_notice,
+    draw_rate_limit,
+    inject,
+)
 from soak.judge import RECOVERED_SHARE, GuaranteeChecker, Reading
 from soak.planned import draw_work
 from soak.site import Site
@@ -23,6 +29,8 @@
 LONGEST_PAUSE_SECONDS = 1.5
 # From the start of one rate limit to that of the next.
 RATE_LIMIT_PAUSE_SECONDS = (0.2, 6.0)
+# The same for notices.
+NOTICE_PAUSE_SECONDS = (0.2, 5.0)
 READ_SECONDS = 0.2
 # Callers must be answered again in the WATCHED_SECONDS after this time.
 RECOVERY_SECONDS = 4.0
@@ -115,7 +123,16 @@
     async def inject_faults(self):
         """Inject random faults one after the other; they may overlap."""
         until = self.loop.time() + self.plan.seconds
-        running = [asyncio.create_task(self.inject_rate_limits(until))]
+        running = [
+            asyncio.create_task(
+                self.inject_apart(
+                    until, "needs", draw_rate_limit, RATE_LIMIT_PAUSE_SECONDS
+                )
+            ),
+            asyncio.create_task(
+                self.inject_apart(until, "notices", draw_notice, NOTICE_PAUSE_SECONDS)
+            ),
+        ]
         while self.loop.time() < until:
             running.append(self.start_fault(draw_fault(self.random, self.site)))
             await asyncio.sleep(
@@ -147,13 +164,13 @@
         if ranks.group.step == step:
             self.site.findings.append(f"the group stands still at pass {step}")
 
-    async def inject_rate_limits(self, until):
-        """Inject rate limits; a separate generator keeps the faults of a seed."""
-        rng = random.Random(f"{self.plan.seed}/needs")
+    async def inject_apart(self, until, name, draw, pauses):
+        """Inject faults of a kind; a separate generator keeps the faults of a seed."""
+        rng = random.Random(f"{self.plan.seed}/{name}")
         running = []
         while self.loop.time() < until:
-            await asyncio.sleep(rng.uniform(*RATE_LIMIT_PAUSE_SECONDS))
-            running.append(self.start_fault(draw_rate_limit(rng, self.site)))
+            await asyncio.sleep(rng.uniform(*pauses))
+            running.append(self.start_fault(draw(rng, self.site)))
         await asyncio.gather(*running)
 
     async def do_planned_work(self):
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -11,6 +11,8 @@
 NOT_RUN = "Not-Executed"
 SIGNATURE = "Server-Stamp"
 RATE = "Server-Limit"
+LEAVING = "Server-Leaving"
+REST = "Retry-After"
 MISDIRECTED_STATUS = 421
 
 OPERATORS = "op"
