Forget rests that ended when another endpoint asks for one

Rests were only forgotten when the metrics were read, so that a process whose metrics nobody reads kept one entry for each start of an endpoint that ever asked. Found in reading the change; the test of forgotten rests covers it.

--- a/packages/fescuedrum/src/fescuedrum/decisions/notices.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/notices.py
@@ -48,7 +48,7 @@
 
     def ask_rest(self, endpoint: str, seconds: float, now: float) -> bool:
         """Record that an endpoint asks for rest; return whether it rested already."""
-        was_resting = self.is_resting(endpoint, now)
+        was_resting = endpoint in self.resting(now)
         _, ends_at = self.rests.get(endpoint, (now, now))
         self.rests[endpoint] = (now, max(ends_at, now + seconds))
         return was_resting
--- a/tests/unit/test_notices.py
+++ b/tests/unit/test_notices.py
@@ -54,6 +54,9 @@
 
 
 def test_rests_that_ended_are_forgotten():
+    notices = build_notices()
+    notices.ask_rest("e-2", 1.0, 20.0)
+    assert list(notices.rests) == ["e-2"]
     notices = build_notices()
     assert notices.resting(12.0) == ["e-1"]
     assert notices.resting(13.0) == []
