Pass over waiting requests whose time is over when places are granted

Callers saw: refusals after a wait although places were free, for everybody who waited behind a request whose time had just ended.

Cause: the timer of a wait cancels its future, and the task removes the request from the list in a later turn of the loop. Places.grant found it in between, counted it as served and failed with InvalidStateError, which ended the round.

Change: a request whose future is done is skipped.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/places.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/places.py
@@ -238,6 +238,9 @@
             filling = self.directory.filling(service.name)
             bound, granted = self.measure_bound(service, filling), 0
             for waiter in list(service.waiting):
+                if waiter.granted.done():
+                    # Its time is over, and its task has not run since.
+                    continue
                 state = service.state(waiter.request, filling, bound, now, granted)
                 if isinstance(decide(waiter.request, state), Serve):
                     granted += 1
