Log no unhandled error for a caller who left before its answer began

Operators saw: "Error handling request" with a traceback, beside "caller left", for a caller who had closed its connection just before the first event of its stream.

Cause: the write to the closed connection fails before the loop cancels the handler. The handler records the leave and passes the error on, and the HTTP server takes it for an error of the handler.

Change: TrackedConnection, which the gateway's and the entry's servers use, answers a connection error of a closed connection without a log line. Errors of connections to endpoints are logged as before, as the caller's connection is open then.

--- a/packages/fescuedrum/src/fescuedrum/serving.py
+++ b/packages/fescuedrum/src/fescuedrum/serving.py
@@ -88,6 +88,20 @@
         """
         return self.server.is_draining and not self._messages
 
+    def handle_error(self, request, status=500, exc=None, message=None):
+        """Return the answer to an error in the handler; log none if the caller left.
+
+        A write to a caller that has left fails until the loop learns of the leave and
+        cancels the handler. The handlers log the leave themselves.
+        """
+        transport = self.transport
+        has_left = transport is None or transport.is_closing()
+        if isinstance(exc, ConnectionError) and has_left:
+            response = web.Response(status=status)
+            response.force_close()
+            return response
+        return super().handle_error(request, status, exc, message)
+
     async def finish_response(self, request, resp, start_time):
         """Finish a response; close the connection after the last one."""
         if self.ends_after_response:
