Log what decides on probes, retries and places kept for others

Cause: the refusals beside a free group have five suspected causes, which the logs could not tell apart: which requests were probes, why a refused one was not sent again, and for how long and against which demand places were kept.

Change: "request sent" names the endpoint's group and whether the request is a probe; "retry denied" names what was used up; "place refused" has the demand of the more urgent ranks and the time for which places are left free. The soak writes what callers recorded beside the logs.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_choice.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_choice.py
@@ -1,7 +1,7 @@
 """Choose among the groups of ranks of a service for each request."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from fescuedrum.decisions.experts.pace import PassTimer
 from fescuedrum.decisions.placing.groups import (
@@ -62,7 +62,8 @@
             name = self.find_soonest(tier, placed)
             if name is not None:
                 self.note_choice(request.service, name, tier[0].standing)
-                return placed[name]
+                is_probe = tier[0].standing is Standing.PROBED
+                return replace(placed[name], is_probe=is_probe)
             refusal = refusal or placed[tier[0].name]
         if refusal is not None:
             return refusal
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/places.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/places.py
@@ -18,7 +18,9 @@
     Serve,
     Wait,
     decide,
+    kept_seconds,
     reserve,
+    urgent_rate,
 )
 from fescuedrum.decisions.returning.returns import RETRY_RANK_PENALTY
 from fescuedrum.events.event import log_event
@@ -195,6 +197,8 @@
             taken=state.taken,
             bound=round(state.bound, 1),
             reserve=round(reserve(request.rank, state), 1),
+            urgent_per_second=round(urgent_rate(request.rank, state), 1),
+            kept_seconds=round(kept_seconds(state), 3),
         )
         log_event(logger, event)
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -8,7 +8,7 @@
 from fescuedrum.decisions.placing.placement import Chosen, RefusalCause, Refused
 from fescuedrum.decisions.placing.presence import ListedEndpoint
 from fescuedrum.events.event import log_event
-from fescuedrum.events.requests import RequestSent, SendingFailed
+from fescuedrum.events.requests import RequestSent, RetryDenied, SendingFailed
 from fescuedrum.exceptions import (
     DeadlinePassed,
     GroupDown,
@@ -124,9 +124,9 @@
             call.service, self.tried, call.is_caller_retry, filling, call.tokens
         )
         match placed:
-            case Chosen(endpoint, load):
+            case Chosen(endpoint):
                 self.raise_if_stopping()
-                self.log_choice(endpoint, load)
+                self.log_choice(placed)
                 return endpoint
             case Refused(RefusalCause.GROUPS_OUT):
                 raise GroupDown(f"All groups of {call.service} are out.")
@@ -157,14 +157,16 @@
                 f"in {left:.1f} s while a pass takes {pass_seconds:.2f} s."
             )
 
-    def log_choice(self, endpoint, load):
-        """Log that the call is sent to an endpoint with a load."""
+    def log_choice(self, chosen: Chosen) -> None:
+        """Log to which endpoint the call is sent."""
         event = RequestSent(
             request=self.call.head.request_id,
-            endpoint=endpoint.name,
+            endpoint=chosen.endpoint.name,
             attempt=self.sent_count + 1,
-            running_there=load.requests,
+            running_there=chosen.load.requests,
             version=self.gateway.configuration.version,
+            group=self.gateway.directory.group_of(chosen.endpoint) or None,
+            is_probe=chosen.is_probe or None,
         )
         log_event(logger, event)
 
@@ -346,6 +348,7 @@
         """
         call, now = self.call, self.loop.time()
         if self.attempts_left < 1 or not self.has_time_left(now):
+            self.log_denied("time" if self.attempts_left else "attempts")
             return False
         self.raise_if_stopping()
         if not self.may_have_arrived:
@@ -359,4 +362,10 @@
         )
         if is_charged:
             self.charged_at_count = self.sent_count
+        else:
+            self.log_denied("budget")
         return is_charged
+
+    def log_denied(self, reason):
+        """Log why the call is not sent again."""
+        log_event(logger, RetryDenied(self.call.head.request_id, reason))
--- a/packages/fescuedrum/src/fescuedrum/decisions/admitting/places.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/admitting/places.py
@@ -131,12 +131,19 @@
 
 def reserve(rank: int, state: PlaceState) -> float:
     """Return how many places a request of a rank must leave free."""
-    until_free = state.mean_seconds / max(state.taken, 1)
-    expected = urgent_rate(rank, state) * (state.age + until_free)
+    expected = urgent_rate(rank, state) * kept_seconds(state)
     kept = expected + RESERVE_DEVIATIONS * math.sqrt(expected)
     return min(kept, MAXIMUM_RESERVE_SHARE * state.bound)
 
 
+def kept_seconds(state: PlaceState) -> float:
+    """Return the time for whose more urgent requests places are left free.
+
+    That is until this gateway hears of them, and until another place is free.
+    """
+    return state.age + state.mean_seconds / max(state.taken, 1)
+
+
 def urgent_rate(rank: int, state: PlaceState) -> float:
     """Return the requests per second that are more urgent than a rank."""
     return math.fsum(rate for each, rate in state.demand.items() if each < rank)
--- a/packages/fescuedrum/src/fescuedrum/decisions/placing/placement.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/placing/placement.py
@@ -147,6 +147,8 @@
 
     endpoint: object
     load: Load
+    # Whether the request is to show if the endpoint's group answers again.
+    is_probe: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/fescuedrum/src/fescuedrum/events/requests.py
+++ b/packages/fescuedrum/src/fescuedrum/events/requests.py
@@ -3,7 +3,14 @@
 import logging
 from typing import Annotated
 
-from fescuedrum.events.event import EndpointName, Error, Event, RequestId, event
+from fescuedrum.events.event import (
+    EndpointName,
+    Error,
+    Event,
+    GroupName,
+    RequestId,
+    event,
+)
 
 # Results of a request that was sent.
 ANSWERED = "answered"
@@ -24,6 +31,12 @@
         int, "requests at the endpoint by all gateways' counts, without this one"
     ]
     version: Annotated[int, "version of the configuration that was used"]
+    group: Annotated[
+        GroupName | None, "the endpoint's group, if its service has several"
+    ]
+    is_probe: Annotated[
+        bool | None, "true if it is sent to see whether a group that is out answers"
+    ]
 
 
 @event
@@ -128,6 +141,25 @@
     taken: Annotated[int, "requests at the service, by all gateways' counts"]
     bound: Annotated[float, "places that can be filled with passes within the pause"]
     reserve: Annotated[float, "places that this rank must leave free"]
+    urgent_per_second: Annotated[
+        float, "requests that are more urgent, per second, of all gateways"
+    ]
+    kept_seconds: Annotated[
+        float, "time for whose more urgent requests places are left free, in seconds"
+    ]
+
+
+@event
+class RetryDenied(Event):
+    """Logged when a request that could be sent again is not.
+
+    Its last result is returned to the caller.
+    """
+
+    message = "retry denied"
+
+    request: RequestId
+    reason: Annotated[str, "`attempts`, `time` or `budget`, whichever is used up"]
 
 
 @event
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import collections
+import json
 import random
 import tempfile
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from pathlib import Path
 
 import aiohttp
@@ -229,6 +230,18 @@
                     gateway.start()
             await asyncio.sleep(READ_SECONDS)
 
+    def write_records(self):
+        """Write what callers recorded to a file beside the logs."""
+        path = self.plan.directory / "records.jsonl"
+        with path.open("w") as file:
+            for record in self.records:
+                line = {
+                    field.name: getattr(record, field.name)
+                    for field in fields(record)
+                    if field.name != "sendings"
+                }
+                file.write(json.dumps(line, default=str) + "\n")
+
     def check_logs(self):
         """Return a finding for each unhandled exception in the gateways' logs."""
         return [
@@ -239,6 +252,7 @@
 
     def check_results(self, recovered_at):
         """Return the SoakResult; callers are expected to recover by recovered_at."""
+        self.write_records()
         checker = self.build_checker(self.site, self.records, self.readings)
         findings = checker.findings() + self.check_logs()
         share = checker.answered_share(recovered_at)
