Send the membership of groups again when a gateway joins

Callers saw: refusals at a gateway that had just started, while one of two groups was down and the other had free places.

Cause: the leader sends the membership in turns that begin every 4 s. A gateway that is first heard in between misses slices and takes both groups for one until the next turn.

Change: the turns begin anew when a gateway is heard that was silent or has another incarnation. The same beacon fields that are sent each time need no turn.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/beacons/groups.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/beacons/groups.py
@@ -1,12 +1,12 @@
 """Encode and decode what gateways tell each other of groups of ranks."""
 
-from collections.abc import Iterable
+from collections.abc import Hashable, Iterable
 
 from fescuedrum.decisions.placing.group_breakers import GroupReport, is_report_age
 from fescuedrum.decisions.placing.groups import SLICE_SIZE, GroupSlice
 from fescuedrum.wire.gen.gateways.ttypes import GroupMembers, GroupState
 
-# Time from one turn through all slices to the next, for gateways that join.
+# Time from one turn through all slices to the next, for gateways that missed one.
 REPEAT_SECONDS = 4.0
 # Enough for each group of several services; more would not fit into a packet.
 MAXIMUM_STATES = 16
@@ -20,25 +20,29 @@
     which the latest sending began, which its time tells.
     """
 
-    __slots__ = ("began_at", "sent_at", "sent_slices", "version")
+    __slots__ = ("began_at", "sent_at", "sent_slices", "state")
 
     def __init__(self) -> None:
         # Each by audience: the last sending, and the turn that is under way.
         self.sent_at: dict[str, float] = {}
         self.began_at: dict[str, float] = {}
         self.sent_slices: dict[str, int] = {}
-        self.version = -1
+        self.state: Hashable = None
 
     def next(
         self,
         slices: list[GroupSlice],
-        version: int,
+        state: Hashable,
         sent_at: dict[str, float],
         now: float,
     ) -> GroupSlice | None:
-        """Return the slice for a beacon, or None; sent_at is by audience."""
-        if version != self.version:
-            self.version = version
+        """Return the slice for a beacon, or None; sent_at is by audience.
+
+        Turns begin anew when the state changes, which the slices and those who need
+        them depend on.
+        """
+        if state != self.state:
+            self.state = state
             self.sent_slices.clear()
         started = [name for name, at in sent_at.items() if at != self.sent_at.get(name)]
         self.sent_at |= sent_at
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_exchange.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_exchange.py
@@ -33,7 +33,9 @@
             "mesh": self.groups.peers.mesh_sent_at,
             "others": self.groups.peers.others_sent_at,
         }
-        return self.turns.next(self.cached_slices, version, sent_at, self.loop.time())
+        # A gateway that has just been heard may have missed slices that were sent.
+        state = (version, self.groups.peers.newcomers)
+        return self.turns.next(self.cached_slices, state, sent_at, self.loop.time())
 
     def reports(self) -> list[tuple[str, str, GroupReport]]:
         """Return (service, group, report) of what this gateway observed recently."""
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
@@ -98,6 +98,7 @@
         "is_one_mesh",
         "loop",
         "mesh_sent_at",
+        "newcomers",
         "on_beacon",
         "others_sent_at",
         "own_zone_count",
@@ -113,6 +114,8 @@
         self.hosts = {}
         # How many of them are known to be in this gateway's availability zone.
         self.own_zone_count = 0
+        # How often a gateway was heard that had been silent or has restarted.
+        self.newcomers = 0
         # Whether all gateways form one mesh and send each other changes promptly.
         self.is_one_mesh = True
         self.sequence = 0
@@ -393,8 +396,10 @@
         if same_incarnation and (beacon.sequence or 0) <= peer.sequence:
             # Datagrams can arrive out of order; an older one would restore old loads.
             return
-        if not self.is_heard(peer, LOAD_EXPIRY_SECONDS):
+        is_heard = self.is_heard(peer, LOAD_EXPIRY_SECONDS)
+        if not is_heard:
             log_event(logger, GatewayHeard(beacon.instance, peer.host))
+        self.newcomers += not (is_heard and same_incarnation)
         self.update_zone(peer, beacon.zone or "")
         peer.last_heard_at = self.loop.time()
         peer.incarnation = beacon.incarnation
--- a/tests/unit/test_group_fleet.py
+++ b/tests/unit/test_group_fleet.py
@@ -118,6 +118,23 @@
     assert fleet.share("refused") == 0
 
 
+@pytest.mark.parametrize("at", [4.2, 4.9, 5.6, 6.3])
+def test_a_gateway_that_joins_learns_the_groups_within_a_second(at):
+    """Guard against a new gateway that takes two groups for one that refuses."""
+    known = []
+
+    async def story(fleet):
+        await asyncio.sleep(at)
+        last = len(fleet.gateways) - 1
+        fleet.replace_gateway(last)
+        await asyncio.sleep(1.0)
+        membership = fleet.gateways[last].groups.membership
+        known.append(len(membership.by_endpoint))
+
+    play_groups(SimulatedGroup(), SimulatedGroup(), story=story)
+    assert known == [32]
+
+
 @pytest.mark.parametrize(("start", "end"), [(3.5, 8.0), (4.5, 6.0)])
 def test_a_gateway_that_hears_nobody_finds_out_for_itself(start, end):
     """Guard against a healthy group that stays unused because no report arrives.
