Send the first slice of a new leader's membership to its mesh

Callers saw: for 4 s after a gateway had begun to lead the groups, the others took two groups for one; while one was down, they refused requests that the other had places for.

Cause: the turns tell from the time of the latest sending whom a beacon goes to, and noted these times only while the gateway led. The first beacon of a new leader counted as one to its mesh, also if it went to the gateways outside it, of which a fleet of one mesh has none. The mesh got the second slice only, and the first one with the next turn.

The test failed before: the mesh got group-1 first.

Change: a gateway that does not lead follows the sendings, too.

Measured: tests/unit/test_groups.py and test_group_fleet.py pass.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_exchange.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_exchange.py
@@ -23,8 +23,6 @@
 
     def next_slice(self, *, leads: bool) -> GroupSlice | None:
         """Return the slice of the membership that goes with the next beacon."""
-        if not leads:
-            return None
         version = self.groups.membership.version
         if version != self.cached_version:
             self.cached_slices = self.groups.membership.slices()
@@ -35,7 +33,9 @@
         }
         # A gateway that has just been heard may have missed slices that were sent.
         state = (version, self.groups.peers.newcomers)
-        return self.turns.next(self.cached_slices, state, sent_at, self.loop.time())
+        # While this gateway does not lead, the turns only follow whom beacons go to.
+        slices = self.cached_slices if leads else []
+        return self.turns.next(slices, state, sent_at, self.loop.time())
 
     def reports(self) -> list[tuple[str, str, GroupReport]]:
         """Return (service, group, report) of what this gateway observed recently."""
--- a/tests/unit/test_groups.py
+++ b/tests/unit/test_groups.py
@@ -207,6 +207,22 @@
     assert all(each == slices * 2 for each in got.values())
 
 
+def test_a_gateway_that_begins_to_lead_sends_each_audience_all_slices():
+    """Guard against a mesh that misses the first slice, as others got it instead."""
+
+    async def story(directory, fleet):
+        directory.groups.learn(fleet.slices(directory))
+        exchange, peers = GroupExchange(directory.groups), directory.peers
+        peers.others_sent_at = peers.mesh_sent_at = 1.0
+        assert exchange.next_slice(leads=False) is None
+        peers.others_sent_at = 2.0
+        assert exchange.next_slice(leads=True).group == "group-0"
+        peers.mesh_sent_at = 2.0
+        assert exchange.next_slice(leads=True).group == "group-0"
+
+    with_gateway(story)
+
+
 def test_impossible_reports_are_discarded():
     """Guard against a group that no gateway uses because of a false report."""
     ages = (-1.0, float("nan"), float("inf"), 5.1, None)
