Do not take a full group of ranks for one that is down

Callers saw: while one of two groups was down, all of them refused for 0.3 s at a time as "all groups are out", and returned callers held up to 1.6 s, although the other group was answering.

Cause: two refusals of a group within half a second open its breaker, and full engines refuse. The gateway that met two of them reported the group to all others.

Change: while streams of a group get events, up to two passes ago, refusals there open no breaker, and reports that it is down are not accepted; an event after such a report is reported back. This rests on what tells both cases apart: a group that is down makes no passes. Services with one group are decided as before.

The new tests fail without the change; unit tests of groups and tests/integration/test_gateway.py pass.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_directory.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_directory.py
@@ -11,6 +11,7 @@
 from fescuedrum.decisions.placing.group_breakers import (
     CONFIRMATION_SECONDS,
     GroupBreaker,
+    GroupReport,
     is_probing_gateway,
 )
 from fescuedrum.decisions.placing.groups import (
@@ -186,7 +187,12 @@
         breaker = self.states[service, group].breaker
         if not self.membership.is_split(service):
             breaker.refusals.refused(endpoint.name, now)
-        elif breaker.refused(endpoint.name, self.count_members(service, group), now):
+        elif breaker.refused(
+            endpoint.name,
+            self.count_members(service, group),
+            now,
+            self.timer(service, group).current_pass_seconds(now),
+        ):
             self.log_out(service, group, "refused")
             self.announce(everywhere=self.probes(service, group))
 
@@ -211,6 +217,27 @@
             self.log_back(service, group, self.host)
             self.announce(everywhere=True)
 
+    def passed(self, endpoint: ListedEndpoint, seconds: float) -> None:
+        """Record an event of a stream that came after a pass of so many seconds."""
+        service, group = endpoint.service, self.group_of(endpoint)
+        now = self.loop.time()
+        self.timer(service, group).observe(seconds, now)
+        if self.membership.is_split(service):
+            self.states[service, group].breaker.record_event(now)
+
+    def accept(self, service: str, group: str, report: GroupReport, host: str) -> None:
+        """Apply what another gateway found of a group, unless events disprove it."""
+        now = self.loop.time()
+        breaker = self.states[service, group].breaker
+        pass_seconds = self.timer(service, group).current_pass_seconds(now)
+        if breaker.accept(report, now, pass_seconds):
+            if report.down:
+                self.log_out(service, group, "reported")
+            else:
+                self.log_back(service, group, host)
+        elif breaker.contradicts(report):
+            self.announce(everywhere=True)
+
     def refuses_everywhere(self, service: str) -> bool:
         """Return whether all groups of a service are out, or its only one refuses."""
         if not self.membership.is_split(service):
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_exchange.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_exchange.py
@@ -50,17 +50,9 @@
     def merge(self, peer: PeerGateway) -> None:
         """Apply what the beacon of another gateway says of groups."""
         self.groups.learn(peer.group_members)
-        now = self.loop.time()
         for service, group, report in peer.group_states:
-            if not self.is_known(service, group):
-                continue
-            breaker = self.groups.states[service, group].breaker
-            if not breaker.accept(report, now):
-                continue
-            if report.down:
-                self.groups.log_out(service, group, "reported")
-            else:
-                self.groups.log_back(service, group, peer.host)
+            if self.is_known(service, group):
+                self.groups.accept(service, group, report, peer.host)
 
     def is_known(self, service: str, group: str) -> bool:
         """Return whether a group is one of several known ones of a service."""
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -242,8 +242,7 @@
         if seconds is None:
             groups.ran(endpoint, self.sent_at)
             return
-        timer = groups.timer(endpoint.service, groups.group_of(endpoint))
-        timer.observe(seconds, self.loop.time())
+        groups.passed(endpoint, seconds)
 
     @property
     def may_need_body(self):
--- a/packages/fescuedrum/src/fescuedrum/decisions/placing/group_breakers.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/placing/group_breakers.py
@@ -5,8 +5,13 @@
 the other, and hundreds of arrivals are refused.
 
 The breaker of a group opens when several of its endpoints refuse with no answer in
-between. Then a few gateways send it one request now and then as a probe, and an answer
-closes the breaker. Gateways report both changes to each other. A breaker that nobody
+between. Under load, endpoints refuse because they are full, while the group's passes go
+on; a group that is down makes none. So refusals open no breaker, and reports are not
+accepted, while streams of the group get events.
+
+While the breaker is open, a few gateways send the group one request now and then as a
+probe, and an answer closes the breaker. Gateways report both changes to each other. A
+breaker that nobody
 confirms becomes half-open: its gateway probes for itself, so that a lost report can't
 keep requests from a healthy group.
 
@@ -29,6 +34,10 @@
 CONFIRMATION_SECONDS = 2.0
 # Oldest report that is accepted or sent.
 REPORT_SECONDS = 5.0
+# Time without events of its streams after which a group may be down, as a multiple of
+# the length of its passes, and that time while the length is unknown.
+SILENT_PASSES = 2.0
+SILENT_SECONDS = 0.25
 RETURN_SPREAD_SECONDS = 0.3
 # A group that is out again within this time of its return is flapping.
 FLAPPING_SECONDS = 10.0
@@ -62,6 +71,7 @@
     __slots__ = (
         "back_at",
         "closed_at",
+        "event_at",
         "is_out",
         "observed_at",
         "out_since",
@@ -81,6 +91,8 @@
         # What this gateway itself observed last; None for nothing.
         self.own: GroupReport | None = None
         self.closed_at = float("-inf")
+        # When a stream of the group last got an event here that no caller held up.
+        self.event_at = float("-inf")
         # When requests begin to return after the breaker has closed.
         self.back_at = float("-inf")
         self.return_delay = 0.0
@@ -89,17 +101,22 @@
 
     # Observations of this gateway
 
-    def refused(self, endpoint: str, members: int, now: float) -> bool:
+    def refused(
+        self, endpoint: str, members: int, now: float, pass_seconds: float | None = None
+    ) -> bool:
         """Record a refusal; return whether it opens the breaker.
 
         members is how many endpoints the group has. The only one of a group need not
         wait for a second one to refuse.
         """
-        self.refusals.refused(endpoint, now)
         self.probe_pending_until = float("-inf")
         if self.is_out:
+            self.refusals.refused(endpoint, now)
             self.observe(GroupReport(True, now))
             return False
+        if self.makes_passes(now, pass_seconds):
+            return False
+        self.refusals.refused(endpoint, now)
         if self.refusals.count(now) < min(REFUSING_ENDPOINTS, max(members, 1)):
             return False
         self.observe(GroupReport(True, now))
@@ -122,6 +139,18 @@
         self.close(now)
         return True
 
+    def record_event(self, now: float) -> None:
+        """Record an event of a stream, which shows that the group makes passes."""
+        self.event_at = now
+
+    def makes_passes(self, now: float, pass_seconds: float | None) -> bool:
+        """Return whether events have shown passes lately.
+
+        pass_seconds is the length of the group's passes; None if unknown.
+        """
+        silent = SILENT_PASSES * pass_seconds if pass_seconds else SILENT_SECONDS
+        return now - self.event_at < silent
+
     def observe(self, report: GroupReport) -> None:
         """Note what this gateway has observed."""
         self.own = report
@@ -134,10 +163,14 @@
             return None
         return own
 
-    def accept(self, report: GroupReport, now: float) -> bool:
+    def accept(
+        self, report: GroupReport, now: float, pass_seconds: float | None = None
+    ) -> bool:
         """Apply a newer report of another gateway; return if the state changes."""
         if report.observed_at <= self.observed_at:
             return False
+        if report.down and not self.is_out and self.makes_passes(now, pass_seconds):
+            return False
         self.observed_at = report.observed_at
         if report.down == self.is_out:
             return False
@@ -147,6 +180,19 @@
             self.close(now)
         return True
 
+    def contradicts(self, report: GroupReport) -> bool:
+        """Return whether events since a report that the group is down disprove it.
+
+        What this gateway has observed is then reported to the others, once.
+        """
+        if not report.down or self.is_out or self.event_at <= report.observed_at:
+            return False
+        known = self.own is not None and not self.own.down
+        if known and self.own.observed_at > report.observed_at:
+            return False
+        self.observe(GroupReport(False, self.event_at))
+        return True
+
     # State
 
     def open(self, now: float) -> None:
--- a/tests/unit/test_groups.py
+++ b/tests/unit/test_groups.py
@@ -265,6 +265,51 @@
     assert not breaker.is_out
 
 
+def test_refusals_of_full_engines_open_no_breaker_while_the_group_makes_passes():
+    """Guard against a healthy group that gets no requests because it is full."""
+    breaker, now = GroupBreaker(), 0.0
+    for number in range(40):
+        breaker.record_event(now)
+        assert not breaker.refused(f"e-{number % 3}", 3, now + 0.01, 0.12)
+        assert not breaker.refused(f"e-{number % 2}", 3, now + 0.11, 0.12)
+        now += 0.12
+    now += 0.12
+    assert not breaker.refused("e-0", 3, now, 0.12)
+    assert breaker.refused("e-1", 3, now + 0.1, 0.12)
+
+
+def test_events_disprove_a_report_that_a_group_is_down():
+    """Guard against one gateway's refusals that take a full group from all others."""
+
+    async def story(directory, fleet):
+        loop, groups = asyncio.get_running_loop(), directory.groups
+        groups.learn(fleet.slices(directory))
+        exchange = GroupExchange(groups)
+        first, *_ = endpoints_of(directory, "group-0")
+        groups.passed(first, 0.1)
+        report = (SERVICE, "group-0", GroupReport(True, loop.time() + 0.05))
+        await asyncio.sleep(0.06)
+        peer = PeerGateway("10.0.0.9", group_states=[report])
+        exchange.merge(peer)
+        assert exchange.reports() == []
+        await asyncio.sleep(0.04)
+        groups.passed(first, 0.1)
+        exchange.merge(peer)
+        ((_, _, disproof),) = exchange.reports()
+        other = GroupBreaker()
+        other.refused("e-1", 2, report[2].observed_at - 0.01)
+        assert other.refused("e-2", 2, report[2].observed_at)
+        assert other.accept(disproof, loop.time() + 0.01)
+        assert not other.is_out
+        # Once the events end, a report is accepted.
+        await asyncio.sleep(0.5)
+        later = (SERVICE, "group-0", GroupReport(True, loop.time()))
+        exchange.merge(PeerGateway("10.0.0.9", group_states=[later]))
+        assert groups.states[SERVICE, "group-0"].breaker.is_out
+
+    with_gateway(story)
+
+
 def test_requests_return_spread_out_and_later_to_a_flapping_group():
     """Guard against all gateways sending to a group as soon as it answers once."""
     breaker, now, delays, rng = GroupBreaker(), 0.0, [], random.Random(1)
