Count no places in a group that is out

Callers saw: refusals as "all-full" just after a place had been granted, whatever their rank, while one of two groups was down.

Cause: Directory.filling summed places and requests over all usable endpoints, with those of a group that is out. Requests were let in for places that nobody could use, and the measured pass length was compared with a model at half of the load.

Change: Filling holds the places, requests and endpoints of groups that get requests. The limit on callers who wait for a group counts all places, as before.

The new test fails without the change.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/contested.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/contested.py
@@ -142,7 +142,7 @@
         model = PassModel(
             profile.tokens_per_event, profile.step_seconds, profile.per_request_seconds
         )
-        engines = len(filling.usable)
+        engines = filling.endpoints
         if not (model.is_known and pause and engines):
             return filling.places
         if pass_seconds:
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
@@ -61,11 +61,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Filling:
-    """Hold the places of a service and the requests at them, of all gateways."""
+    """Hold the places of a service and the requests at them, of all gateways.
+
+    Groups that are out have no places, as they get no requests but probes.
+    """
 
     places: int
     taken: int
-    # What they were summed from: endpoints, and the other gateways' loads by name.
+    # Number of endpoints that have these places.
+    endpoints: int
+    # All usable endpoints, and the other gateways' loads by name.
     usable: list[ListedEndpoint]
     loads: Mapping[str, Load]
 
@@ -244,12 +249,18 @@
     def filling(self, service: str) -> Filling:
         """Return the usable places of a service and the requests at them."""
         usable, loads = self.usable(service), self.peers.loads()
+        serving = self.groups.without_those_out(service, usable)
         taken = sum(
             # A wrong count of one endpoint must not stand for many places.
             min(max(self.requests_at(each.name, loads), 0), 2 * each.slots)
-            for each in usable
+            for each in serving
         )
-        return Filling(sum(each.slots for each in usable), taken, usable, loads)
+        places = sum(each.slots for each in serving)
+        return Filling(places, taken, len(serving), usable, loads)
+
+    def count_places(self, service: str) -> int:
+        """Return the places of a service, with those of groups that are out."""
+        return sum(each.slots for each in self.usable(service))
 
     def requests_at(self, name: str, loads: Mapping[str, Load]) -> int:
         """Return the requests at an endpoint, with the other gateways' loads."""
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_directory.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_directory.py
@@ -247,6 +247,21 @@
         states = [self.states[service, each] for each in groups]
         return bool(states) and all(each.breaker.is_out for each in states)
 
+    def without_those_out(
+        self, service: str, endpoints: list[ListedEndpoint]
+    ) -> list[ListedEndpoint]:
+        """Return the endpoints of a service whose groups get requests."""
+        if not self.membership.is_split(service):
+            return endpoints
+        out = {
+            name
+            for name in ("", *self.membership.names(service))
+            if self.states[service, name].breaker.is_out
+        }
+        if not out:
+            return endpoints
+        return [each for each in endpoints if self.group_of(each) not in out]
+
     def probes(self, service: str, group: str) -> bool:
         """Return whether this gateway probes a group for others while it is out."""
         peers = self.peers
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/returns.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/returns.py
@@ -170,7 +170,7 @@
 
     def has_room(self, service: str) -> bool:
         """Return whether another request may wait here; never without endpoints."""
-        places = self.gateway.directory.filling(service).places
+        places = self.gateway.directory.count_places(service)
         return places > 0 and self.services[service].waiting.has_room(
             self.own_part(places)
         )
--- a/tests/unit/test_groups.py
+++ b/tests/unit/test_groups.py
@@ -349,6 +349,29 @@
     with_gateway(story, cold_per_second=2.0)
 
 
+def test_places_of_a_group_that_is_out_are_not_counted():
+    """Guard against requests that are let in for places that nobody can use."""
+
+    async def story(directory, fleet):
+        directory.groups.learn(fleet.slices(directory))
+        slots = fleet.shape.slots
+        for name in ("group-0", "group-1"):
+            for each in endpoints_of(directory, name):
+                directory.reserve(each, 10)
+        fillings = [directory.filling(SERVICE)]
+        for name in ("group-0", "group-1"):
+            first, second, _ = endpoints_of(directory, name)
+            directory.groups.refused(first)
+            directory.groups.refused(second)
+            fillings.append(directory.filling(SERVICE))
+        counted = [(each.places, each.taken, each.endpoints) for each in fillings]
+        assert counted == [(6 * slots, 6, 6), (3 * slots, 3, 3), (0, 0, 0)]
+        assert all(len(each.usable) == 6 for each in fillings)
+        assert directory.count_places(SERVICE) == 6 * slots
+
+    with_gateway(story)
+
+
 def test_all_groups_out_is_what_everywhere_means():
     """Guard against a request refused to its caller that the other group could run."""
 
