Share probes among all gateways and reserve the retry of each

Callers saw: "refused with 503" after one attempt at a group that was known to be down, while the other group ran requests.

Cause: three gateways probed a group that is out five times a second each, with ordinary requests. A refused probe is sent again from the gateway's part of the retry budget, which was used up at these gateways; the caller got the refusal.

Change: all gateways take turns at random phases, one probe in 0.2 s altogether, three while all groups are out. A probe reserves its retry first; without one the request goes to another group at once. Who pays: the common retry budget, spread over the fleet. Who is served worse: nobody is refused for it; an answer of the group is noticed 0.2 s later on average.

In the simulation of thirty gateways at 300 requests a second the new test fails on the code before and passes now.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
@@ -267,11 +267,20 @@
         own = self.histories[name].own.requests
         return own + loads[name].requests if name in loads else own
 
-    def choose_endpoint(self, service, tried, is_caller_retry, filling=None, tokens=0):
+    def choose_endpoint(
+        self,
+        service,
+        tried,
+        is_caller_retry,
+        filling=None,
+        tokens=0,
+        reserve_retry=lambda: True,
+    ):
         """Return Chosen with an untried endpoint for a request, or Refused.
 
         filling is that of the service as of now, if it is known. tokens is how many the
-        request holds there or may still generate.
+        request holds there or may still generate. reserve_retry reserves a retry for
+        it, and returns False if it may not be sent again.
         """
         now = self.loop.time()
         usable = self.usable(service) if filling is None else filling.usable
@@ -296,7 +305,7 @@
         parts = self.groups.split(usable, awake)
         for part in parts.values():
             part.measure(self.histories, loads, self.is_in_mesh)
-        request = GroupRequest(service, tried, is_caller_retry)
+        request = GroupRequest(service, tried, is_caller_retry, reserve_retry)
         return self.group_chooser.choose(request, parts, place)
 
     def place(
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_choice.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_choice.py
@@ -31,6 +31,8 @@
     # Names of the endpoints that the request was sent to before.
     tried: set[str]
     is_caller_retry: bool
+    # Reserves a retry, so that a refused probe is sent again; False if none is left.
+    reserve_retry: Callable[[], bool] = lambda: True
 
 
 # Places a request at one of a group's endpoints: place(group, part).
@@ -79,11 +81,15 @@
         now = groups.loop.time()
         tried = {groups.membership.group_of(service, each) for each in request.tried}
         is_all_out = all(groups.states[service, name].breaker.is_out for name in parts)
-        may_probe = is_all_out or not (request.tried or request.is_caller_retry)
+        is_last_try = bool(request.tried or request.is_caller_retry)
+
+        def may_probe() -> bool:
+            return is_all_out or (not is_last_try and request.reserve_retry())
+
         return [
             GroupCondition(
                 name,
-                self.find_standing(service, name, name in tried, may_probe=may_probe),
+                self.find_standing(service, name, name in tried, may_probe),
                 groups.timer(service, name).current_pass_seconds(now),
                 part.load,
                 part.is_load_fresh,
@@ -92,14 +98,17 @@
         ]
 
     def find_standing(
-        self, service: str, name: str, is_tried: bool, *, may_probe: bool
+        self, service: str, name: str, is_tried: bool, may_probe: Callable[[], bool]
     ) -> Standing:
-        """Return the standing of a group for a request."""
+        """Return the standing of a group for a request.
+
+        may_probe is called only when a probe is due.
+        """
         now = self.groups.loop.time()
         state = self.groups.states[service, name]
         state.pace.observe(self.pass_ratio(service, name), now)
         if state.breaker.is_out:
-            is_probe = may_probe and self.should_probe(service, name, state)
+            is_probe = self.is_probe_due(service, state) and may_probe()
             return Standing.PROBED if is_probe else Standing.OUT
         if not state.breaker.has_returned(now, self.groups.random):
             return Standing.RETURNING
@@ -107,15 +116,13 @@
             return Standing.SLOW
         return Standing.TRIED if is_tried else Standing.HEALTHY
 
-    def should_probe(self, service: str, name: str, state: GroupState) -> bool:
+    def is_probe_due(self, service: str, state: GroupState) -> bool:
         """Return whether a request should be sent to a group that is out."""
         now, breaker = self.groups.loop.time(), state.breaker
-        if not breaker.is_probe_due(now):
+        if now < breaker.probe_due_at:
             return False
-        if breaker.is_half_open(now) or self.groups.probes(service, name):
-            return True
-        breaker.postpone_probe(now)
-        return False
+        interval = self.groups.probe_interval(service)
+        return breaker.is_probe_due(now, interval, self.groups.random)
 
     def find_soonest(
         self, tier: list[GroupCondition], placed: dict[str, Chosen | Refused]
@@ -139,7 +146,7 @@
         state = self.groups.states[service, name]
         state.pace.chosen(1 + len(self.groups.peers.hosts), now)
         if standing is Standing.PROBED:
-            state.breaker.probe_sent(now)
+            state.breaker.probe_sent(now, self.groups.probe_interval(service))
             self.on_probe(service)
 
     def lasting_pass_seconds(self, service: str) -> float | None:
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_directory.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_directory.py
@@ -12,7 +12,8 @@
     CONFIRMATION_SECONDS,
     GroupBreaker,
     GroupReport,
-    is_probing_gateway,
+    is_reporting_gateway,
+    probe_interval,
 )
 from fescuedrum.decisions.placing.groups import (
     GroupMembership,
@@ -28,8 +29,8 @@
 
 logger = logging.getLogger(__name__)
 
-# Longest time between beacons to other zones at which a few gateways probe for all;
-# beyond it each zone has gateways of its own that probe.
+# Longest time between beacons to other zones at which all gateways share the probes;
+# beyond it those of each zone do.
 PROBE_REPORT_SECONDS = CONFIRMATION_SECONDS / 2
 # Largest number that a beacon can hold.
 LARGEST_EPOCH = 2**63 - 1
@@ -194,7 +195,7 @@
             self.timer(service, group).current_pass_seconds(now),
         ):
             self.log_out(service, group, "refused")
-            self.announce(everywhere=self.probes(service, group))
+            self.announce(everywhere=self.reports_everywhere(service, group))
 
     def count_members(self, service: str, group: str) -> int:
         """Return how many endpoints a group has."""
@@ -262,16 +263,25 @@
             return endpoints
         return [each for each in endpoints if self.group_of(each) not in out]
 
-    def probes(self, service: str, group: str) -> bool:
-        """Return whether this gateway probes a group for others while it is out."""
+    def reports_everywhere(self, service: str, group: str) -> bool:
+        """Return whether this gateway tells all zones that it found a group down."""
+        others = self.sharing_probes()
+        return is_reporting_gateway(self.host, others, service, group)
+
+    def sharing_probes(self) -> set[str]:
+        """Return the addresses of the gateways that share probes with this one."""
         peers = self.peers
         is_prompt = peers.others_interval <= PROBE_REPORT_SECONDS
-        others = {
+        return {
             each.host
             for each in peers.heard_within(LOAD_EXPIRY_SECONDS)
             if not each.leaving and (is_prompt or peers.is_in_mesh(each))
         }
-        return is_probing_gateway(self.host, others, service, group)
+
+    def probe_interval(self, service: str) -> float:
+        """Return the seconds between two probes of this gateway at a group."""
+        are_all_out = self.refuses_everywhere(service)
+        return probe_interval(1 + len(self.sharing_probes()), are_all_out=are_all_out)
 
     def announce(self, *, everywhere: bool) -> None:
         """Send what was found to this gateway's zone, or to all zones."""
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -121,7 +121,12 @@
         """Return an endpoint for the next attempt; raise Overloaded or Unavailable."""
         call = self.call
         placed = self.gateway.directory.choose_endpoint(
-            call.service, self.tried, call.is_caller_retry, filling, call.tokens
+            call.service,
+            self.tried,
+            call.is_caller_retry,
+            filling,
+            call.tokens,
+            self.reserve_retry,
         )
         match placed:
             case Chosen(endpoint):
@@ -345,7 +350,7 @@
         Raise ProcessStopping if the route and the deadline allow it but this process
         stops before the deadline.
         """
-        call, now = self.call, self.loop.time()
+        now = self.loop.time()
         if self.attempts_left < 1 or not self.has_time_left(now):
             self.log_denied("time" if self.attempts_left else "attempts")
             return False
@@ -356,14 +361,29 @@
         if self.charged_at_count == self.sent_count:
             # The retry that was charged before found no endpoint and was not sent.
             return True
-        is_charged = self.gateway.retries[call.service].spend(
-            now, self.gateway.peers.count_sharing_gateways()
-        )
-        if is_charged:
-            self.charged_at_count = self.sent_count
-        else:
+        if not self.spend_retry():
             self.log_denied("budget")
-        return is_charged
+            return False
+        self.charged_at_count = self.sent_count
+        return True
+
+    def reserve_retry(self) -> bool:
+        """Charge the retry after the next attempt now; return False if there is none.
+
+        Stops count as for the next attempt, which raises the error for them.
+        """
+        if self.attempts_left <= 1 or not self.has_time_left(self.loop.time()):
+            return False
+        if not self.spend_retry():
+            return False
+        self.charged_at_count = self.sent_count + 1
+        return True
+
+    def spend_retry(self) -> bool:
+        """Take a retry from the budget of the service; return False if none is left."""
+        return self.gateway.retries[self.call.service].spend(
+            self.loop.time(), self.gateway.peers.count_sharing_gateways()
+        )
 
     def log_denied(self, reason):
         """Log why the call is not sent again."""
--- a/packages/fescuedrum/src/fescuedrum/decisions/placing/group_breakers.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/placing/group_breakers.py
@@ -9,11 +9,14 @@
 on; a group that is down makes none. So refusals open no breaker, and reports are not
 accepted, while streams of the group get events.
 
-While the breaker is open, a few gateways send the group one request now and then as a
-probe, and an answer closes the breaker. Gateways report both changes to each other. A
-breaker that nobody
-confirms becomes half-open: its gateway probes for itself, so that a lost report can't
-keep requests from a healthy group.
+While the breaker is open, the gateways take turns at sending the group one request now
+and then as a probe, and an answer closes the breaker. A probe that is refused is sent
+to another group, which takes a retry from its gateway's part of the common budget: the
+turns spread this over all gateways, and a request for which no retry is left is no
+probe. While all groups are out, nobody loses by a probe, and there are more of them.
+Gateways report both changes to each other. A breaker that nobody confirms becomes
+half-open: its gateway probes for itself, so that a lost report can't keep requests from
+a healthy group.
 
 After closing, requests return at random times within RETURN_SPREAD_SECONDS. For a group
 that is out again and again, the return is delayed each time by more.
@@ -26,8 +29,12 @@
 from fescuedrum.decisions.placing import topology
 from fescuedrum.decisions.placing.placement import REFUSING_ENDPOINTS, RecentRefusals
 
+# Time between two probes of all gateways together.
 PROBE_INTERVAL_SECONDS = 0.2
-PROBING_GATEWAYS = 3
+# How many probes there are in that time while all groups of a service are out.
+PROBES_WITHOUT_SERVICE = 3
+# How many gateways tell all zones that they found a group down.
+REPORTING_GATEWAYS = 3
 # Time after which the next probe is sent although the last one has no result.
 PROBE_TIMEOUT_SECONDS = 1.0
 # Time without a confirmation after which a breaker is half-open.
@@ -58,11 +65,17 @@
     return math.isfinite(age) and 0.0 <= age <= REPORT_SECONDS
 
 
-def is_probing_gateway(host: str, others: set[str], service: str, group: str) -> bool:
-    """Return whether a gateway probes a group that is out; others are those heard."""
+def is_reporting_gateway(host: str, others: set[str], service: str, group: str) -> bool:
+    """Return whether a gateway reports a group to all zones; others are those heard."""
     hosts = {host, *others}
     context = ("probe", service, group)
-    return host in topology.best(hosts, PROBING_GATEWAYS, *context)
+    return host in topology.best(hosts, REPORTING_GATEWAYS, *context)
+
+
+def probe_interval(gateways: int, *, are_all_out: bool) -> float:
+    """Return the seconds between two probes of one of this many gateways."""
+    probes = PROBES_WITHOUT_SERVICE if are_all_out else 1
+    return PROBE_INTERVAL_SECONDS * max(gateways / probes, 1.0)
 
 
 class GroupBreaker:
@@ -72,6 +85,7 @@
         "back_at",
         "closed_at",
         "event_at",
+        "has_turn",
         "is_out",
         "observed_at",
         "out_since",
@@ -96,6 +110,8 @@
         # When requests begin to return after the breaker has closed.
         self.back_at = float("-inf")
         self.return_delay = 0.0
+        # Whether probe_due_at is a turn of this gateway's own.
+        self.has_turn = False
         self.probe_due_at = float("-inf")
         self.probe_pending_until = float("-inf")
 
@@ -199,6 +215,7 @@
         """Open the breaker; delay the next return if the last one was recent."""
         self.is_out = True
         self.out_since = now
+        self.has_turn = False
         self.probe_due_at = now + PROBE_INTERVAL_SECONDS
         self.probe_pending_until = float("-inf")
         if now - self.closed_at > FLAPPING_SECONDS:
@@ -218,19 +235,26 @@
         """Return whether no gateway has confirmed for long that the group is out."""
         return self.is_out and now - self.observed_at >= CONFIRMATION_SECONDS
 
-    def is_probe_due(self, now: float) -> bool:
-        """Return whether a gateway that probes may send the next probe."""
-        return now >= self.probe_due_at and now >= self.probe_pending_until
+    def is_probe_due(self, now: float, interval: float, random: Random) -> bool:
+        """Return whether the next probe may be sent, at one in an interval.
 
-    def probe_sent(self, now: float) -> None:
-        """Record that a request is sent as a probe."""
-        self.probe_due_at = now + PROBE_INTERVAL_SECONDS
+        The first turn is drawn, so that those of the gateways are spread.
+        """
+        if now < self.probe_due_at or now < self.probe_pending_until:
+            return False
+        if not self.has_turn and not self.is_half_open(now):
+            self.has_turn = True
+            self.probe_due_at = now + random.uniform(
+                0.0, interval - PROBE_INTERVAL_SECONDS
+            )
+        return now >= self.probe_due_at
+
+    def probe_sent(self, now: float, interval: float) -> None:
+        """Record that a request is sent as a probe, as one in an interval."""
+        self.has_turn = True
+        self.probe_due_at = now + interval
         self.probe_pending_until = now + PROBE_TIMEOUT_SECONDS
 
-    def postpone_probe(self, now: float) -> None:
-        """Record that another gateway sends the next probe."""
-        self.probe_due_at = now + PROBE_INTERVAL_SECONDS
-
     def has_returned(self, now: float, random: Random) -> bool:
         """Return whether this request is among those that return by now."""
         since = now - self.back_at
--- a/tests/unit/test_group_fleet.py
+++ b/tests/unit/test_group_fleet.py
@@ -7,6 +7,8 @@
 from support.fleet import SERVICE
 from support.group_fleet import SimulatedGroup, play_groups, share_to
 
+from fescuedrum.decisions.placing.group_breakers import PROBE_INTERVAL_SECONDS
+
 OUTAGE = (4.0, 7.0)
 
 
@@ -53,6 +55,17 @@
     assert refused_after < 50
 
 
+def test_thirty_gateways_share_the_probes_of_a_group_that_is_out():
+    """Guard against probes that use up the retries of a few gateways."""
+    groups = SimulatedGroup(outages=(OUTAGE,)), SimulatedGroup()
+    play_groups(*groups, rate=300.0)
+    start, end = OUTAGE
+    probes = groups[0].count(groups[0].refused_at, start + 0.5, end)
+    assert 2 <= probes <= 1.5 * (end - start - 0.5) / PROBE_INTERVAL_SECONDS
+    back = min(at for at in groups[0].ran_at if at >= end)
+    assert back - end <= 5 * PROBE_INTERVAL_SECONDS
+
+
 def test_a_group_that_is_too_slow_is_used_only_when_the_other_has_no_place():
     """Guard against a quarter of the streams being late beside empty fast engines."""
     groups = SimulatedGroup(pass_seconds=0.2), SimulatedGroup()
--- a/tests/unit/test_groups.py
+++ b/tests/unit/test_groups.py
@@ -257,7 +257,7 @@
     assert not breaker.accept(GroupReport(False, 0.9), 1.1)
     assert not breaker.is_half_open(1.0 + CONFIRMATION_SECONDS / 2)
     assert breaker.is_half_open(1.0 + CONFIRMATION_SECONDS)
-    assert breaker.is_probe_due(1.0 + CONFIRMATION_SECONDS)
+    assert breaker.is_probe_due(1.0 + CONFIRMATION_SECONDS, 6.0, random.Random(1))
     assert not breaker.answered(sent_at=0.9, now=1.2)
     assert breaker.answered(sent_at=3.0, now=3.1)
     # What was observed before this answer changes nothing any more.
@@ -372,6 +372,35 @@
     with_gateway(story)
 
 
+def test_a_request_without_a_retry_left_is_no_probe():
+    """Guard against callers who are refused so that others learn of an outage."""
+
+    async def story(directory, fleet):
+        directory.groups.learn(fleet.slices(directory))
+        first, second, _ = endpoints_of(directory, "group-0")
+        directory.groups.refused(first)
+        directory.groups.refused(second)
+        await asyncio.sleep(0.2)
+
+        def choose(*, tried=(), is_caller_retry=False, has_retry=True):
+            return directory.choose_endpoint(
+                SERVICE, set(tried), is_caller_retry, reserve_retry=lambda: has_retry
+            )
+
+        other = endpoints_of(directory, "group-1")[0].name
+        for changes in (
+            {"has_retry": False},
+            {"is_caller_retry": True},
+            {"tried": {other}},
+        ):
+            placed = choose(**changes)
+            assert not placed.is_probe
+            assert directory.group_of(placed.endpoint) == "group-1"
+        assert choose().is_probe
+
+    with_gateway(story)
+
+
 def test_all_groups_out_is_what_everywhere_means():
     """Guard against a request refused to its caller that the other group could run."""
 
