Count no places at endpoints that rest or have just failed

Callers saw: refusals as "all-full" at once, without a wait and whatever their rank, while one engine of a contested service could not be reached.

Cause: the sum of places includes endpoints to which no request is sent for the moment: those that asked for rest, and those that failed and are avoided. The decision on places let requests in for them, and the choice of an endpoint refused them. This is the fault of groups that are out, elsewhere.

Change: Directory.filling leaves such endpoints out.

Measured: the new test fails without the change; unit tests of groups, waits and places pass.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
@@ -63,7 +63,8 @@
 class Filling:
     """Hold the places of a service and the requests at them, of all gateways.
 
-    Groups that are out have no places, as they get no requests but probes.
+    Endpoints that rest or have failed a moment ago, and those of groups that are out,
+    get no requests and have no places.
     """
 
     places: int
@@ -249,7 +250,13 @@
     def filling(self, service: str) -> Filling:
         """Return the usable places of a service and the requests at them."""
         usable, loads = self.usable(service), self.peers.loads()
-        serving = self.groups.without_those_out(service, usable)
+        now = self.loop.time()
+        serving = [
+            each
+            for each in self.groups.without_those_out(service, usable)
+            if not self.notices.is_resting(each.name, now)
+            and self.histories[each.name].avoided_until <= now
+        ]
         taken = sum(
             # A wrong count of one endpoint must not stand for many places.
             min(max(self.requests_at(each.name, loads), 0), 2 * each.slots)
--- a/tests/unit/test_groups.py
+++ b/tests/unit/test_groups.py
@@ -372,6 +372,20 @@
     with_gateway(story)
 
 
+def test_places_of_endpoints_that_rest_or_failed_are_not_counted():
+    """Guard against requests that are let in for places that nobody can use."""
+
+    async def story(directory, fleet):
+        slots, now = fleet.shape.slots, asyncio.get_running_loop().time()
+        directory.notices.ask_rest("engine-0", 5.0, now)
+        directory.histories["engine-1"].failed(now)
+        filling = directory.filling(SERVICE)
+        assert (filling.places, filling.endpoints) == (4 * slots, 4)
+        assert directory.count_places(SERVICE) == 6 * slots
+
+    with_gateway(story)
+
+
 def test_a_request_without_a_retry_left_is_no_probe():
     """Guard against callers who are refused so that others learn of an outage."""
 
