Let a returned caller use the place that it was granted

Callers saw: refused again, at once and for good, although the decision on places had let them in and up to a third of the places were free.

Cause: at a contested service the decision on places ranks a returned caller lower and keeps places for the ranks above it. The choice of an endpoint then applied the older rule that returned callers get two thirds of each engine's slots, and refused it. The request was counted as served in the floors of its rank.

Change: a request with a granted place is limited by slots alone. Other services, and contested ones with demand of one rank, keep the rule.

The new test is refused with the old rule. Who may be served worse: new callers of the same rank, by places that returned ones take; those of higher ranks have their reserve.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
@@ -282,12 +282,15 @@
         filling=None,
         tokens=0,
         reserve_retry=lambda: True,
+        *,
+        has_place=False,
     ):
         """Return Chosen with an untried endpoint for a request, or Refused.
 
         filling is that of the service as of now, if it is known. tokens is how many the
         request holds there or may still generate. reserve_retry reserves a retry for
-        it, and returns False if it may not be sent again.
+        it, and returns False if it may not be sent again. has_place says that it was
+        granted a place by its urgency, which is lower for a caller that retries.
         """
         now = self.loop.time()
         usable = self.usable(service) if filling is None else filling.usable
@@ -301,12 +304,14 @@
             return Refused(RefusalCause.ALL_RESTING)
         self.shares.follow(self.peers.sharing_zones())
         loads = self.peers.loads() if filling is None else filling.loads
+        # Whether it gets only what new callers leave free at each endpoint.
+        is_late = is_caller_retry and not has_place
         if not self.groups.membership.is_split(service):
-            limits = self.limits(service, is_caller_retry, len(usable), tokens=tokens)
+            limits = self.limits(service, is_late, len(usable), tokens=tokens)
             return self.place(awake, loads, limits)
 
         def place(group: str, part: GroupPart) -> Chosen | Refused:
-            limits = self.limits(service, is_caller_retry, part.usable, group, tokens)
+            limits = self.limits(service, is_late, part.usable, group, tokens)
             return self.place(part.awake, loads, limits)
 
         parts = self.groups.split(usable, awake)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/place.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/place.py
@@ -11,13 +11,20 @@
 class Place:
     """Count a running request of a contested service until it ends."""
 
-    __slots__ = ("began", "filling", "loop", "organisation", "service")
+    __slots__ = ("began", "filling", "loop", "organisation", "service", "was_decided")
 
     def __init__(
-        self, service: ContestedService, organisation: str, filling: Filling | None
+        self,
+        service: ContestedService,
+        organisation: str,
+        filling: Filling | None,
+        *,
+        was_decided: bool,
     ) -> None:
         self.service = service
         self.organisation = organisation
+        # Whether it was granted by urgency; False while a single rank is requested.
+        self.was_decided = was_decided
         # The filling that the decision used, if it was made at once.
         self.filling = filling
         self.loop = asyncio.get_running_loop()
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/places.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/places.py
@@ -130,11 +130,12 @@
         )
         service.ask(request, now, is_caller_retry=call.is_caller_retry)
         filling = None
-        if service.is_in_force(now):
+        is_in_force = service.is_in_force(now)
+        if is_in_force:
             filling = await self.contend(service, request, call)
         else:
             service.serve(request, now)
-        return Place(service, call.organisation, filling)
+        return Place(service, call.organisation, filling, was_decided=is_in_force)
 
     async def contend(
         self, service: ContestedService, request: PlaceRequest, call
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -127,6 +127,7 @@
             filling,
             call.tokens,
             self.reserve_retry,
+            has_place=self.place is not None and self.place.was_decided,
         )
         match placed:
             case Chosen(endpoint):
--- a/tests/unit/test_places.py
+++ b/tests/unit/test_places.py
@@ -31,6 +31,7 @@
 )
 from fescuedrum.decisions.admitting.rooms import request_limit
 from fescuedrum.decisions.placing.placement import (
+    Chosen,
     Load,
     PlacementLimits,
     choose_endpoint,
@@ -280,6 +281,34 @@
     assert table.urgencies == {SERVICE: [(1, 0), (1, 1), (1, 2)]}
 
 
+def test_a_returned_caller_that_is_granted_a_place_gets_it():
+    """Guard against callers who are let in for a place and refused beside it."""
+
+    async def run():
+        fleet = build_fleet(engines=10)
+        directory, places = only_gateway(fleet)
+        table, loop = fleet.configuration.table, asyncio.get_running_loop()
+        for kind in (0, 1, 2) * 5:
+            place = await places.take(build_call(table, kind, loop.time()))
+            place.leave()
+            await asyncio.sleep(0.05)
+        # Four of the five places of each engine are taken.
+        for each in directory.usable(SERVICE):
+            directory.histories[each.name].own.requests = SLOTS - 1
+        call = replace(
+            build_call(table, 0, loop.time()),
+            is_caller_retry=True,
+            priority=1 + RETRY_RANK_PENALTY,
+        )
+        place = await places.take(call)
+        assert place.was_decided
+        return directory.choose_endpoint(
+            SERVICE, set(), True, place.filling, has_place=place.was_decided
+        )
+
+    assert isinstance(run_paused(run()), Chosen)
+
+
 def test_a_wait_that_ends_as_places_are_granted_leaves_nobody_behind():
     """Guard against waiting requests that get no place because one gave up."""
 
