Keep no places for the time that urgent callers may wait

Callers saw: refused as "reserved" although a place stayed free, in a small group of engines under load.

Cause: the reserve covers the more urgent requests of the time until other gateways are heard and until the next place comes free. An urgent request may wait for the next place and gets it first, so nothing need be kept for the second part.

The soak now records how many places each group has free when a request is sent.

Change: the time counts only as far as it exceeds the shortest wait that the service's routes allow. With 315 places one comes free every 7 ms, so that hardly anything changes there.

The new test fails without the change.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/contested.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/contested.py
@@ -66,6 +66,7 @@
         "refreshed_at",
         "refused_at",
         "running",
+        "urgent_wait_seconds",
         "view",
         "waiting",
     )
@@ -82,6 +83,8 @@
         # Running requests of this gateway by organisation.
         self.running = collections.Counter()
         self.mean_seconds = FIRST_MEAN_SECONDS
+        # Time for which any request of the service may be made to wait for a place.
+        self.urgent_wait_seconds = 0.0
         self.refused_at = float("-inf")
         self.refreshed_at = float("-inf")
         self.view = FleetView({}, collections.Counter(), 0.0, 1)
@@ -168,6 +171,7 @@
             age=view.age,
             mean_seconds=self.mean_seconds,
             organisations=view.organisations,
+            urgent_wait_seconds=self.urgent_wait_seconds,
             floor_share=self.rank_floors.part(request.rank + 1, now),
             is_scarce=now - self.refused_at <= SCARCE_SECONDS,
             owes_rank=self.rank_floors.owes_rank(request.rank, now),
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/places.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/places.py
@@ -76,7 +76,10 @@
             return None
         if name not in self.services:
             self.services[name] = ContestedService(name, self.peers, self.random)
-        return self.services[name]
+        service = self.services[name]
+        target = self.configuration.table.shortest_targets[name]
+        service.urgent_wait_seconds = WAIT_SHARE * target
+        return service
 
     def rank(self, call) -> int:
         """Return the urgency rank of a call, 0 for uncontested services."""
--- a/packages/fescuedrum/src/fescuedrum/conf/routing.py
+++ b/packages/fescuedrum/src/fescuedrum/conf/routing.py
@@ -139,6 +139,7 @@
         "organisations_by_key",
         "routes_by_host",
         "services",
+        "shortest_targets",
         "urgencies",
     )
 
@@ -152,6 +153,8 @@
         }
         # For each service the shortest pause allowed by its routes, in seconds.
         self.allowed_pauses = shortest_pauses(document.routes)
+        # The same for the targets for the first answer.
+        self.shortest_targets = shortest_targets(document.routes)
         # Sorted priorities of the routes of each engine service whose routes differ in
         # it. Requests to plain services may wait at the endpoints.
         self.contested_services = {
@@ -205,6 +208,16 @@
     return pauses
 
 
+def shortest_targets(routes: tuple[Route, ...]) -> dict[str, float]:
+    """Return the shortest target for the first answer for each service."""
+    targets = {}
+    for route in routes:
+        for share in route.shares:
+            shortest = targets.get(share.service, route.target)
+            targets[share.service] = min(shortest, route.target)
+    return targets
+
+
 def contested_services(routes: tuple[Route, ...]) -> dict[str, list[int]]:
     """Return the sorted priorities of each service whose routes differ in priority."""
     priorities: dict[str, set[int]] = {}
--- a/packages/fescuedrum/src/fescuedrum/decisions/admitting/places.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/admitting/places.py
@@ -100,6 +100,9 @@
     floor_share: float = 0.0
     # Whether a request was refused recently for want of a place.
     is_scarce: bool = False
+    # Time for which any request may be made to wait for a place and be on time; the
+    # more urgent of those that wait get the next free place.
+    urgent_wait_seconds: float = 0.0
     # Whether the floor of the request's rank, or of its organisation, grants a place.
     owes_rank: bool = False
     owes_organisation: bool = False
@@ -139,9 +142,11 @@
 def kept_seconds(state: PlaceState) -> float:
     """Return the time for whose more urgent requests places are left free.
 
-    That is until this gateway hears of them, and until another place is free.
+    That is until this gateway hears of them. If the next place comes free later than
+    they may be made to wait for it, it is that much longer.
     """
-    return state.age + state.mean_seconds / max(state.taken, 1)
+    until_free = state.mean_seconds / max(state.taken, 1)
+    return state.age + max(until_free - state.urgent_wait_seconds, 0.0)
 
 
 def urgent_rate(rank: int, state: PlaceState) -> float:
--- a/tests/soak/demand.py
+++ b/tests/soak/demand.py
@@ -75,7 +75,10 @@
         self.group.pass_seconds = self.slowdown * seconds
 
     def has_free_places(self):
-        return any(each.running < each.slots for each in self.members)
+        return self.count_free_places() > 0
+
+    def count_free_places(self):
+        return sum(max(each.slots - each.running, 0) for each in self.members)
 
 
 class DemandEndpoint(RankEndpoint):
--- a/tests/soak/demand_callers.py
+++ b/tests/soak/demand_callers.py
@@ -37,6 +37,8 @@
     is_final: bool = False
     # Names of the groups that had free places when it was sent.
     free_groups: list[str] = field(default_factory=list)
+    # How many places each group had free then.
+    free_places: dict[str, int] = field(default_factory=dict)
     first_at: float = 0.0
     longest_pause: float = 0.0
     # Seconds after which a refused request may be sent again; None for never.
@@ -85,6 +87,10 @@
                     for each in self.site.rank_groups
                     if each.has_free_places()
                 ],
+                free_places={
+                    each.name: each.count_free_places()
+                    for each in self.site.rank_groups
+                },
                 **request,
             )
             record.sendings.append(record)
--- a/tests/unit/test_places.py
+++ b/tests/unit/test_places.py
@@ -28,6 +28,7 @@
     Serve,
     Wait,
     decide,
+    reserve,
 )
 from fescuedrum.decisions.admitting.rooms import request_limit
 from fescuedrum.decisions.placing.placement import (
@@ -281,6 +282,18 @@
     assert table.urgencies == {SERVICE: [(1, 0), (1, 1), (1, 2)]}
 
 
+def test_no_place_is_kept_for_the_time_that_urgent_callers_may_wait():
+    """Guard against refusals beside places that stay free for those who can wait."""
+    small = {"places": 24, "bound": 24, "taken": 21, "age": 0.03}
+    state = build_state(**small, mean_seconds=0.9, demand={0: 22.0})
+    waiting = replace(state, urgent_wait_seconds=0.0625)
+    assert reserve(1, state) > 4
+    assert reserve(1, waiting) == reserve(1, replace(state, mean_seconds=0.0)) < 3
+    # A wait shorter than the time until the next place comes free covers a part of it.
+    partly = replace(state, urgent_wait_seconds=0.02)
+    assert reserve(1, waiting) < reserve(1, partly) < reserve(1, state)
+
+
 def test_a_returned_caller_that_is_granted_a_place_gets_it():
     """Guard against callers who are let in for a place and refused beside it."""
 
