Say what a process that does not listen is doing

Cause: an entry of the known failures, a process that did not listen 20 s after its start, can't be traced: the message has the end of a log that is written only once the process listens, and load alone doesn't bring it about.

Change: the message tells how long the process runs, its state, the processor time that it got, and why the last attempt to connect failed. An attempt to connect is given up after 1 s: without that, one whose first packet is lost was the only one in all the time (seen nowhere, found by reading).

--- a/packages/fescuedrum-bench/src/fescuedrum_bench/member.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/member.py
@@ -3,11 +3,16 @@
 import asyncio
 import random
 import socket
+import time
+
+import psutil
 
 PORT = 7000
 # Bound as long as a site has its network.
 GUARD_PORT = 6999
 STOP_SECONDS = 70.0
+# Longest attempt to connect to a process that may not be up yet.
+CONNECT_SECONDS = 1.0
 # Last lines of the log that are shown when a process did not start.
 LOG_LINES = 20
 
@@ -30,16 +35,18 @@
 
 
 class MemberNotUpError(Exception):
-    """A process accepts no connections; the message has the end of its log.
+    """A process accepts no connections; the message has its state and its log's end.
 
     A site's logs are deleted with the site, so the cause would be lost otherwise.
     """
 
-    def __init__(self, member):
+    def __init__(self, member, last_error):
         lines = member.log_path.read_text().splitlines()[-LOG_LINES:]
-        state = f"code {member.process.returncode}; None is running"
         log_end = "\n".join(lines) or "nothing"
-        super().__init__(f"{member.name} at {member.host} ({state}) logged:\n{log_end}")
+        super().__init__(
+            f"{member.name} at {member.host} ({member.describe_process()}; last "
+            f"attempt to connect: {last_error}) logged:\n{log_end}"
+        )
 
 
 class Member:
@@ -77,17 +84,39 @@
         self.process.kill()
         await self.process.wait()
 
+    def describe_process(self):
+        """Return the exit code, or what shows why a running process is not ready.
+
+        Little processor time tells a process that gets none from one that is busy, and
+        its state one that waits for the disk (D) or for an event (S).
+        """
+        if self.process.returncode is not None:
+            return f"ended with code {self.process.returncode}"
+        try:
+            process = psutil.Process(self.process.pid)
+            used = process.cpu_times()
+            return (
+                f"runs for {time.time() - process.create_time():.1f} s, state "
+                f"{process.status()}, {used.user + used.system:.1f} s of processor time"
+            )
+        except psutil.Error as error:
+            return f"unknown: {error!r}"
+
     @property
     def url(self):
         """Return the base URL of the process."""
         return f"http://{self.host}:{PORT}"
 
 
-async def listens(host):
-    """Return whether a host accepts connections."""
+async def connection_error(host):
+    """Return why a host accepts no connection, or None if it accepts one.
+
+    Without a time limit, an attempt whose first packet is lost would be the only one.
+    """
     try:
-        _, writer = await asyncio.open_connection(host, PORT)
-    except OSError:
-        return False
+        async with asyncio.timeout(CONNECT_SECONDS):
+            _, writer = await asyncio.open_connection(host, PORT)
+    except OSError as error:
+        return repr(error)
     writer.close()
-    return True
+    return None
--- a/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
+++ b/packages/fescuedrum-bench/src/fescuedrum_bench/site.py
@@ -23,7 +23,7 @@
     PORT,
     Member,
     MemberNotUpError,
-    listens,
+    connection_error,
     reserve_network,
 )
 from fescuedrum_entry.operators.accounts import Account, Role
@@ -370,12 +370,13 @@
 
     async def wait_listening(self, member):
         """Wait until a process accepts connections; raise MemberNotUpError if late."""
+        error = "none was made"
         try:
             async with asyncio.timeout(READY_SECONDS):
-                while not await listens(member.host):
+                while (error := await connection_error(member.host)) is not None:
                     await asyncio.sleep(0.05)
         except TimeoutError:
-            raise MemberNotUpError(member) from None
+            raise MemberNotUpError(member, error) from None
 
     async def answers(self, url):
         """Return whether a URL answers with status 200."""
