Show the delays of both event loops in the test of slow readers

Change: the test prints the longest delay of its loop; the gateway of its tests writes warnings, such as "process stalled", to standard error. No check changes.

--- a/tests/integration/test_memory.py
+++ b/tests/integration/test_memory.py
@@ -5,6 +5,7 @@
 import itertools
 import logging
 import re
+from types import SimpleNamespace
 
 import aiohttp
 import psutil
@@ -16,6 +17,7 @@
 from support.routing import build_route, build_routing_document
 
 from fescuedrum.conf.routing import EngineProfile, RequestKind, RoutedService
+from fescuedrum.metrics import measure_loop_delay
 
 MEGABYTE = 1024 * 1024
 # Memory of a connection apart from what is held for its caller.
@@ -114,12 +116,16 @@
     loop = asyncio.get_running_loop()
     endpoint = await StandInEndpoint("e-1", slow_callers.answer).start()
     seconds, answers, samples = [], collections.Counter(), []
+    # Delays of this loop, which the endpoint and all callers share.
+    delays = []
+    delay_histogram = SimpleNamespace(observe=delays.append)
     # Two fifths of 160 MB are the bound of 64 MB.
     async with gateway_process(endpoint.port, 2.0, 160.0) as (process, port):
         idle = psutil.Process(process.pid).memory_info().rss
         tasks = [
             asyncio.create_task(call_often(port, seconds, answers)),
             asyncio.create_task(slow_callers.sample_memory(process.pid, samples)),
+            asyncio.create_task(measure_loop_delay(delay_histogram)),
         ]
         began, opened = loop.time(), []
         for number in range(CONNECTIONS):
@@ -136,7 +142,10 @@
         connection.close()
     endpoint.server.close()
     growth = max(samples) - idle
-    print(f"grew by {growth / MEGABYTE:.0f} MB; slowest {max(seconds):.3f} s")
+    print(
+        f"grew by {growth / MEGABYTE:.0f} MB; slowest {max(seconds):.3f} s; "
+        f"longest delay of this loop {max(delays):.3f} s"
+    )
     assert growth < 64 * MEGABYTE + 2 * CONNECTIONS * CONNECTION_BYTES
     assert set(answers) == {(200, "done")}
     assert sorted(seconds)[int(len(seconds) * 0.95)] < 0.4
--- a/tests/support/gateway_process.py
+++ b/tests/support/gateway_process.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import logging
 import signal
 import sys
 from pathlib import Path
 
 from fescuedrum.conf.routing import RequestKind
+from fescuedrum.logs import JsonLinesFormatter
 from fescuedrum.process import stop_event
 from fescuedrum_gateway.process.gateway import Gateway
 from support.dialect import MemoryRowStore, PlainAdapter
@@ -44,6 +46,13 @@
         await process.wait()
 
 
+def log_warnings():
+    """Write warnings, such as stalls of the event loop, to standard error."""
+    handler = logging.StreamHandler()
+    handler.setFormatter(JsonLinesFormatter({}))
+    logging.basicConfig(level=logging.WARNING, handlers=[handler])
+
+
 async def serve(ports, endpoint_port, stop_seconds, memory_megabytes):
     """Run a gateway until SIGTERM; print a line once it is ready."""
     store = MemoryRowStore()
@@ -67,5 +76,6 @@
 
 
 if __name__ == "__main__":
+    log_warnings()
     *ports, endpoint_port = (int(word) for word in sys.argv[1:-2])
     asyncio.run(serve(ports, endpoint_port, *map(float, sys.argv[-2:])))
