Do not take a stall of the gateway for an endpoint that accepts no connection

Callers saw: 503 "no connection: ConnectionTimeoutError", and a second attempt elsewhere for others, although the endpoint accepted connections at once. The endpoint counted as failed and was avoided.

Cause: when the event loop is held up for 0.3 s while a connection opens, the timer of the limit runs before the event that it is open.

The new test, which holds the loop up for 0.4 s as a connection opens, failed before with 503.

Change: ConnectionLimit times the opening of the only connection of a request. If its timer runs late by more than 0.05 s, the process has stalled, and the connection gets another 0.1 s. "Not run" stays true: the limit ends a request only before its connection is open. A second new test covers an endpoint that takes no connection.

Measured: tests of the gateway, its stops and notices pass.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
@@ -1,5 +1,6 @@
 """Send a request to an endpoint over a new connection and read the answer."""
 
+import asyncio
 import socket
 
 import aiohttp
@@ -12,6 +13,10 @@
 # A connection opens within one round trip of a few milliseconds. A lost packet would
 # only be sent again after a second; trying another endpoint is faster.
 CONNECT_TIMEOUT_SECONDS = 0.3
+# A timer that runs later than this shows that the event loop was held up, and that a
+# connection may have opened meanwhile; it is noticed within the second time.
+STALLED_SECONDS = 0.05
+STALL_GRACE_SECONDS = 0.1
 # Sent bytes that are not acknowledged for this long mean that the path is down. An
 # engine that stalls does not delay this: its machine still acknowledges.
 UNACKNOWLEDGED_TIMEOUT_MILLISECONDS = 1500
@@ -119,27 +124,78 @@
         self.response.close()
 
 
+class ConnectionLimit(SendOnceGuard):
+    """Limit the time in which the only connection of a request opens.
+
+    Time in which this process stalls does not count. The timer would else run before
+    the event that the connection has opened, and a stall of CONNECT_TIMEOUT_SECONDS
+    would look like the failure of each endpoint to which a connection was opening.
+    """
+
+    __slots__ = ("due", "is_connected", "loop", "timeout", "timer")
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.get_running_loop()
+        self.timeout = asyncio.timeout(None)
+        self.timer = None
+        self.due = 0.0
+        self.is_connected = False
+
+    def connect(self):
+        """Start the time of the first connection; raise ResendRefused at the second."""
+        super().connect()
+        self.start(CONNECT_TIMEOUT_SECONDS)
+
+    def connected(self):
+        """End the limit."""
+        self.is_connected = True
+        self.timer.cancel()
+        self.timeout.reschedule(None)
+
+    def start(self, seconds):
+        self.due = self.loop.time() + seconds
+        self.timer = self.loop.call_at(self.due, self.expire)
+
+    def expire(self):
+        """End the request, or allow more time if this process has stalled."""
+        now = self.loop.time()
+        if now - self.due > STALLED_SECONDS:
+            self.start(STALL_GRACE_SECONDS)
+        else:
+            self.timeout.reschedule(now)
+
+    def end(self):
+        """Cancel the timer of a request that ended before it was connected."""
+        if self.timer is not None:
+            self.timer.cancel()
+
+
 async def send_call(session, adapter, call, endpoint, send):
     """Send a call to an endpoint; return OpenedAnswer, NotRun or Lost."""
     url = URL(f"http://{endpoint.host}:{endpoint.port}{call.target}", encoded=True)
+    limit = ConnectionLimit()
     try:
-        response = await session.request(
-            call.method,
-            url,
-            headers=adapter.write_call(call.head, send),
-            data=call.body or None,
-            allow_redirects=False,
-            skip_auto_headers=LIBRARY_HEADERS,
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
-            ),
-            trace_request_ctx=SendOnceGuard(),
-        )
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        async with limit.timeout:
+            response = await session.request(
+                call.method,
+                url,
+                headers=adapter.write_call(call.head, send),
+                data=call.body or None,
+                allow_redirects=False,
+                skip_auto_headers=LIBRARY_HEADERS,
+                timeout=aiohttp.ClientTimeout(total=None),
+                trace_request_ctx=limit,
+            )
+    except aiohttp.ClientConnectorError as error:
         # No connection was opened, so nothing of the request was sent.
         return NotRun(f"no connection: {error!r}")
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        if limit.timeout.expired() and not limit.is_connected:
+            return NotRun(f"no connection in {CONNECT_TIMEOUT_SECONDS} s")
         return Lost(f"no answer: {error!r}")
+    finally:
+        limit.end()
     head = adapter.read_answer(response.status, response.headers)
     return await classify_answer(head, response, call)
 
--- a/packages/fescuedrum/src/fescuedrum/once.py
+++ b/packages/fescuedrum/src/fescuedrum/once.py
@@ -24,6 +24,9 @@
         if self.connections > 1:
             raise ResendRefused
 
+    def connected(self):
+        """Take note that the connection is open; nothing has been sent yet."""
+
 
 def open_session(*, keep_connections, socket_factory=None):
     """Return an HTTP client session that sends each request at most once.
@@ -40,6 +43,7 @@
     """
     tracing = aiohttp.TraceConfig()
     tracing.on_connection_create_start.append(count_connection)
+    tracing.on_connection_create_end.append(report_connection)
     tracing.on_connection_reuseconn.append(count_connection)
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
@@ -54,3 +58,7 @@
 
 async def count_connection(_session, context, _params):
     context.trace_request_ctx.connect()
+
+
+async def report_connection(_session, context, _params):
+    context.trace_request_ctx.connected()
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -1,6 +1,8 @@
 """Check what callers and endpoints receive from a gateway over real connections."""
 
 import asyncio
+import socket
+import time
 from dataclasses import replace
 
 import aiohttp
@@ -17,11 +19,16 @@
     site,
 )
 from support.returning import contested_document
-from support.routing import build_route, build_routing_document
+from support.routing import build_endpoint, build_route, build_routing_document
 
 from fescuedrum.conf.routing import EngineProfile, RequestKind, RoutedService
 from fescuedrum.decisions.placing.groups import GroupSlice
 from fescuedrum_gateway.adapter import ZoneOut
+from fescuedrum_gateway.connection import endpoints
+from fescuedrum_gateway.connection.endpoints import (
+    CONNECT_TIMEOUT_SECONDS,
+    open_socket,
+)
 
 
 def document_of(kind, **changes):
@@ -46,6 +53,46 @@
     assert 1.0 < float(seen["Patience"]) < 2.0
 
 
+async def test_a_stall_of_the_gateway_is_no_failure_of_an_endpoint(monkeypatch):
+    """Guard against "no connection" to an endpoint that has accepted in time."""
+
+    def open_and_stall(address):
+        loop = asyncio.get_running_loop()
+        loop.call_soon(time.sleep, CONNECT_TIMEOUT_SECONDS + 0.1)
+        return open_socket(address)
+
+    monkeypatch.setattr(endpoints, "open_socket", open_and_stall)
+    endpoint = StandInEndpoint("e-1", engines.whole())
+    async with site(endpoint) as (running, session):
+        status, _, body = await call(running, session)
+        history = running.gateway.directory.histories["e-1"]
+    assert (status, body) == (200, b"done")
+    assert history.failures == 0
+
+
+async def test_an_endpoint_that_accepts_no_connection_is_left_for_another_one():
+    """Guard against callers who wait for an endpoint whose machine does not answer."""
+    full = socket.create_server(("127.0.0.1", 0), backlog=0)
+    waiting = [socket.socket() for _ in range(4)]
+    for each in waiting:
+        each.setblocking(False)
+        each.connect_ex(full.getsockname())
+    other = StandInEndpoint("e-2", engines.whole())
+    async with site(other) as (running, session):
+        silent = build_endpoint("e-1", port=full.getsockname()[1])
+        running.gateway.directory.presences.listed(silent)
+        running.gateway.directory.histories["e-2"].own.requests = 3
+        began = asyncio.get_running_loop().time()
+        status, _, body = await call(running, session)
+        seconds = asyncio.get_running_loop().time() - began
+        history = running.gateway.directory.histories["e-1"]
+    for each in (full, *waiting):
+        each.close()
+    assert (status, body) == (200, b"done")
+    assert history.failures == 1
+    assert seconds < 2 * CONNECT_TIMEOUT_SECONDS
+
+
 async def test_requests_that_are_not_allowed_reach_no_endpoint():
     endpoint = StandInEndpoint("e-1", engines.whole())
     async with site(endpoint) as (running, session):
