Load only the command that is run

Cause: each process of a test site, and an entry, imported the modules of all commands of its program before it listened. A stand-in took 1.0 s of processor time to start, most of it for reports and measurements. Suspected, not shown, to be what a process that did not listen within 20 s lacked: the listed test of restarts.

Change: if the first argument names a command, only that one is imported.

--- a/packages/fescuedrum/src/fescuedrum/management.py
+++ b/packages/fescuedrum/src/fescuedrum/management.py
@@ -3,6 +3,7 @@
 import argparse
 import importlib
 import pkgutil
+import sys
 
 from fescuedrum import __version__
 from fescuedrum.signals import defer_reload, restore_reload_default
@@ -18,13 +19,19 @@
 """
 
 
-def load_commands(package):
-    """Return the Command object of each module of a package, by command name."""
-    commands = {}
-    for module in pkgutil.iter_modules(package.__path__):
-        name = f"{package.__name__}.{module.name}"
-        commands[module.name] = importlib.import_module(name).Command()
-    return commands
+def load_commands(package, argv=()):
+    """Return the Command object of each module of a package, by command name.
+
+    If the first argument names a command, only that one is loaded: the modules of the
+    others may take longer to import than a process takes to start.
+    """
+    names = [module.name for module in pkgutil.iter_modules(package.__path__)]
+    if argv and argv[0] in names:
+        names = [argv[0]]
+    return {
+        name: importlib.import_module(f"{package.__name__}.{name}").Command()
+        for name in names
+    }
 
 
 def build_parser(commands, prog, description):
@@ -55,7 +62,8 @@
     SIGHUP is deferred only for a command that reloads its settings.
     """
     defer_reload()
-    commands = load_commands(package)
+    argv = sys.argv[1:] if argv is None else argv
+    commands = load_commands(package, argv)
     arguments = build_parser(commands, prog, description).parse_args(argv)
     command = commands[arguments.command]
     if not getattr(command, "reloads", False):
--- a/tests/unit/test_process.py
+++ b/tests/unit/test_process.py
@@ -1,6 +1,8 @@
 """Check that a process stops when one of its tasks fails."""
 
 import asyncio
+import subprocess
+import sys
 
 from support.clock import run_paused
 
@@ -30,3 +32,29 @@
             await stop.wait()
 
     run_paused(run())
+
+
+LOAD_COMMANDS = """
+import sys
+from fescuedrum.management import load_commands
+from fescuedrum_bench import commands
+
+print(*load_commands(commands, sys.argv[1:]))
+print("fescuedrum_bench.report" in sys.modules)
+"""
+
+
+def load_commands(*arguments):
+    """Return the loaded commands, and whether those with reports are among them."""
+    command = [sys.executable, "-c", LOAD_COMMANDS, *arguments]
+    output = subprocess.run(command, capture_output=True, check=True, text=True).stdout
+    names, has_reports = output.splitlines()
+    return names.split(), has_reports == "True"
+
+
+def test_a_command_loads_no_other_command():
+    """Guard against a process that starts late, as it loads what only others need."""
+    assert load_commands("standin", "engine") == (["standin"], False)
+    names, has_reports = load_commands("--help")
+    assert {"bench", "load", "standin"} <= set(names)
+    assert has_reports
--- a/tests/unit/test_reload_signal.py
+++ b/tests/unit/test_reload_signal.py
@@ -37,7 +37,7 @@
     def handle(self, arguments):
         print("handled")
 
-def load_commands(package):
+def load_commands(package, argv):
     os.kill(os.getpid(), signal.SIGHUP)
     return {{"do": Command()}}
 
@@ -58,7 +58,7 @@
     def handle(self, arguments):
         return 7
 
-management.load_commands = lambda package: {"do": Command()}
+management.load_commands = lambda package, argv: {"do": Command()}
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 code = asyncio.run(asyncio.to_thread(
     management.execute, None, prog="p", description="d", argv=["do"]
