Postpone a probe that no endpoint of its group can get

Cause: found on reading. While a group that is out returns cold, or all of its endpoints are at a limit, each request found a probe due, reserved a retry for it and went to another group: retries would be used up for nothing.

Change: such a probe counts as sent. Filling gets a module of its own, as the directory had grown; a constant and a docstring are worded anew.

Measured: the new test reserved three retries for three requests before, and one now; unit tests of groups and places and tests/integration/test_gateway.py pass.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
@@ -15,7 +15,7 @@
 CONNECT_TIMEOUT_SECONDS = 0.3
 # A timer that runs later than this shows that the event loop was held up, and that a
 # connection may have opened meanwhile; it is noticed within the second time.
-STALLED_SECONDS = 0.05
+LATE_TIMER_SECONDS = 0.05
 STALL_GRACE_SECONDS = 0.1
 # Sent bytes that are not acknowledged for this long mean that the path is down. An
 # engine that stalls does not delay this: its machine still acknowledges.
@@ -154,13 +154,14 @@
         self.timeout.reschedule(None)
 
     def start(self, seconds):
+        """Start the timer of the limit."""
         self.due = self.loop.time() + seconds
         self.timer = self.loop.call_at(self.due, self.expire)
 
     def expire(self):
         """End the request, or allow more time if this process has stalled."""
         now = self.loop.time()
-        if now - self.due > STALLED_SECONDS:
+        if now - self.due > LATE_TIMER_SECONDS:
             self.start(STALL_GRACE_SECONDS)
         else:
             self.timeout.reschedule(now)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/contested.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/contested.py
@@ -19,7 +19,7 @@
     PlaceState,
 )
 from fescuedrum.decisions.duties import meshes
-from fescuedrum_gateway.process.directory import Filling
+from fescuedrum_gateway.process.filling import Filling
 from fescuedrum_gateway.process.peers import (
     CHANGE_BATCH_SECONDS,
     LOAD_EXPIRY_SECONDS,
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
@@ -4,7 +4,6 @@
 import collections
 import logging
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 
 from fescuedrum.conf.routing import RoutedService
 from fescuedrum.decisions.admitting.memory import TokenDemand, select_with_room
@@ -48,6 +47,7 @@
 )
 from fescuedrum.exceptions import RowNotUnderstood
 from fescuedrum_gateway.adapter import AnswerHead, ZoneOut
+from fescuedrum_gateway.process.filling import Filling
 from fescuedrum_gateway.process.group_choice import GroupChooser, GroupRequest
 from fescuedrum_gateway.process.group_directory import (
     GroupDirectory,
@@ -59,23 +59,6 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass(slots=True, frozen=True)
-class Filling:
-    """Hold the places of a service and the requests at them, of all gateways.
-
-    Endpoints that rest or have failed a moment ago, and those of groups that are out,
-    get no requests and have no places.
-    """
-
-    places: int
-    taken: int
-    # Number of endpoints that have these places.
-    endpoints: int
-    # All usable endpoints, and the other gateways' loads by name.
-    usable: list[ListedEndpoint]
-    loads: Mapping[str, Load]
-
-
 class EndpointDirectory:
     """Hold the endpoints of all services and choose an endpoint for a request."""
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_choice.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_choice.py
@@ -67,6 +67,8 @@
                 is_probe = tier[0].standing is Standing.PROBED
                 return replace(placed[name], is_probe=is_probe)
             refusal = refusal or placed[tier[0].name]
+            if tier[0].standing is Standing.PROBED:
+                self.postpone_probes(request.service, tier)
         if refusal is not None:
             return refusal
         if self.groups.refuses_everywhere(request.service):
@@ -140,6 +142,12 @@
         open_groups = [name for name in is_fresh if isinstance(placed[name], Chosen)]
         return min(open_groups, key=sort_key, default=None)
 
+    def postpone_probes(self, service: str, tier: list[GroupCondition]) -> None:
+        """Postpone probes that no endpoint can get, as each has reserved a retry."""
+        now, interval = self.groups.loop.time(), self.groups.probe_interval(service)
+        for each in tier:
+            self.groups.states[service, each.name].breaker.postpone_probe(now, interval)
+
     def note_choice(self, service: str, name: str, standing: Standing) -> None:
         """Note that a request is sent to a group."""
         now = self.groups.loop.time()
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/place.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/place.py
@@ -5,7 +5,7 @@
 
 from fescuedrum.decisions.admitting.places import PlaceRequest
 from fescuedrum_gateway.process.contested import ContestedService
-from fescuedrum_gateway.process.directory import Filling
+from fescuedrum_gateway.process.filling import Filling
 
 
 class Place:
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/places.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/places.py
@@ -27,7 +27,7 @@
 from fescuedrum.events.requests import PlaceRefused
 from fescuedrum.exceptions import Overloaded
 from fescuedrum_gateway.process.contested import ContestedService
-from fescuedrum_gateway.process.directory import Filling
+from fescuedrum_gateway.process.filling import Filling
 from fescuedrum_gateway.process.place import Place, Waiter
 from fescuedrum_gateway.process.place_metrics import REFUSED, SERVED, WAITED
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -19,7 +19,7 @@
 )
 from fescuedrum_gateway.adapter import AnswerHead, ForwardHead
 from fescuedrum_gateway.connection.endpoints import OpenedAnswer, send_call
-from fescuedrum_gateway.process.directory import Filling
+from fescuedrum_gateway.process.filling import Filling
 from fescuedrum_gateway.request.admission import build_stopping_error
 from fescuedrum_gateway.request.call import Answered, Lost, NotRun
 from fescuedrum_gateway.request.waiting import ServiceWait
@@ -369,10 +369,7 @@
         return True
 
     def reserve_retry(self) -> bool:
-        """Charge the retry after the next attempt now; return False if there is none.
-
-        Stops count as for the next attempt, which raises the error for them.
-        """
+        """Charge the retry that follows the next attempt; return False without one."""
         if self.attempts_left <= 1 or not self.has_time_left(self.loop.time()):
             return False
         if not self.spend_retry():
--- a/packages/fescuedrum/src/fescuedrum/decisions/placing/group_breakers.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/placing/group_breakers.py
@@ -249,10 +249,14 @@
             )
         return now >= self.probe_due_at
 
-    def probe_sent(self, now: float, interval: float) -> None:
-        """Record that a request is sent as a probe, as one in an interval."""
+    def postpone_probe(self, now: float, interval: float) -> None:
+        """Record that a probe was due and no endpoint of the group could get it."""
         self.has_turn = True
         self.probe_due_at = now + interval
+
+    def probe_sent(self, now: float, interval: float) -> None:
+        """Record that a request is sent as a probe, as one in an interval."""
+        self.postpone_probe(now, interval)
         self.probe_pending_until = now + PROBE_TIMEOUT_SECONDS
 
     def has_returned(self, now: float, random: Random) -> bool:
--- a/tests/unit/test_groups.py
+++ b/tests/unit/test_groups.py
@@ -415,6 +415,34 @@
     with_gateway(story)
 
 
+def test_a_probe_that_no_endpoint_can_get_reserves_one_retry():
+    """Guard against a group that returns cold and takes the retries of all requests."""
+
+    async def story(directory, fleet):
+        directory.groups.learn(fleet.slices(directory))
+        cold = endpoints_of(directory, "group-0")
+        for each in cold[:2]:
+            directory.groups.refused(each)
+        await asyncio.sleep(0.2)
+        for each in cold:
+            while directory.history(each).arrivals.value(0.2) < 20:
+                directory.history(each).sent(0.2)
+        reserved = []
+
+        def reserve_retry():
+            reserved.append(True)
+            return True
+
+        for _ in range(3):
+            placed = directory.choose_endpoint(
+                SERVICE, set(), False, reserve_retry=reserve_retry
+            )
+            assert directory.group_of(placed.endpoint) == "group-1"
+        assert len(reserved) == 1
+
+    with_gateway(story, cold_per_second=2.0)
+
+
 def test_all_groups_out_is_what_everywhere_means():
     """Guard against a request refused to its caller that the other group could run."""
 
