Log the parts of prompts and how far a broken stream had come

Cause: of an engine that ended, logs told neither what its requests had in their prompts nor how far they had come, so the hypotheses of the incident looked alike. No decision uses them.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/adapter.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/adapter.py
@@ -28,6 +28,8 @@
     last_event_id: str
     # Headers that are forwarded to the endpoint unchanged.
     headers: list[tuple[str, str]]
+    # Ids of the parts of its prompt that other requests may have as well, in order.
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -30,10 +30,17 @@
 ANSWER_TRANSIT_SECONDS = 0.01
 # With less time left the answer would be late: a plain request takes some 20 ms.
 MINIMUM_SECONDS_LEFT = 0.02
+# Parts of a prompt in a line of the log.
+LOGGED_PARTS = 8
 # Status of an endpoint that is another one than the request was meant for.
 MISDIRECTED_STATUS = 421
 
 
+def describe_parts(parts: tuple[str, ...]) -> str | None:
+    """Return the ids of a prompt's parts for a line of the log; None if it has none."""
+    return " ".join(parts[:LOGGED_PARTS]) or None
+
+
 class Attempts:
     """Send one call to one endpoint after another."""
 
@@ -173,6 +180,7 @@
             version=self.gateway.configuration.version,
             group=self.gateway.directory.group_of(chosen.endpoint) or None,
             is_probe=chosen.is_probe or None,
+            parts=describe_parts(self.call.head.prompt_parts),
         )
         log_event(logger, event)
 
@@ -333,6 +341,7 @@
             result=result,
             reason=reason,
             rest_seconds=rest_seconds,
+            parts=describe_parts(self.call.head.prompt_parts),
         )
         log_event(logger, event)
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
@@ -10,7 +10,7 @@
 from fescuedrum.events.event import log_event
 from fescuedrum.exceptions import AnswerOverdue
 from fescuedrum_gateway.request import plain
-from fescuedrum_gateway.request.attempts import Attempts
+from fescuedrum_gateway.request.attempts import Attempts, describe_parts
 from fescuedrum_gateway.request.call import (
     Answered,
     Lost,
@@ -41,6 +41,7 @@
     __slots__ = (
         "attempts",
         "call",
+        "event_count",
         "gateway",
         "http_request",
         "last_event_at",
@@ -61,6 +62,8 @@
         self.loop = asyncio.get_running_loop()
         # When the present endpoint's last event arrived; None before its first one.
         self.last_event_at = None
+        # Events that came from the present endpoint.
+        self.event_count = 0
         # Whether the caller read the last event so late that the next had to wait.
         self.was_blocked = False
 
@@ -122,10 +125,12 @@
         """
         splitter = EventSplitter()
         self.last_event_at = None
+        self.event_count = 0
         unread = self.follow(opened)
         try:
             async for chunk in opened.chunks():
                 for event in splitter.feed(chunk):
+                    self.event_count += 1
                     await self.forward_event(event, opened.head)
                 unread.taken += len(chunk)
         except (TimeoutError, aiohttp.ClientError, EventTooLongError, OSError) as error:
@@ -150,8 +155,15 @@
 
     def handle_break(self, reason):
         """Log that a stream broke off; return Lost or StreamBroken."""
-        request_id = self.call.head.request_id
-        log_event(logger, events.StreamBroken(request_id, reason, self.last_event_id))
+        broken = events.StreamBroken(
+            request=self.call.head.request_id,
+            reason=reason,
+            last_event=self.last_event_id,
+            endpoint=self.attempts.endpoint.name,
+            events=self.event_count,
+            parts=describe_parts(self.call.head.prompt_parts),
+        )
+        log_event(logger, broken)
         return Lost(reason) if self.response is None else StreamBroken(reason)
 
     def has_caller_left(self):
--- a/packages/fescuedrum/src/fescuedrum/events/requests.py
+++ b/packages/fescuedrum/src/fescuedrum/events/requests.py
@@ -12,6 +12,12 @@
     event,
 )
 
+PromptParts = Annotated[
+    str,
+    "ids of the parts of its prompt that other requests may have as well, separated "
+    "by spaces; at most eight",
+]
+
 # Results of a request that was sent.
 ANSWERED = "answered"
 CUT = "cut"
@@ -37,6 +43,7 @@
     is_probe: Annotated[
         bool | None, "true if it is sent to see whether a group that is out answers"
     ]
+    parts: PromptParts | None
 
 
 @event
@@ -65,6 +72,7 @@
     rest_seconds: Annotated[
         float | None, "time in which the endpoint asks for no more requests, in seconds"
     ]
+    parts: PromptParts | None
 
 
 @event
@@ -76,6 +84,9 @@
     request: RequestId
     reason: Annotated[str, "how the failure was detected"]
     last_event: Annotated[str, "id of the last event that the caller received"]
+    endpoint: EndpointName
+    events: Annotated[int, "events that came from this endpoint"]
+    parts: PromptParts | None
 
 
 @event
--- a/tests/support/dialect.py
+++ b/tests/support/dialect.py
@@ -121,6 +121,7 @@
             expected_tokens=int(headers.get("Expected", 0)),
             last_event_id=headers.get("Last-Event", ""),
             headers=end_to_end_headers(headers, without=REPLACED),
+            prompt_parts=tuple(headers.get("Parts", "").split()),
         )
 
     def write_call(self, head, send):
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -185,6 +185,24 @@
     }
 
 
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        ("", ()),
+        ("e4402b7d:250", ()),
+        ("5c1e07a2:800, 91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        (":800,5c1e07a2,e4402b7d:250", ("5c1e07a2",)),
+        (f"{'f' * 65}:1,5c1e07a2:1,e4402b7d:250", ("5c1e07a2",)),
+        (",".join(f"{number}:1" for number in range(60)), tuple(map(str, range(32)))),
+    ],
+)
+def test_parts_of_a_prompt_are_decoded_without_the_requests_own(text, parts):
+    received = CIMultiDict({"Attempt-Id": "r-1", "Prefix-Hash": text})
+    call_head = headers.read_call(received)
+    assert call_head.prompt_parts == parts
+    assert ("Prefix-Hash", text) in call_head.headers
+
+
 @pytest.mark.parametrize(
     ("counts", "hint", "expected"),
     [
