Test that a part of a prompt does not end one endpoint after the other

Callers saw: most requests failed or were refused while requests with one part in their prompts kept coming. Cause: not mended here; nothing relates the end of an endpoint to what it was sent. Change: the soak has the kind `parts`: eight endpoints of real gateways' end as they begin an answer to a prompt with a certain part, before or after the head or after the first event, with and without a length, beside ends of gateways and of other endpoints. Sound prompts share the caller and all other parts. Its bounds are the users' rules. A second test guards against an empty success for a stream without a length.

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 # SEEDS="--kind stops --seeds 10" plays runs with planned stops and nothing else,
 # SEEDS="--kind groups --seeds 10" suspensions of the leader of a group of ranks,
 # SEEDS="--kind demand --seeds 10" competing demand at two groups, of which one fails.
+# SEEDS="--kind parts --seeds 10" prompts with a part at which endpoints end.
 SEEDS := --seeds 10
 soak: setup
 	cd tests && ../$(PYTHON) -m soak $(SEEDS) --logs ../build/soak
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -288,6 +288,22 @@
     assert {seen["Last-Event"] for seen in good.seen} <= {"", "3"}
 
 
+async def test_a_stream_without_a_length_that_ends_before_an_event_is_no_answer():
+    """Guard against an empty success when an engine ends as it begins to write."""
+
+    async def answer(seen):
+        seen.writer.write(engines.head(seen, Signed="yes"))
+        await seen.writer.drain()
+        seen.writer.close()
+
+    document = document_of(RequestKind.STREAM)
+    async with site(StandInEndpoint("e-1", answer), document=document) as (
+        running,
+        session,
+    ):
+        assert (await call(running, session))[0] == 502
+
+
 async def test_a_stream_that_is_not_resumable_is_visibly_truncated():
     broken = StandInEndpoint("e-1", engines.streaming(1, 3, ends=False))
     document = document_of(RequestKind.STREAM)
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -8,13 +8,23 @@
 import pytest
 from soak.balancer import Balancer
 from soak.callers import Ending, Record
-from soak.conditions import DEMAND, FAULTS, GROUPS, STOPS, RequestKind, Streams
+from soak.conditions import (
+    DEMAND,
+    FAULTS,
+    GROUPS,
+    PARTS,
+    STOPS,
+    RequestKind,
+    Streams,
+)
 from soak.demand import ORGANISATIONS
 from soak.demand_callers import DemandRecord
 from soak.demand_judge import DemandChecker
 from soak.endpoints import Arrival, RateLimit, Run
 from soak.faults import GatewayStopped, HistoryLost, PathFault, StoreFault, draw_fault
 from soak.judge import RECONNECT_SECONDS, GuaranteeChecker, Reading
+from soak.parts import PartArrival, PartEnd, PartsRecord
+from soak.parts_judge import PartsChecker
 from soak.planned import draw_work
 from soak.processes import tells_of_exception
 from soak.ranks import RankGroup
@@ -39,6 +49,8 @@
 STOPS_REGRESSIONS = {
     488366453: "a stopping gateway took streams that lasted longer than its time left",
 }
+# Two parts that are not the first ones; one that is, with answers without a length.
+PARTS_SEEDS = (1, 2)
 GATEWAYS = [f"gateway-{number}" for number in range(4)]
 # Shortest time from the signal to the next start of a gateway.
 STOP_SECONDS = 3.1
@@ -96,6 +108,23 @@
     return records
 
 
+def build_parts_records(count, **changes):
+    """Return records of answered first sendings."""
+    values = {"kind": RequestKind.STREAM, "gateway": "g-1", "ended": 20.0}
+    values |= {"ending": Ending.ANSWERED, "detail": "status 200"} | changes
+    name = "crashing" if "crashing_part" in changes else "sound"
+    return [
+        PartsRecord(f"{name}-{changes['began']}-{number}", **values)
+        for number in range(count)
+    ]
+
+
+def find_parts_violations(*parts, **site):
+    """Return the findings about prompts at which endpoints end."""
+    records = [record for part in parts for record in part]
+    return find_violations(records, build_checker=PartsChecker, **site)
+
+
 def find_demand_violations(*parts, **site):
     """Return the findings on a site with an endpoint in group a and none in b."""
     records = [record for part in parts for record in part]
@@ -389,6 +418,42 @@
     assert result.endings["answered"] > 100
 
 
+@pytest.mark.parametrize("seed", PARTS_SEEDS)
+async def test_a_part_of_a_prompt_does_not_end_one_endpoint_after_the_other(
+    seed, tmp_path
+):
+    """Guard against sending more requests with a part at which endpoints end."""
+    run = play(seed, PARTS.seconds, tmp_path, PARTS)
+    result = await asyncio.wait_for(run, 80)
+    assert result.findings == []
+    assert result.endings["answered"] > 100
+
+
+def test_the_checker_finds_requests_with_a_part_at_which_endpoints_end():
+    ends = [PartEnd(f"i-{number}", "p", 10.0 + number) for number in range(5)]
+    crashing = build_parts_records(4, began=18.0, crashing_part="p")
+    late = [PartArrival(each.request_id, "p", 17.1) for each in crashing]
+    site = {"part_ends": ends, "crashing_span": Span("prompts", 9.0, 30.0)}
+    (finding,) = find_parts_violations(crashing, part_arrivals=late, **site)
+    assert "4 requests with p" in finding
+    for allowed in (late[:3], [PartArrival(late[0].request_id, "p", 17.0)] * 4):
+        assert not find_parts_violations(crashing, part_arrivals=allowed, **site)
+    site["part_ends"] = ends[:4]
+    assert not find_parts_violations(crashing, part_arrivals=late, **site)
+
+
+def test_the_checker_finds_sound_requests_that_do_not_begin():
+    calm = build_parts_records(20, began=5.0)
+    later = build_parts_records(20, began=17.0)
+    site = {"part_ends": [PartEnd("i-1", "p", 10.0)], "part_arrivals": []}
+    site["crashing_span"] = Span("prompts", 9.0, 30.0)
+    assert not find_parts_violations(calm, later, **site)
+    for record in later[:11]:
+        record.ending, record.detail = Ending.NOT_RUN, "status 503"
+    (finding,) = find_parts_violations(calm, later, **site)
+    assert "0.450 of the sound requests" in finding
+
+
 def test_a_pass_with_two_maps_is_found():
     ranks = RankGroup(SEED)
     assert ranks.findings() == []
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -41,7 +41,7 @@
         broken += bool(result.findings)
         print(f"seed {seed}: {len(result.findings)} findings, {result.endings}")
         print(f"  at gateways that were stopping: {result.while_stopping}")
-        for line in result.findings:
+        for line in [*result.notes, *result.findings]:
             print(f"  {line}")
         (directory / "faults.txt").write_text("\n".join(result.faults) + "\n")
         sys.stdout.flush()
--- a/tests/soak/conditions.py
+++ b/tests/soak/conditions.py
@@ -19,6 +19,8 @@
     GROUPS = "groups"
     # More demand than a service with two groups of ranks can serve, with faults.
     DEMAND = "demand"
+    # Endpoints end at prompts with certain parts, beside other faults.
+    PARTS = "parts"
 
 
 class RequestKind(enum.StrEnum):
@@ -98,7 +100,15 @@
     fewest_events=6,
     most_events=6,
 )
-CONDITIONS = {each.kind: each for each in (FAULTS, STOPS, GROUPS, DEMAND)}
+# Long enough for the bounds that hold 3 and 6 s after the fifth end of an endpoint.
+PARTS = replace(
+    FAULTS,
+    kind=RunKind.PARTS,
+    seconds=22.0,
+    callers=1,
+    requests=(RequestKind.STREAM,),
+)
+CONDITIONS = {each.kind: each for each in (FAULTS, STOPS, GROUPS, DEMAND, PARTS)}
 
 
 class Streams:
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -87,6 +87,8 @@
         self.runner = None
         self.listed_address = ""
 
+    build_proxy = FaultProxy
+
     async def start(self):
         """Listen on a free port behind the proxy."""
         application = web.Application()
@@ -94,7 +96,7 @@
         self.runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
         await self.runner.setup()
         await web.TCPSite(self.runner, "127.0.0.1", 0).start()
-        self.proxy = FaultProxy("127.0.0.1", self.runner.addresses[0][1])
+        self.proxy = self.build_proxy("127.0.0.1", self.runner.addresses[0][1])
         await self.proxy.start("127.0.0.1", 0)
         port = self.proxy.server.sockets[0].getsockname()[1]
         self.listed_address = f"127.0.0.1:{port}"
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -69,6 +69,10 @@
             found += self.check_rate_limit(rate_limit)
         return found + self.check_notices()
 
+    def notes(self):
+        """Return lines on what happened that violate no guarantee."""
+        return []
+
     # Requests
 
     def check_request(self, record):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,6 +19,8 @@
 from soak.demand_faults import draw_demand_faults, draw_disruption, inject_demand
 from soak.demand_judge import DemandChecker
 from soak.faults import (
+    EndpointReplaced,
+    GatewayKilled,
     draw_fault,
     draw_group_fault,
     draw_notice,
@@ -26,6 +28,13 @@
     inject,
 )
 from soak.judge import RECOVERED_SHARE, GuaranteeChecker, Reading
+from soak.parts import (
+    CALM_SECONDS,
+    FAULT_PAUSE_SECONDS,
+    PartsCaller,
+    PartsSite,
+)
+from soak.parts_judge import PartsChecker
 from soak.planned import draw_work
 from soak.site import Site
 
@@ -42,6 +51,11 @@
 # Callers must be answered again in the WATCHED_SECONDS after this time.
 RECOVERY_SECONDS = 4.0
 WATCHED_SECONDS = 2.0
+# For kinds of run that have their own.
+SITES_AND_CHECKERS = {
+    RunKind.DEMAND: (DemandSite, DemandChecker),
+    RunKind.PARTS: (PartsSite, PartsChecker),
+}
 # Of a logged line in a finding; the whole one is in the log.
 LINE_LENGTH = 400
 
@@ -67,6 +81,7 @@
     endings: dict[str, int]
     # The part of endings at gateways that were stopping.
     while_stopping: dict[str, int]
+    notes: list[str]
 
 
 class Soak:
@@ -75,9 +90,10 @@
     def __init__(self, plan):
         self.plan = plan
         self.random = random.Random(plan.seed)
-        is_demand = plan.conditions.kind is RunKind.DEMAND
-        self.site = (DemandSite if is_demand else Site)(self.random, plan)
-        self.build_checker = DemandChecker if is_demand else GuaranteeChecker
+        build_site, self.build_checker = SITES_AND_CHECKERS.get(
+            plan.conditions.kind, (Site, GuaranteeChecker)
+        )
+        self.site = build_site(self.random, plan)
         self.records = []
         self.readings = []
         self.faults = []
@@ -113,6 +129,10 @@
             case RunKind.DEMAND:
                 lasting += self.start_callers(DemandCaller)
                 await self.inject_demand_faults()
+            case RunKind.PARTS:
+                self.site.session = session
+                lasting += self.start_callers(PartsCaller)
+                await self.send_crashing_prompts()
         await asyncio.sleep(RECOVERY_SECONDS)
         recovered_at = self.loop.time()
         await self.watch_recovery()
@@ -210,6 +230,20 @@
             running.append(self.start_fault(fault, inject_demand))
         await asyncio.gather(*running)
 
+    async def send_crashing_prompts(self):
+        """Send prompts at which endpoints end, beside faults of some processes."""
+        self.faults.append(f"{self.loop.time():.3f} {self.site.crashes}")
+        await asyncio.sleep(CALM_SECONDS)
+        until = self.loop.time() + self.plan.seconds - CALM_SECONDS
+        apart = asyncio.create_task(
+            self.inject_apart(
+                until, "disruptions", draw_process_end, FAULT_PAUSE_SECONDS
+            )
+        )
+        with self.site.record_crashing_span():
+            await asyncio.sleep(until - self.loop.time())
+        await apart
+
     def start_fault(self, fault, inject=inject):
         """Record a fault; return the task that injects it."""
         self.faults.append(f"{self.loop.time():.3f} {fault}")
@@ -263,10 +297,22 @@
             record for record in ended if checker.was_sent_while_stopping(record)
         ]
         return SoakResult(
-            self.plan.seed, self.faults, findings, count(ended), count(stopping)
+            self.plan.seed,
+            self.faults,
+            findings,
+            count(ended),
+            count(stopping),
+            checker.notes(),
         )
 
 
+def draw_process_end(random, site):
+    """Return the end of a random gateway, or of an endpoint with no crashing prompt."""
+    if random.random() < 0.5 or not site.endpoints:
+        return GatewayKilled(random.choice(site.gateways).name)
+    return EndpointReplaced(random.choice(site.endpoints).name, announced=False)
+
+
 def count(records):
     """Return the number of requests by ending."""
     return dict(collections.Counter(record.ending.value for record in records))
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -13,6 +13,7 @@
 RATE = "Server-Limit"
 LEAVING = "Server-Leaving"
 REST = "Retry-After"
+PROMPT_PARTS = "Prefix-Hash"
 MISDIRECTED_STATUS = 421
 
 OPERATORS = "op"
