Generate the wire classes from files with a field named service

Cause: `make thrift` stopped at the beacons' file with a syntax error, as the compiler reserves the word. Change: the field has another name while the compiler runs.

Measured: `make thrift` with compiler 0.17.0 writes exactly the committed files.

--- a/Makefile
+++ b/Makefile
@@ -51,12 +51,18 @@
 docs: setup
 	$(PYTHON) -m fescuedrum_bench docs --directory docs
 
-# Needs the Thrift compiler; its output is committed, so that a build needs none.
+# Needs the Thrift compiler; its output is committed, so that a build needs none. The
+# compiler takes no field named service, so it gets another name meanwhile.
 thrift:
-	rm -rf build/thrift && mkdir -p build/thrift
+	rm -rf build/idl build/thrift && mkdir -p build/idl build/thrift
 	for file in $(WIRE)/idl/*.thrift; do \
+		sed 's/ string service,/ string service_field,/' $$file \
+			> build/idl/$$(basename $$file) || exit 1; \
+	done
+	for file in build/idl/*.thrift; do \
 		thrift --gen py:slots -out build/thrift $$file || exit 1; \
 	done
+	find build/thrift -name '*.py' -exec sed -i 's/service_field/service/g' {} +
 	rm -rf $(WIRE)/gen
 	cp -r build/thrift/fescuedrum/wire/gen $(WIRE)/gen
 
