Refuse prompts with a part at which endpoints end

Callers saw: requests with one part in their prompts ended one engine after the other; while they came, most other requests failed or were refused.

Cause: the end of an endpoint was held against the endpoint alone. Each attempt at such a request, each repeat of its caller and each new request with the part cost the next one, and no gateway sees enough of it. Class: what gateways believe of endpoints is never related to what was sent to them. Ruled out: load after a return (the ended engines had run for over 40 s and had no other requests), and retries alone (first attempts ended them).

Change: a request that breaks off before the second event of its stream makes its gateway check whether the endpoint still listens. If not, the parts of its prompt are suspects, until an answer at any gateway shows them to be sound. Two ends with no answer in between quarantine a part, for all gateways, by beacons that can't wait. Parts that explain the same ends are refused only together, so that sound requests that share all parts but one are served. Requests that engines have not begun to answer are taken back. Trials, of one gateway, let a part out that was quarantined by mistake, and stay within the users' bound of five ends. An endpoint that one gateway finds closed is avoided by all.

Why it works: a part at which each engine ends has no answer, ever, and all others have some within a fraction of a second of traffic; the sum is made over all gateways.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
@@ -104,14 +104,19 @@
                 "connection was reset in a body without a length"
             )
 
+    @property
+    def is_framed(self):
+        """Return whether the answer itself shows where it ends."""
+        headers = self.response.headers
+        return hdrs.CONTENT_LENGTH in headers or hdrs.TRANSFER_ENCODING in headers
+
     def is_complete(self):
         """Return whether the body that was read is complete.
 
         A body without a length ends when its connection does, and the library treats a
         reset as such an end: half an answer would pass for a whole one.
         """
-        headers = self.response.headers
-        if hdrs.CONTENT_LENGTH in headers or hdrs.TRANSFER_ENCODING in headers:
+        if self.is_framed:
             return True
         if self.protocol is None:
             return False
@@ -184,7 +189,8 @@
             )
     except aiohttp.ClientConnectorError as error:
         # No connection was opened, so nothing of the request was sent.
-        return NotRun(f"no connection: {error!r}")
+        is_closed = isinstance(error.os_error, ConnectionRefusedError)
+        return NotRun(f"no connection: {error!r}", is_closed=is_closed)
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         if limit.timeout.expired() and not limit.is_connected:
             return NotRun(f"no connection in {CONNECT_TIMEOUT_SECONDS} s")
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
@@ -428,6 +428,12 @@
         """Return what this gateway knows of an endpoint beyond its row."""
         return self.histories[endpoint.name]
 
+    def avoid(self, endpoint: ListedEndpoint) -> None:
+        """Send an endpoint that has ended nothing for a pause."""
+        now, history = self.loop.time(), self.histories[endpoint.name]
+        if history.avoided_until <= now:
+            history.failed(now)
+
     def reserve(self, endpoint, tokens, held_tokens=0):
         """Return a Reservation for a request that is about to be sent."""
         history = self.histories[endpoint.name]
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -43,6 +43,11 @@
 from fescuedrum_gateway.process.beacons.groups import encode_members, encode_states
 from fescuedrum_gateway.process.beacons.limits import encode_limits
 from fescuedrum_gateway.process.beacons.loads import encode_loads
+from fescuedrum_gateway.process.beacons.quarantine import (
+    encode_ended,
+    encode_sound,
+    encode_suspects,
+)
 from fescuedrum_gateway.process.directory import EndpointDirectory
 from fescuedrum_gateway.process.duty import GroupSupervisor
 from fescuedrum_gateway.process.followers import TableFollower
@@ -51,6 +56,7 @@
 from fescuedrum_gateway.process.metrics import GatewayMetrics
 from fescuedrum_gateway.process.peers import ENDPOINTS, OPERATORS, Peers
 from fescuedrum_gateway.process.places import Places
+from fescuedrum_gateway.process.quarantine import PromptQuarantine
 from fescuedrum_gateway.process.returns import Returns
 from fescuedrum_gateway.request.handler import RequestHandler
 from fescuedrum_gateway.version.configuration import RoutingConfiguration
@@ -85,6 +91,7 @@
         "patience_trackers",
         "peers",
         "places",
+        "quarantine",
         "random",
         "read_settings",
         "retries",
@@ -119,6 +126,7 @@
             self.random,
         )
         self.directory.announce_change = self.on_load_change
+        self.quarantine = PromptQuarantine(self.directory, self.peers)
         self.group_exchange = GroupExchange(self.directory.groups)
         self.patience_trackers = collections.defaultdict(PatienceTracker)
         self.retries = collections.defaultdict(self.build_retry_budget)
@@ -134,6 +142,7 @@
             self.metrics.streams_ended.inc,
         )
         self.metrics.watch(self)
+        self.quarantine.count_end = self.metrics.count_endpoint_end
         self.directory.group_chooser.on_probe = self.metrics.groups.count_probe
         self.places = Places(
             settings,
@@ -198,6 +207,7 @@
             await caller_runner.cleanup()
             await control_runner.cleanup()
             await cancel(tasks)
+            self.quarantine.close()
             self.peers.close()
         log_event(logger, GatewayStopped(cut_connections))
 
@@ -334,8 +344,9 @@
             presences.store_lost()
 
     def on_peer_beacon(self, peer):
-        """Use what the beacon of a peer says of rate limits, the store and tables."""
+        """Use what a peer's beacon says of endpoints, prompts, the store and tables."""
         self.group_exchange.merge(peer)
+        self.quarantine.merge(peer)
         self.places.wake()
         if peer.rate_reports:
             self.directory.merge_rate_reports(peer.host, peer.rate_reports)
@@ -350,7 +361,7 @@
         self.places.wake()
 
     def build_beacon(self):
-        """Return a beacon with this gateway's loads, limits, demand and versions."""
+        """Return a beacon with what this gateway tells the others."""
         now = asyncio.get_running_loop().time()
         operators, endpoints = (each.replica.version for each in self.followers)
         leads = self.supervisor is not None and self.supervisor.leads
@@ -365,6 +376,9 @@
             group_states=encode_states(self.group_exchange.reports(), now),
             demand=encode_demand(self.places.own_demand()) or None,
             organisations=encode_organisations(self.places.own_organisations()) or None,
+            ended=encode_ended(self.quarantine.recently_ended(), now) or None,
+            suspects=encode_suspects(self.quarantine.quarantine, now) or None,
+            sound_parts=encode_sound(self.quarantine.quarantine, now) or None,
         )
 
     def reload(self):
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
@@ -21,6 +21,7 @@
         "attempts",
         "catalogue",
         "deadlines_passed",
+        "endpoint_ends",
         "first_event",
         "groups",
         "held_bytes",
@@ -68,6 +69,11 @@
             "Requests whose deadline passed while an endpoint had them.",
             SERVICE,
         )
+        self.endpoint_ends = catalogue.counter(
+            "fescuedrum_gateway_endpoint_ends_total",
+            "Endpoints at whose address this gateway found nothing listening.",
+            SERVICE,
+        )
         self.loop_delay = catalogue.histogram(
             "fescuedrum_gateway_loop_delay_seconds",
             "Delay with which the event loop runs a timer.",
@@ -149,6 +155,18 @@
                 "rest.",
                 lambda: gateway.directory.count_resting(),
             ),
+            (
+                "suspect_parts",
+                "Parts of prompts that were in requests at endpoints which ended, with "
+                "no answer since.",
+                lambda: len(gateway.quarantine.quarantine.suspects),
+            ),
+            (
+                "quarantined_parts",
+                "Parts of prompts at which endpoints end, so that prompts with them "
+                "are refused.",
+                lambda: len(gateway.quarantine.quarantine.blocking),
+            ),
             (
                 "gateways_sharing",
                 "Gateways that share bounds and budgets, this one included.",
@@ -207,6 +225,10 @@
         """Count a request that the gateway refused."""
         self.refusals.labels(code).inc()
 
+    def count_endpoint_end(self, service):
+        """Count an endpoint at whose address nothing listens any more."""
+        self.endpoint_ends.labels(service).inc()
+
     def count_deadline_passed(self, service):
         """Count a request whose deadline passed while an endpoint had it."""
         self.deadlines_passed.labels(service).inc()
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from fescuedrum.decisions.admitting.quarantine import EndpointEnd, SuspectReport
 from fescuedrum.decisions.duties import leading, meshes
 from fescuedrum.decisions.duties.following import must_read_store
 from fescuedrum.decisions.placing.group_breakers import GroupReport
@@ -32,6 +33,11 @@
 from fescuedrum_gateway.process.beacons.groups import decode_members, decode_states
 from fescuedrum_gateway.process.beacons.limits import decode_limits
 from fescuedrum_gateway.process.beacons.loads import decode_loads
+from fescuedrum_gateway.process.beacons.quarantine import (
+    decode_ended,
+    decode_sound,
+    decode_suspects,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -43,6 +49,8 @@
 # Changes within this time are sent in one beacon. A gateway chooses an endpoint some
 # five times a second, so few choices elsewhere are made before a change has arrived.
 CHANGE_BATCH_SECONDS = 0.01
+# Time between two beacons to all gateways on what can't wait for the regular ones.
+URGENT_SECONDS = 0.1
 # Number of beacon intervals without a beacon after which a gateway counts as silent.
 MISSED_BEACONS_ALLOWED = 2.5
 # Loads reported by a gateway are ignored after it has been silent for this time.
@@ -83,6 +91,11 @@
     # By service: new requests per second by rank, and running ones by organisation.
     demand: dict[str, dict[int, float]] = field(default_factory=dict)
     organisations: dict[str, dict[str, int]] = field(default_factory=dict)
+    # Endpoints that ended, parts of prompts that may be the cause, and (part, time of
+    # an answer) of those that are not.
+    ended: list[EndpointEnd] = field(default_factory=list)
+    suspects: list[SuspectReport] = field(default_factory=list)
+    sound_parts: list[tuple[str, float]] = field(default_factory=list)
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -105,6 +118,8 @@
         "sequence",
         "settings",
         "transport",
+        "urgent_at",
+        "urgent_timer",
     )
 
     def __init__(self, settings, incarnation):
@@ -126,6 +141,9 @@
         # Zones whose gateways don't know of a change yet, and the timer to tell them.
         self.changed_zones = set()
         self.change_timer = None
+        # When all gateways were told what can't wait, and the timer to repeat it.
+        self.urgent_at = float("-inf")
+        self.urgent_timer = None
         # Callbacks: build_beacon() to send one, on_beacon(peer) after one was received.
         self.build_beacon = lambda: Beacon()
         self.on_beacon = lambda peer: None
@@ -144,8 +162,9 @@
 
     def close(self):
         """Cancel the beacon that is due and close the socket."""
-        if self.change_timer is not None:
-            self.change_timer.cancel()
+        for timer in (self.change_timer, self.urgent_timer):
+            if timer is not None:
+                timer.cancel()
         if self.transport is not None:
             self.transport.close()
             self.transport = None
@@ -305,6 +324,27 @@
             self.send_to_others()
             self.send_to_mesh()
 
+    def announce_urgently(self) -> None:
+        """Send a beacon to all gateways at once, and again in case it is lost.
+
+        What is announced within URGENT_SECONDS of a beacon goes with its repetition.
+        """
+        if self.urgent_timer is None and self.transport is not None:
+            due = max(self.loop.time(), self.urgent_at + URGENT_SECONDS)
+            if due == self.loop.time():
+                self.send_urgently()
+                due += URGENT_SECONDS
+            self.urgent_timer = self.loop.call_at(due, self.repeat_urgently)
+
+    def repeat_urgently(self) -> None:
+        """Send the second beacon of an urgent announcement."""
+        self.urgent_timer = None
+        self.send_urgently()
+
+    def send_urgently(self) -> None:
+        self.urgent_at = self.loop.time()
+        self.broadcast_now()
+
     def send_due_changes(self) -> None:
         """Send the changes that are due, unless a regular beacon has sent them."""
         self.change_timer = None
@@ -413,6 +453,10 @@
         peer.group_states = decode_states(beacon.group_states or (), self.loop.time())
         peer.demand = decode_demand(beacon.demand or ())
         peer.organisations = decode_organisations(beacon.organisations or ())
+        now = self.loop.time()
+        peer.ended = decode_ended(beacon.ended or (), now)
+        peer.suspects = decode_suspects(beacon.suspects or (), now)
+        peer.sound_parts = decode_sound(beacon.sound_parts or (), now)
         self.update_versions(peer, beacon)
         self.on_beacon(peer)
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -10,10 +10,12 @@
 from fescuedrum.events.event import log_event
 from fescuedrum.events.requests import RequestSent, RetryDenied, SendingFailed
 from fescuedrum.exceptions import (
+    AnswerLost,
     DeadlinePassed,
     GroupDown,
     Overloaded,
     ProcessStopping,
+    PromptQuarantined,
     TooSlow,
     Unavailable,
 )
@@ -52,11 +54,14 @@
         "gateway",
         "loop",
         "may_have_arrived",
+        "open_request",
         "place",
         "possible_run",
         "reservation",
         "sent_at",
         "sent_count",
+        "taken_back_for",
+        "timeout",
         "tried",
         "wait",
     )
@@ -83,6 +88,12 @@
         self.wait = ServiceWait(self)
         # Reservation at the endpoint of the last attempt.
         self.reservation = None
+        # The last attempt, until its endpoint has got over the beginning of an answer.
+        self.open_request = None
+        # Ends the call at its deadline, or when it is taken back.
+        self.timeout = asyncio.timeout_at(call.deadline)
+        # Quarantined part for which it was taken back; None if it was not.
+        self.taken_back_for = None
 
     async def send_with_retries(self, send_once, is_retryable):
         """Send the call until a result is final; return the most significant result.
@@ -99,7 +110,7 @@
             except ProcessStopping:
                 # The caller is told when to retry, and is served elsewhere at once.
                 raise
-            except (Overloaded, DeadlinePassed) as error:
+            except (Overloaded, DeadlinePassed, PromptQuarantined) as error:
                 if self.wait.follows(error):
                     continue
                 if last is None:
@@ -204,6 +215,7 @@
         Raise an error if there is no endpoint for it or too little time is left.
         """
         call = self.call
+        self.gateway.quarantine.raise_if_quarantined(call.head.prompt_parts)
         self.raise_if_too_slow(last_event_id or call.head.last_event_id)
         filling = await self.take_place()
         endpoint = self.choose_endpoint(filling)
@@ -218,6 +230,7 @@
             last_event_id=last_event_id or call.head.last_event_id,
         )
         self.release_reservation()
+        self.close_request()
         self.tried.add(endpoint.name)
         self.endpoint, self.sent_at = endpoint, self.loop.time()
         self.sent_count += 1
@@ -225,6 +238,9 @@
         self.reservation = self.gateway.directory.reserve(
             endpoint, call.head.prompt_tokens, call.tokens
         )
+        self.open_request = self.gateway.quarantine.sent(
+            call.head.request_id, call.head.prompt_parts, endpoint, self.take_back
+        )
         opened = await send_call(
             self.gateway.session, self.gateway.adapter, call, endpoint, send
         )
@@ -264,6 +280,37 @@
         route = self.call.route
         return route.kind.is_repeatable and self.attempt_count < route.maximum_attempts
 
+    def record_answered(self):
+        """Record that the endpoint has got over the beginning of an answer."""
+        if self.open_request is not None:
+            self.gateway.quarantine.answered(self.open_request)
+            self.open_request = None
+
+    def record_broken(self):
+        """Record that the last attempt broke off before its answer showed anything."""
+        if self.open_request is not None:
+            self.gateway.quarantine.broke(self.open_request)
+            self.open_request = None
+
+    def close_request(self):
+        """Record that the last attempt is over, whatever its result."""
+        if self.open_request is not None:
+            self.gateway.quarantine.closed(self.open_request)
+            self.open_request = None
+
+    def take_back(self, part):
+        """End the call, as endpoints end at a part of its prompt."""
+        self.taken_back_for = part
+        self.timeout.reschedule(self.loop.time())
+
+    def raise_if_taken_back(self):
+        """Raise AnswerLost for a call that was taken back from its endpoint."""
+        if self.taken_back_for is not None:
+            raise AnswerLost(
+                f"Endpoints end at prompts with part {self.taken_back_for}, so it was "
+                "taken back."
+            )
+
     def record_first_event(self):
         """Record that the endpoint has read the prompt and sent its first event."""
         seconds = self.loop.time() - self.call.arrived
@@ -272,6 +319,7 @@
 
     def end(self):
         """Release what the call holds, and record its wait."""
+        self.close_request()
         self.release()
         self.wait.end()
 
@@ -302,15 +350,19 @@
         match opened:
             case NotRun(reason, answer):
                 self.may_have_arrived |= answer is not None
+                self.close_request()
                 if answer is None or answer.head.status == MISDIRECTED_STATUS:
                     history.failed(self.loop.time())
                 else:
                     self.attempt_count += 1
                     directory.groups.refused(endpoint)
+                if opened.is_closed:
+                    self.gateway.quarantine.checks.found_closed(endpoint)
                 self.gateway.metrics.count_attempt("not-run")
                 rest = None if answer is None else answer.head.rest_seconds
                 self.log_failure(endpoint, "not run", reason, rest)
             case Lost(reason):
+                self.record_broken()
                 self.may_have_arrived = True
                 self.attempt_count += 1
                 self.wait.record_taken()
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/call.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/call.py
@@ -52,6 +52,8 @@
     answer: Answered | None = None
     # Whether the whole service refuses requests at the moment.
     everywhere: bool = False
+    # Whether nothing listens at the endpoint's address.
+    is_closed: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/plain.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/plain.py
@@ -1,7 +1,5 @@
 """Run a request whose answer is not a stream."""
 
-import asyncio
-
 from fescuedrum.exceptions import (
     AnswerLost,
     AnswerOverdue,
@@ -26,13 +24,14 @@
     async def run(self):
         """Return an endpoint's answer; raise a FescuedrumError if there is none."""
         try:
-            async with asyncio.timeout_at(self.call.deadline):
+            async with self.attempts.timeout:
                 return answer_or_raise(
                     await self.attempts.send_with_retries(
                         self.send_once, self.is_retryable
                     )
                 )
         except TimeoutError:
+            self.attempts.raise_if_taken_back()
             self.attempts.record_deadline_passed()
             raise AnswerOverdue("No answer came before the deadline.") from None
         finally:
@@ -43,7 +42,12 @@
         opened = await self.attempts.open()
         if isinstance(opened, NotRun | Lost):
             return opened
-        return await opened.read()
+        result = await opened.read()
+        if isinstance(result, Lost):
+            self.attempts.record_broken()
+        elif opened.head.succeeded and opened.is_framed:
+            self.attempts.record_answered()
+        return result
 
     def is_retryable(self, result):
         """Return whether sending the call again could give a better result."""
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
@@ -26,6 +26,8 @@
 
 logger = logging.getLogger(__name__)
 
+# An endpoint that sends this many events has got over the beginning of an answer.
+PROOF_EVENTS = 2
 # A write that takes longer waits for a caller that reads slowly. The time until the
 # next event is then not the length of a pass.
 BLOCKED_SECONDS = 0.005
@@ -70,13 +72,15 @@
     async def run(self):
         """Return Answered; StreamEnded or StreamBroken once events were sent."""
         try:
-            async with asyncio.timeout_at(self.call.deadline):
+            async with self.attempts.timeout:
                 return self.resolve(
                     await self.attempts.send_with_retries(
                         self.send_once, self.is_retryable
                     )
                 )
         except TimeoutError:
+            if self.response is None:
+                self.attempts.raise_if_taken_back()
             self.attempts.record_deadline_passed()
             if self.response is None:
                 raise AnswerOverdue("No event came before the deadline.") from None
@@ -131,6 +135,8 @@
             async for chunk in opened.chunks():
                 for event in splitter.feed(chunk):
                     self.event_count += 1
+                    if self.event_count == PROOF_EVENTS:
+                        self.attempts.record_answered()
                     await self.forward_event(event, opened.head)
                 unread.taken += len(chunk)
         except (TimeoutError, aiohttp.ClientError, EventTooLongError, OSError) as error:
@@ -141,6 +147,8 @@
             unread.follow(None)
         if splitter.remainder:
             return self.handle_break("stream ended within an event")
+        if self.event_count and opened.is_framed:
+            self.attempts.record_answered()
         if self.response is None:
             return Answered(opened.head, b"")
         return StreamEnded()
@@ -164,6 +172,7 @@
             parts=describe_parts(self.call.head.prompt_parts),
         )
         log_event(logger, broken)
+        self.attempts.record_broken()
         return Lost(reason) if self.response is None else StreamBroken(reason)
 
     def has_caller_left(self):
--- a/packages/fescuedrum/src/fescuedrum/events/reference.py
+++ b/packages/fescuedrum/src/fescuedrum/events/reference.py
@@ -4,10 +4,11 @@
 import logging
 import typing
 
-from fescuedrum.events import event, groups, processes, requests, tables
+from fescuedrum.events import event, groups, processes, quarantine, requests, tables
 
 SUBJECTS = (
     ("Requests", requests),
+    ("Endpoints that end, and prompts", quarantine),
     ("The platform's tables", tables),
     ("Groups of ranks", groups),
     ("Processes", processes),
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -149,6 +149,15 @@
     closes_connection = True
 
 
+class PromptQuarantined(FescuedrumError):  # noqa: N818 - the field's term
+    """Refuse a prompt at which endpoints have ended; it was not run."""
+
+    code = "prompt-quarantined"
+    status = 503
+    outcome = Outcome.NOT_RUN
+    remedy = "Send the request without that part of its prompt."
+
+
 class GroupDown(Unavailable):
     """Refuse work while a group of engines can't run anything; it was not run."""
 
--- a/packages/fescuedrum/src/fescuedrum/explaining.py
+++ b/packages/fescuedrum/src/fescuedrum/explaining.py
@@ -4,7 +4,7 @@
 import json
 from dataclasses import dataclass
 
-from fescuedrum.events import groups, processes, requests, tables
+from fescuedrum.events import groups, processes, quarantine, requests, tables
 
 # How long before a request a state change may have affected it: a group that lost a
 # rank stalls for one to two seconds before it refuses requests.
@@ -30,6 +30,9 @@
         processes.GatewayDraining,
         processes.GatewayStarted,
         processes.ProcessStalled,
+        quarantine.EndpointEnded,
+        quarantine.PartQuarantined,
+        quarantine.PartReleased,
         tables.ConfigurationInForce,
         tables.EndpointGone,
         tables.EndpointUnlisted,
@@ -41,7 +44,11 @@
 )
 # A site has many of these; they are relevant only to requests to the same endpoint.
 ENDPOINT_MESSAGES = frozenset(
-    (tables.EndpointGone.message, tables.EndpointUnlisted.message)
+    (
+        quarantine.EndpointEnded.message,
+        tables.EndpointGone.message,
+        tables.EndpointUnlisted.message,
+    )
 )
 # Fields that every line has or that say nothing about the request.
 COMMON_FIELDS = frozenset(
@@ -57,6 +64,7 @@
     "group-down": "the engines' group was down: several endpoints refused at once",
     "internal": "the gateway itself failed; its traceback is next to these lines",
     "overloaded": "no endpoint had a free place for it",
+    "prompt-quarantined": "endpoints had ended at prompts with a part of its prompt",
     "too-slow": "it could not end before its caller's deadline at the pace of passes",
     "unavailable": "no endpoint could be reached, or this process was stopping",
     "unknown-key": "its key belongs to no organisation in force there",
--- a/packages/fescuedrum/src/fescuedrum/wire/gen/gateways/ttypes.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/gen/gateways/ttypes.py
@@ -612,6 +612,291 @@
         return not (self == other)
 
 
+class EndpointEnd(object):
+    """
+    Attributes:
+     - endpoint
+     - age
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'age',
+    )
+
+
+    def __init__(self, endpoint=None, age=None,):
+        self.endpoint = endpoint
+        self.age = age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointEnd')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 2)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SuspectPart(object):
+    """
+    Attributes:
+     - part
+     - ends
+     - was_answered
+     - trials
+     - trial_age
+
+    """
+
+    __slots__ = (
+        'part',
+        'ends',
+        'was_answered',
+        'trials',
+        'trial_age',
+    )
+
+
+    def __init__(self, part=None, ends=None, was_answered=None, trials=None, trial_age=None,):
+        self.part = part
+        self.ends = ends
+        self.was_answered = was_answered
+        self.trials = trials
+        self.trial_age = trial_age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.ends = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = EndpointEnd()
+                        _elem12.read(iprot)
+                        self.ends.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.was_answered = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.trials = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.trial_age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SuspectPart')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.ends is not None:
+            oprot.writeFieldBegin('ends', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.ends))
+            for iter13 in self.ends:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.was_answered is not None:
+            oprot.writeFieldBegin('was_answered', TType.BOOL, 3)
+            oprot.writeBool(self.was_answered)
+            oprot.writeFieldEnd()
+        if self.trials is not None:
+            oprot.writeFieldBegin('trials', TType.I32, 4)
+            oprot.writeI32(self.trials)
+            oprot.writeFieldEnd()
+        if self.trial_age is not None:
+            oprot.writeFieldBegin('trial_age', TType.DOUBLE, 5)
+            oprot.writeDouble(self.trial_age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SoundPart(object):
+    """
+    Attributes:
+     - part
+     - age
+
+    """
+
+    __slots__ = (
+        'part',
+        'age',
+    )
+
+
+    def __init__(self, part=None, age=None,):
+        self.part = part
+        self.age = age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SoundPart')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 2)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Beacon(object):
     """
     Attributes:
@@ -633,6 +918,9 @@
      - organisations
      - group_members
      - group_states
+     - ended
+     - suspects
+     - sound_parts
 
     """
 
@@ -655,10 +943,13 @@
         'organisations',
         'group_members',
         'group_states',
+        'ended',
+        'suspects',
+        'sound_parts',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, host=None, sequence=None, leaving=None, store_answers=None, operators_version=None, endpoints_version=None, loads=None, known_hosts=None, wants_answer=None, link_megabits=None, zone=None, limits=None, demand=None, organisations=None, group_members=None, group_states=None,):
+    def __init__(self, instance=None, incarnation=None, host=None, sequence=None, leaving=None, store_answers=None, operators_version=None, endpoints_version=None, loads=None, known_hosts=None, wants_answer=None, link_megabits=None, zone=None, limits=None, demand=None, organisations=None, group_members=None, group_states=None, ended=None, suspects=None, sound_parts=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.host = host
@@ -677,6 +968,9 @@
         self.organisations = organisations
         self.group_members = group_members
         self.group_states = group_states
+        self.ended = ended
+        self.suspects = suspects
+        self.sound_parts = sound_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -730,21 +1024,21 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = EndpointLoad()
-                        _elem12.read(iprot)
-                        self.loads.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = EndpointLoad()
+                        _elem19.read(iprot)
+                        self.loads.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.known_hosts = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.known_hosts.append(_elem18)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.known_hosts.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -766,55 +1060,88 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype22, _size19) = iprot.readListBegin()
-                    for _i23 in range(_size19):
-                        _elem24 = EndpointLimit()
-                        _elem24.read(iprot)
-                        self.limits.append(_elem24)
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = EndpointLimit()
+                        _elem31.read(iprot)
+                        self.limits.append(_elem31)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.demand = []
-                    (_etype28, _size25) = iprot.readListBegin()
-                    for _i29 in range(_size25):
-                        _elem30 = RankDemand()
-                        _elem30.read(iprot)
-                        self.demand.append(_elem30)
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = RankDemand()
+                        _elem37.read(iprot)
+                        self.demand.append(_elem37)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.organisations = []
-                    (_etype34, _size31) = iprot.readListBegin()
-                    for _i35 in range(_size31):
-                        _elem36 = OrganisationLoad()
-                        _elem36.read(iprot)
-                        self.organisations.append(_elem36)
+                    (_etype41, _size38) = iprot.readListBegin()
+                    for _i42 in range(_size38):
+                        _elem43 = OrganisationLoad()
+                        _elem43.read(iprot)
+                        self.organisations.append(_elem43)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 17:
                 if ftype == TType.LIST:
                     self.group_members = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = GroupMembers()
-                        _elem42.read(iprot)
-                        self.group_members.append(_elem42)
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = GroupMembers()
+                        _elem49.read(iprot)
+                        self.group_members.append(_elem49)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.group_states = []
-                    (_etype46, _size43) = iprot.readListBegin()
-                    for _i47 in range(_size43):
-                        _elem48 = GroupState()
-                        _elem48.read(iprot)
-                        self.group_states.append(_elem48)
+                    (_etype53, _size50) = iprot.readListBegin()
+                    for _i54 in range(_size50):
+                        _elem55 = GroupState()
+                        _elem55.read(iprot)
+                        self.group_states.append(_elem55)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.LIST:
+                    self.ended = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = EndpointEnd()
+                        _elem61.read(iprot)
+                        self.ended.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = SuspectPart()
+                        _elem67.read(iprot)
+                        self.suspects.append(_elem67)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.LIST:
+                    self.sound_parts = []
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = SoundPart()
+                        _elem73.read(iprot)
+                        self.sound_parts.append(_elem73)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -863,15 +1190,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter49 in self.loads:
-                iter49.write(oprot)
+            for iter74 in self.loads:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known_hosts is not None:
             oprot.writeFieldBegin('known_hosts', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.known_hosts))
-            for iter50 in self.known_hosts:
-                oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
+            for iter75 in self.known_hosts:
+                oprot.writeString(iter75.encode('utf-8') if sys.version_info[0] == 2 else iter75)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wants_answer is not None:
@@ -889,36 +1216,57 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter51 in self.limits:
-                iter51.write(oprot)
+            for iter76 in self.limits:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter52 in self.demand:
-                iter52.write(oprot)
+            for iter77 in self.demand:
+                iter77.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.organisations is not None:
             oprot.writeFieldBegin('organisations', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.organisations))
-            for iter53 in self.organisations:
-                iter53.write(oprot)
+            for iter78 in self.organisations:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.group_members is not None:
             oprot.writeFieldBegin('group_members', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.group_members))
-            for iter54 in self.group_members:
-                iter54.write(oprot)
+            for iter79 in self.group_members:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.group_states is not None:
             oprot.writeFieldBegin('group_states', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.group_states))
-            for iter55 in self.group_states:
-                iter55.write(oprot)
+            for iter80 in self.group_states:
+                iter80.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRUCT, len(self.ended))
+            for iter81 in self.ended:
+                iter81.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter82 in self.suspects:
+                iter82.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.sound_parts is not None:
+            oprot.writeFieldBegin('sound_parts', TType.LIST, 21)
+            oprot.writeListBegin(TType.STRUCT, len(self.sound_parts))
+            for iter83 in self.sound_parts:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -989,6 +1337,27 @@
     (3, TType.BOOL, 'down', None, None, ),  # 3
     (4, TType.DOUBLE, 'age', None, None, ),  # 4
 )
+all_structs.append(EndpointEnd)
+EndpointEnd.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'age', None, None, ),  # 2
+)
+all_structs.append(SuspectPart)
+SuspectPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'ends', (TType.STRUCT, [EndpointEnd, None], False), None, ),  # 2
+    (3, TType.BOOL, 'was_answered', None, None, ),  # 3
+    (4, TType.I32, 'trials', None, None, ),  # 4
+    (5, TType.DOUBLE, 'trial_age', None, None, ),  # 5
+)
+all_structs.append(SoundPart)
+SoundPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'age', None, None, ),  # 2
+)
 all_structs.append(Beacon)
 Beacon.thrift_spec = (
     None,  # 0
@@ -1010,6 +1379,9 @@
     (16, TType.LIST, 'organisations', (TType.STRUCT, [OrganisationLoad, None], False), None, ),  # 16
     (17, TType.LIST, 'group_members', (TType.STRUCT, [GroupMembers, None], False), None, ),  # 17
     (18, TType.LIST, 'group_states', (TType.STRUCT, [GroupState, None], False), None, ),  # 18
+    (19, TType.LIST, 'ended', (TType.STRUCT, [EndpointEnd, None], False), None, ),  # 19
+    (20, TType.LIST, 'suspects', (TType.STRUCT, [SuspectPart, None], False), None, ),  # 20
+    (21, TType.LIST, 'sound_parts', (TType.STRUCT, [SoundPart, None], False), None, ),  # 21
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/fescuedrum/src/fescuedrum/wire/idl/gateways.thrift
+++ b/packages/fescuedrum/src/fescuedrum/wire/idl/gateways.thrift
@@ -51,6 +51,32 @@
   4: optional double age,
 }
 
+// An endpoint that the sender found to have ended.
+struct EndpointEnd {
+  1: optional string endpoint,
+  // Time since then, in seconds.
+  2: optional double age,
+}
+
+// A part of prompts at whose answers endpoints have ended.
+struct SuspectPart {
+  1: optional string part,
+  2: optional list<EndpointEnd> ends,
+  // Whether an answer had shown it to be sound before the first of these ends.
+  3: optional bool was_answered,
+  // Requests with it that were sent although it is quarantined.
+  4: optional i32 trials,
+  // Time since the last of them, in seconds.
+  5: optional double trial_age,
+}
+
+// A part that was suspect until an answer showed it to be sound.
+struct SoundPart {
+  1: optional string part,
+  // Time since the answer, in seconds.
+  2: optional double age,
+}
+
 struct Beacon {
   1: optional string instance,
   2: optional i64 incarnation,
@@ -82,4 +108,8 @@
   17: optional list<GroupMembers> group_members,
   // Groups whose state the sender observed recently.
   18: optional list<GroupState> group_states,
+  // Endpoints that have ended in the last seconds.
+  19: optional list<EndpointEnd> ended,
+  20: optional list<SuspectPart> suspects,
+  21: optional list<SoundPart> sound_parts,
 }
--- a/tests/support/returning.py
+++ b/tests/support/returning.py
@@ -38,6 +38,7 @@
     """Stand in for the opened answer of an endpoint."""
 
     head: AnswerHead
+    is_framed: bool = True
 
     async def read(self):
         return Answered(self.head, b"done")
