Do not take the close of a connection before an answer for a whole one

Callers saw: 200 and an empty body from an endpoint that ended as it began to write an answer with neither a length nor chunks.

Cause: only the end of the connection marks the end of such an answer, and one without any event passed for whole. The same for answers that are read whole. Change: a success without a length, chunks and any byte is lost; answers that never have a body are whole, also without a length.

Measured: both tests fail before (200 instead of 502) and pass; the other tests of the gateway pass.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
@@ -24,6 +24,8 @@
 KEEPALIVE_PROBES = 2
 # Headers that the library would add to those of the caller.
 LIBRARY_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+# Statuses whose answers never have a body (RFC 9110, section 6.4.1).
+STATUSES_WITHOUT_BODY = (204, 304)
 # Parts in which a body is read, as a stream holds one part besides its buffers.
 READ_BYTES = 16 * 1024
 
@@ -88,6 +90,9 @@
         if not self.is_complete():
             self.held.drop_answer(size)
             return Lost("connection was reset in an answer without a length")
+        if not chunks and self.head.succeeded and self.ends_with_connection:
+            # An endpoint that ends as it begins to write leaves just that.
+            return Lost("answer without a length ended before its body")
         return Answered(self.head, b"".join(chunks))
 
     async def read_chunks(self):
@@ -105,10 +110,12 @@
             )
 
     @property
-    def is_framed(self):
-        """Return whether the answer itself shows where it ends."""
+    def ends_with_connection(self):
+        """Return whether only the end of the connection shows where the body ends."""
         headers = self.response.headers
-        return hdrs.CONTENT_LENGTH in headers or hdrs.TRANSFER_ENCODING in headers
+        is_framed = hdrs.CONTENT_LENGTH in headers or hdrs.TRANSFER_ENCODING in headers
+        has_body = self.response.status not in STATUSES_WITHOUT_BODY
+        return has_body and not is_framed and self.response.method != hdrs.METH_HEAD
 
     def is_complete(self):
         """Return whether the body that was read is complete.
@@ -116,7 +123,7 @@
         A body without a length ends when its connection does, and the library treats a
         reset as such an end: half an answer would pass for a whole one.
         """
-        if self.is_framed:
+        if not self.ends_with_connection:
             return True
         if self.protocol is None:
             return False
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/plain.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/plain.py
@@ -45,7 +45,7 @@
         result = await opened.read()
         if isinstance(result, Lost):
             self.attempts.record_broken()
-        elif opened.head.succeeded and opened.is_framed:
+        elif opened.head.succeeded and not opened.ends_with_connection:
             self.attempts.record_answered()
         return result
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
@@ -125,7 +125,8 @@
         """Forward one endpoint's events until its stream ends; return the result.
 
         A stream that breaks off before its first event gives Lost, as nothing was sent
-        to the caller yet, and StreamBroken later. One without events gives Answered.
+        to the caller yet, and StreamBroken later. One without events gives Answered if
+        it shows where it ends.
         """
         splitter = EventSplitter()
         self.last_event_at = None
@@ -147,7 +148,9 @@
             unread.follow(None)
         if splitter.remainder:
             return self.handle_break("stream ended within an event")
-        if self.event_count and opened.is_framed:
+        if self.event_count == 0 and opened.ends_with_connection:
+            return self.handle_break("stream without a length ended before an event")
+        if self.event_count and not opened.ends_with_connection:
             self.attempts.record_answered()
         if self.response is None:
             return Answered(opened.head, b"")
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -288,19 +288,29 @@
     assert {seen["Last-Event"] for seen in good.seen} <= {"", "3"}
 
 
-async def test_a_stream_without_a_length_that_ends_before_an_event_is_no_answer():
-    """Guard against an empty success when an engine ends as it begins to write."""
+async def end_after_head(seen):
+    """Send the head of a success without a length, and close the connection."""
+    status = 204 if seen.method == "DELETE" else 200
+    seen.writer.write(engines.head(seen, status, Signed="yes"))
+    await seen.writer.drain()
+    seen.writer.close()
 
-    async def answer(seen):
-        seen.writer.write(engines.head(seen, Signed="yes"))
-        await seen.writer.drain()
-        seen.writer.close()
 
+async def test_an_answer_without_a_length_that_ends_before_its_body_is_no_answer():
+    """Guard against an empty success when an endpoint ends as it begins to write."""
+    document = document_of(RequestKind.NON_IDEMPOTENT)
+    endpoint = StandInEndpoint("e-1", end_after_head)
+    async with site(endpoint, document=document) as (running, session):
+        assert (await call(running, session))[0] == 502
+        assert (await call(running, session, method="HEAD"))[0] == 200
+        assert (await call(running, session, method="DELETE"))[0] == 204
+
+
+async def test_a_stream_without_a_length_that_ends_before_an_event_is_no_answer():
+    """Guard against an empty success when an engine ends as it begins to write."""
     document = document_of(RequestKind.STREAM)
-    async with site(StandInEndpoint("e-1", answer), document=document) as (
-        running,
-        session,
-    ):
+    endpoint = StandInEndpoint("e-1", end_after_head)
+    async with site(endpoint, document=document) as (running, session):
         assert (await call(running, session))[0] == 502
 
 
--- a/tests/support/returning.py
+++ b/tests/support/returning.py
@@ -38,7 +38,7 @@
     """Stand in for the opened answer of an endpoint."""
 
     head: AnswerHead
-    is_framed: bool = True
+    ends_with_connection: bool = False
 
     async def read(self):
         return Answered(self.head, b"done")
