Keep quarantined parts in the platform's store

Callers would see: after all gateways are restarted at once, requests with a quarantined part end two more endpoints, each time. Cause: what the quarantine knows lived in the gateways alone; beacons carry it past the restart of some of them only.

Change: a quarantined part is a row of a table of its own, written by the gateway that sees an end, a trial or an answer, and read by each gateway that starts. Ids of parts with characters that beacons can't carry are left out.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/adapter.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/adapter.py
@@ -90,6 +90,7 @@
     operators_table: str
     endpoints_table: str
     gateways_table: str
+    quarantine_table: str
 
     def open_store(self, base_url: str, session) -> RowStore:
         """Return the platform's store at a URL."""
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/beacons/quarantine.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/beacons/quarantine.py
@@ -39,19 +39,21 @@
 def encode_suspects(quarantine: Quarantine, now: float) -> list[wire.SuspectPart]:
     """Return the suspects that others should know of in the form of a beacon."""
     reports = itertools.islice(quarantine.reports(now), MAXIMUM_SUSPECTS)
-    return [
-        wire.SuspectPart(
-            part=report.part,
-            ends=[
-                wire.EndpointEnd(endpoint=end.endpoint, age=now - end.at)
-                for end in report.ends
-            ],
-            was_answered=report.was_answered or None,
-            trials=report.trials or None,
-            trial_age=now - report.tried_at if report.trials else None,
-        )
-        for report in reports
-    ]
+    return [encode_suspect(report, now) for report in reports]
+
+
+def encode_suspect(report: SuspectReport, now: float) -> wire.SuspectPart:
+    """Return what is known of one suspect in the form of a beacon."""
+    return wire.SuspectPart(
+        part=report.part,
+        ends=[
+            wire.EndpointEnd(endpoint=end.endpoint, age=now - end.at)
+            for end in report.ends
+        ],
+        was_answered=report.was_answered or None,
+        trials=report.trials or None,
+        trial_age=now - report.tried_at if report.trials else None,
+    )
 
 
 def decode_suspects(
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -57,6 +57,7 @@
 from fescuedrum_gateway.process.peers import ENDPOINTS, OPERATORS, Peers
 from fescuedrum_gateway.process.places import Places
 from fescuedrum_gateway.process.quarantine import PromptQuarantine
+from fescuedrum_gateway.process.quarantine_rows import QuarantineRows
 from fescuedrum_gateway.process.returns import Returns
 from fescuedrum_gateway.request.handler import RequestHandler
 from fescuedrum_gateway.version.configuration import RoutingConfiguration
@@ -188,6 +189,7 @@
             background_tasks += [
                 self.peers.run,
                 self.register_address,
+                self.keep_quarantine,
                 self.supervisor.run,
                 self.measure_loop_delay,
                 self.memory.run,
@@ -411,6 +413,11 @@
                 log_event(logger, AddressNotWritten(error.detail))
                 await asyncio.sleep(REGISTER_RETRY_SECONDS)
 
+    async def keep_quarantine(self):
+        """Read the quarantined parts from the store, and write changes, for ever."""
+        rows = QuarantineRows(self.quarantine)
+        await rows.run(self.store, self.adapter.quarantine_table)
+
     async def measure_loop_delay(self):
         """Measure the delay of the event loop for ever."""
         await measure_loop_delay(self.metrics.loop_delay)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
@@ -5,7 +5,11 @@
 import zlib
 from collections.abc import Callable, Iterable
 
-from fescuedrum.decisions.admitting.quarantine import EndpointEnd, Quarantine
+from fescuedrum.decisions.admitting.quarantine import (
+    EndpointEnd,
+    Quarantine,
+    SuspectReport,
+)
 from fescuedrum.decisions.placing.presence import ListedEndpoint
 from fescuedrum.events.event import log_event
 from fescuedrum.events.quarantine import (
@@ -62,6 +66,7 @@
         "directory",
         "ended",
         "loop",
+        "on_own_change",
         "open_requests",
         "peers",
         "quarantine",
@@ -83,6 +88,9 @@
         # When endpoints ended, by name, as this or another gateway found out.
         self.ended: dict[str, float] = {}
         self.open_requests: set[OpenRequest] = set()
+        # Called with parts of which this gateway itself learned something that is to
+        # outlive it.
+        self.on_own_change = lambda parts: None
         # Called with the service of an endpoint that this gateway finds ended.
         self.count_end = lambda service: None
 
@@ -126,7 +134,9 @@
         """Record that a request is sent to an endpoint; return it."""
         is_trial = self.quarantine.check(parts) is not None
         if is_trial:
-            for part in self.quarantine.begin_trial(parts, self.loop.time()):
+            tried = self.quarantine.begin_trial(parts, self.loop.time())
+            self.on_own_change(set(tried))
+            for part in tried:
                 trial = self.quarantine.suspects[part].trials
                 log_event(logger, PartTried(part, request_id, trial))
             self.peers.announce_urgently()
@@ -141,6 +151,7 @@
             return
         before = set(self.quarantine.blocking)
         if self.quarantine.record_answer(request.parts, self.loop.time()):
+            self.on_own_change(before - self.quarantine.blocking.keys())
             self.log_changes(before)
             self.peers.announce_urgently()
 
@@ -175,6 +186,7 @@
             before = set(self.quarantine.blocking)
             end = EndpointEnd(endpoint.name, self.ended[endpoint.name])
             self.quarantine.record_end(end, prompts, now)
+            self.on_own_change(set(names) & self.quarantine.blocking.keys())
             self.apply_changes(before)
             self.peers.announce_urgently()
         else:
@@ -191,10 +203,15 @@
         if peer.ended:
             self.merge_ended(peer.ended)
         if peer.suspects or peer.sound_parts:
-            before = set(self.quarantine.blocking)
-            now = self.loop.time()
-            self.quarantine.merge(peer.suspects, peer.sound_parts, now)
-            self.apply_changes(before)
+            self.merge_reports(peer.suspects, peer.sound_parts)
+
+    def merge_reports(
+        self, suspects: list[SuspectReport], sound_parts: list[tuple[str, float]]
+    ) -> None:
+        """Apply what is reported of suspects and of parts that answers have cleared."""
+        before = set(self.quarantine.blocking)
+        self.quarantine.merge(suspects, sound_parts, self.loop.time())
+        self.apply_changes(before)
 
     def merge_ended(self, ended: Iterable[EndpointEnd]) -> None:
         """Avoid endpoints that another gateway found to have ended."""
--- a/packages/fescuedrum/src/fescuedrum/decisions/admitting/quarantine.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/admitting/quarantine.py
@@ -289,13 +289,18 @@
         """Yield what other gateways should know of suspects, the likeliest first."""
         for part, suspect in sorted(self.suspects.items(), key=rank):
             if part in self.blocking or now - suspect.changed_at < REPORT_SECONDS:
-                yield SuspectReport(
-                    part,
-                    tuple(suspect.ends),
-                    suspect.was_answered,
-                    suspect.trials,
-                    suspect.tried_at,
-                )
+                yield self.report(part)
+
+    def report(self, part: str) -> SuspectReport:
+        """Return what is known of a part; without ends if it is no suspect."""
+        suspect = self.suspects.get(part) or Suspect()
+        return SuspectReport(
+            part,
+            tuple(suspect.ends),
+            suspect.was_answered,
+            suspect.trials,
+            suspect.tried_at,
+        )
 
     def sound_reports(self, now: float) -> Iterator[tuple[str, float]]:
         """Yield suspects that were cleared lately, with the time of the answer."""
--- a/packages/fescuedrum/src/fescuedrum/events/quarantine.py
+++ b/packages/fescuedrum/src/fescuedrum/events/quarantine.py
@@ -3,7 +3,7 @@
 import logging
 from typing import Annotated
 
-from fescuedrum.events.event import EndpointName, Event, RequestId, event
+from fescuedrum.events.event import EndpointName, Error, Event, RequestId, event
 
 PartId = Annotated[str, "id of the part of a prompt"]
 
@@ -69,3 +69,34 @@
     part: PartId
     request: RequestId
     endpoint: EndpointName
+
+
+@event
+class QuarantineRead(Event):
+    """Logged when a process that starts reads quarantined parts from the store."""
+
+    message = "quarantine read"
+
+    parts: Annotated[int, "number of parts"]
+
+
+@event
+class QuarantineNotRead(Event):
+    """Logged when quarantined parts can't be read from the store, or a row decoded.
+
+    If the store does not answer, they are read again. Other gateways tell them as well.
+    """
+
+    message = "quarantine not read"
+
+    error: Error
+
+
+@event
+class QuarantineNotSaved(Event):
+    """Logged when a quarantined part can't be written to the store; it is retried."""
+
+    message = "quarantine not saved"
+
+    part: PartId
+    error: Error
--- a/packages/fescuedrum/src/fescuedrum/wire/gen/gateways/ttypes.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/gen/gateways/ttypes.py
@@ -897,6 +897,87 @@
         return not (self == other)
 
 
+class QuarantinedPart(object):
+    """
+    Attributes:
+     - suspect
+     - written_at
+
+    """
+
+    __slots__ = (
+        'suspect',
+        'written_at',
+    )
+
+
+    def __init__(self, suspect=None, written_at=None,):
+        self.suspect = suspect
+        self.written_at = written_at
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.suspect = SuspectPart()
+                    self.suspect.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.written_at = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuarantinedPart')
+        if self.suspect is not None:
+            oprot.writeFieldBegin('suspect', TType.STRUCT, 1)
+            self.suspect.write(oprot)
+            oprot.writeFieldEnd()
+        if self.written_at is not None:
+            oprot.writeFieldBegin('written_at', TType.DOUBLE, 2)
+            oprot.writeDouble(self.written_at)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Beacon(object):
     """
     Attributes:
@@ -1358,6 +1439,12 @@
     (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
     (2, TType.DOUBLE, 'age', None, None, ),  # 2
 )
+all_structs.append(QuarantinedPart)
+QuarantinedPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'suspect', [SuspectPart, None], None, ),  # 1
+    (2, TType.DOUBLE, 'written_at', None, None, ),  # 2
+)
 all_structs.append(Beacon)
 Beacon.thrift_spec = (
     None,  # 0
--- a/packages/fescuedrum/src/fescuedrum/wire/idl/gateways.thrift
+++ b/packages/fescuedrum/src/fescuedrum/wire/idl/gateways.thrift
@@ -77,6 +77,13 @@
   2: optional double age,
 }
 
+// Row of the platform's store with a quarantined part; without ends it is released.
+struct QuarantinedPart {
+  1: optional SuspectPart suspect,
+  // When the row was written, in seconds since the epoch.
+  2: optional double written_at,
+}
+
 struct Beacon {
   1: optional string instance,
   2: optional i64 incarnation,
--- a/tests/support/dialect.py
+++ b/tests/support/dialect.py
@@ -90,6 +90,7 @@
     operators_table = "operators"
     endpoints_table = "endpoints"
     gateways_table = "gateways"
+    quarantine_table = "quarantine"
 
     def __init__(self, store):
         self.store = store
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -193,6 +193,7 @@
         ("5c1e07a2:800, 91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
         (":800,5c1e07a2,e4402b7d:250", ("5c1e07a2",)),
         (f"{'f' * 65}:1,5c1e07a2:1,e4402b7d:250", ("5c1e07a2",)),
+        ("5c\udce17a2:1,91bd3f06:1,e4402b7d:250", ("91bd3f06",)),
         (",".join(f"{number}:1" for number in range(60)), tuple(map(str, range(32)))),
     ],
 )
