Release a part that was sound before as soon as running streams show it

Callers would see: if a zone's engines were found ended one by one, a part that many prompts have could be quarantined; requests with it that could show that it is sound were taken back, and it stayed refused for a minute.

Change: a stream that ends whole shows its parts to be sound, as one that begins does. Requests with a part that had been answered before its first end are not taken back, and its first trial is due after 5 s instead of 60 s.

The tests of the quarantine and of the gateway pass.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
@@ -144,13 +144,12 @@
         self.open_requests.add(request)
         return request
 
-    def answered(self, request: OpenRequest) -> None:
+    def answered(self, parts: tuple[str, ...]) -> None:
         """Record that an endpoint has got over the beginning of an answer."""
-        self.closed(request)
-        if not request.parts:
+        if not parts:
             return
         before = set(self.quarantine.blocking)
-        if self.quarantine.record_answer(request.parts, self.loop.time()):
+        if self.quarantine.record_answer(parts, self.loop.time()):
             self.on_own_change(before - self.quarantine.blocking.keys())
             self.log_changes(before)
             self.peers.announce_urgently()
@@ -230,7 +229,8 @@
         self.log_changes(before)
         for request in list(self.open_requests):
             blocked = self.quarantine.check(request.parts)
-            if blocked is not None and not request.is_trial:
+            # An answer is to show whether a part that was sound is the cause now.
+            if blocked and not (blocked.was_answered or request.is_trial):
                 self.closed(request)
                 event = AnswerStoppedForPart(
                     blocked.part, request.request_id, request.endpoint.name
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -282,9 +282,8 @@
 
     def record_answered(self):
         """Record that the endpoint has got over the beginning of an answer."""
-        if self.open_request is not None:
-            self.gateway.quarantine.answered(self.open_request)
-            self.open_request = None
+        self.close_request()
+        self.gateway.quarantine.answered(self.call.head.prompt_parts)
 
     def record_broken(self):
         """Record that the last attempt broke off before its answer showed anything."""
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
@@ -150,7 +150,8 @@
             return self.handle_break("stream ended within an event")
         if self.event_count == 0 and opened.ends_with_connection:
             return self.handle_break("stream without a length ended before an event")
-        if self.event_count and not opened.ends_with_connection:
+        is_sure = not opened.ends_with_connection or self.event_count >= PROOF_EVENTS
+        if self.event_count and is_sure:
             self.attempts.record_answered()
         if self.response is None:
             return Answered(opened.head, b"")
--- a/packages/fescuedrum/src/fescuedrum/decisions/admitting/quarantine.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/admitting/quarantine.py
@@ -33,8 +33,10 @@
 SIMULTANEOUS_SECONDS = 0.05
 # Reports of an endpoint's end from several gateways differ by less than this.
 SAME_END_SECONDS = 2.0
-# Wait before each trial, from the last end or trial on.
+# Wait before each trial, from the last end or trial on; a part that was answered before
+# is more likely to be sound, and so are those who send it.
 TRIAL_SECONDS = (60.0, 240.0, 960.0)
+KNOWN_PART_TRIAL_SECONDS = (5.0, 60.0, 240.0)
 # The callers' bound on the ends that one part may cause.
 ENDS_ALLOWED = 5
 ENDS_KEPT = 8
@@ -113,9 +115,10 @@
 
     def next_trial(self) -> float | None:
         """Return when the next trial is due; None if there may be no further one."""
-        if self.trials >= len(TRIAL_SECONDS) or self.count() >= ENDS_ALLOWED:
+        waits = KNOWN_PART_TRIAL_SECONDS if self.was_answered else TRIAL_SECONDS
+        if self.trials >= len(waits) or self.count() >= ENDS_ALLOWED:
             return None
-        return self.last_at + TRIAL_SECONDS[self.trials]
+        return self.last_at + waits[self.trials]
 
 
 @dataclass(slots=True, frozen=True)
@@ -135,6 +138,8 @@
 
     part: str
     trial_at: float | None
+    # Whether it had been answered before the first end.
+    was_answered: bool
 
 
 class Quarantine:
@@ -268,11 +273,14 @@
         ]
         if not found:
             return None
-        due = {part: self.suspects[part].next_trial() for part in found}
-        last = max(
-            due, key=lambda part: float("inf") if due[part] is None else due[part]
-        )
-        return Blocked(last, due[last])
+        part = max(found, key=self.trial_order)
+        suspect = self.suspects[part]
+        return Blocked(part, suspect.next_trial(), suspect.was_answered)
+
+    def trial_order(self, part: str) -> float:
+        """Return when a part may be tried; infinity for never."""
+        trial_at = self.suspects[part].next_trial()
+        return float("inf") if trial_at is None else trial_at
 
     def begin_trial(self, parts: tuple[str, ...], now: float) -> list[str]:
         """Record that a prompt is sent all the same; return its quarantined parts."""
--- a/tests/support/crashing_fleet.py
+++ b/tests/support/crashing_fleet.py
@@ -162,5 +162,6 @@
         if name in self.ended:
             quarantine.broke(request)
             return "lost"
-        quarantine.answered(request)
+        quarantine.closed(request)
+        quarantine.answered(request.parts)
         return "begun"
