Take requests back without an error at their deadline

Cause, found in reading: a request whose deadline passes at the moment at which it is taken back would have raised an error in the task that reads beacons; one whose first event had been forwarded was logged as past its deadline; and a trial counted for parts whose companions the prompt does not have.

Measured: the tests of the quarantine and of the gateway pass.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
@@ -13,11 +13,11 @@
 from fescuedrum.decisions.placing.presence import ListedEndpoint
 from fescuedrum.events.event import log_event
 from fescuedrum.events.quarantine import (
-    AnswerStoppedForPart,
     EndpointEnded,
     PartQuarantined,
     PartReleased,
     PartTried,
+    RequestTakenBack,
 )
 from fescuedrum.exceptions import PromptQuarantined
 from fescuedrum_gateway.connection.endpoint_checks import EndpointChecks, is_closed
@@ -88,8 +88,7 @@
         # When endpoints ended, by name, as this or another gateway found out.
         self.ended: dict[str, float] = {}
         self.open_requests: set[OpenRequest] = set()
-        # Called with parts of which this gateway itself learned something that is to
-        # outlive it.
+        # Called with the parts whose rows in the platform's store have to be written.
         self.on_own_change = lambda parts: None
         # Called with the service of an endpoint that this gateway finds ended.
         self.count_end = lambda service: None
@@ -232,7 +231,7 @@
             # An answer is to show whether a part that was sound is the cause now.
             if blocked and not (blocked.was_answered or request.is_trial):
                 self.closed(request)
-                event = AnswerStoppedForPart(
+                event = RequestTakenBack(
                     blocked.part, request.request_id, request.endpoint.name
                 )
                 log_event(logger, event)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -302,15 +302,19 @@
     def take_back(self, part):
         """End the call, as endpoints end at a part of its prompt."""
         self.taken_back_for = part
-        self.timeout.reschedule(self.loop.time())
+        if not self.timeout.expired():
+            self.timeout.reschedule(self.loop.time())
+
+    def describe_taking_back(self):
+        """Return why the call was taken back from its endpoint; None if it was not."""
+        if self.taken_back_for is None:
+            return None
+        return f"taken back: endpoints end at prompts with part {self.taken_back_for}"
 
     def raise_if_taken_back(self):
         """Raise AnswerLost for a call that was taken back from its endpoint."""
-        if self.taken_back_for is not None:
-            raise AnswerLost(
-                f"Endpoints end at prompts with part {self.taken_back_for}, so it was "
-                "taken back."
-            )
+        if reason := self.describe_taking_back():
+            raise AnswerLost(f"Last attempt: {reason}.")
 
     def record_first_event(self):
         """Record that the endpoint has read the prompt and sent its first event."""
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
@@ -81,6 +81,8 @@
         except TimeoutError:
             if self.response is None:
                 self.attempts.raise_if_taken_back()
+            elif reason := self.attempts.describe_taking_back():
+                return StreamBroken(reason)
             self.attempts.record_deadline_passed()
             if self.response is None:
                 raise AnswerOverdue("No event came before the deadline.") from None
--- a/packages/fescuedrum/src/fescuedrum/decisions/admitting/quarantine.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/admitting/quarantine.py
@@ -277,27 +277,31 @@
 
     def check(self, parts: tuple[str, ...]) -> Blocked | None:
         """Return why a prompt with these parts may not be sent; None if it may."""
-        if not self.blocking:
-            return None
-        found = [
-            part
-            for part in parts
-            if part in self.blocking and self.blocking[part].issubset(parts)
-        ]
+        found = self.find_blocking(parts)
         if not found:
             return None
         part = max(found, key=self.trial_order)
         suspect = self.suspects[part]
         return Blocked(part, suspect.next_trial(), suspect.was_answered)
 
+    def find_blocking(self, parts: tuple[str, ...]) -> list[str]:
+        """Return the parts of a prompt for which it is refused."""
+        if not self.blocking:
+            return []
+        return [
+            part
+            for part in parts
+            if part in self.blocking and self.blocking[part].issubset(parts)
+        ]
+
     def trial_order(self, part: str) -> float:
         """Return when a part may be tried; infinity for never."""
         trial_at = self.suspects[part].next_trial()
         return float("inf") if trial_at is None else trial_at
 
     def begin_trial(self, parts: tuple[str, ...], now: float) -> list[str]:
-        """Record that a prompt is sent all the same; return its quarantined parts."""
-        tried = [part for part in parts if part in self.blocking]
+        """Record that a prompt is sent all the same; return the parts that it tries."""
+        tried = self.find_blocking(parts)
         for part in tried:
             suspect = self.suspects[part]
             suspect.trials += 1
--- a/packages/fescuedrum/src/fescuedrum/events/quarantine.py
+++ b/packages/fescuedrum/src/fescuedrum/events/quarantine.py
@@ -61,7 +61,7 @@
 
 
 @event
-class AnswerStoppedForPart(Event):
+class RequestTakenBack(Event):
     """Logged when a request is taken from its endpoint, as a part is quarantined."""
 
     message = "request taken back"
