Refuse no sound part for good while no part explains the ends

Change: the stand-in resets that stream; a part must be at a third of all ends around its own; a part with five ends is tried up to twice; and gateways take turns with trials, so that a part of which few requests come is tried, too.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
@@ -33,6 +33,13 @@
 # Told to a caller whose prompt is not tried again.
 NEVER_SECONDS = 3600.0
 LOGGED_PARTS = 24
+# Time after which one more gateway may send a trial that is due.
+TURN_SECONDS = 1.0
+
+
+def turn_key(part: str, host: str) -> tuple[int, str]:
+    """Return the sort key of a gateway in the order of trials of a part."""
+    return zlib.crc32(f"{part} {host}".encode()), host
 
 
 class OpenRequest:
@@ -115,13 +122,11 @@
             return False
         if now < self.started_at + TRIAL_UPTIME_SECONDS:
             return False
-        # One gateway sends trials, so that not all send one at the same moment.
+        # Gateways take turns, so that not all send a trial at the same moment.
         heard = [each.host for each in self.peers.heard_within(LOAD_EXPIRY_SECONDS)]
-        hosts = [self.peers.settings.host, *heard]
-        chosen = max(
-            hosts, key=lambda host: (zlib.crc32(f"{part} {host}".encode()), host)
-        )
-        return chosen == self.peers.settings.host
+        own_turn = turn_key(part, self.peers.settings.host)
+        turn = sum(turn_key(part, host) < own_turn for host in heard)
+        return now >= trial_at + turn * TURN_SECONDS
 
     def sent(
         self,
--- a/packages/fescuedrum/src/fescuedrum/decisions/admitting/quarantine.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/admitting/quarantine.py
@@ -18,9 +18,13 @@
 another cause than a request and count as one, and a part that was answered before its
 first end needs KNOWN_PART_ENDS of them.
 
+While engines end for a reason that no part explains, many parts are at some of the ends
+by chance. So a part must be at LEAST_SHARE of all ends, from RECENT_SECONDS before its
+first one to its last one.
+
 A part that was quarantined by mistake gets no answers that could show it. So after
-TRIAL_SECONDS one request with it is sent, by one gateway, and again after longer times,
-as long as the ends that the part has explained stay below ENDS_ALLOWED.
+TRIAL_SECONDS one request with it is sent, and again after longer times. After
+ENDS_ALLOWED ends that it explains fewer trials are made.
 """
 
 import collections
@@ -37,8 +41,12 @@
 # is more likely to be sound, and so are those who send it.
 TRIAL_SECONDS = (60.0, 240.0, 960.0)
 KNOWN_PART_TRIAL_SECONDS = (5.0, 60.0, 240.0)
-# The callers' bound on the ends that one part may cause.
+# The callers' bound on the ends that one part may cause, and the trials made after it;
+# callers allow three requests.
 ENDS_ALLOWED = 5
+TRIALS_AFTER_ENDS_ALLOWED = 2
+LEAST_SHARE = 1 / 3
+RECENT_SECONDS = 10.0
 ENDS_KEPT = 8
 SUSPECT_SECONDS = 3600.0
 QUARANTINE_SECONDS = 24 * 3600.0
@@ -81,17 +89,17 @@
 
     def count(self) -> int:
         """Return the number of ends, counting those at the same moment as one."""
-        count, counted_at = 0, float("-inf")
-        for end in self.ends:
-            if end.at - counted_at > SIMULTANEOUS_SECONDS:
-                count, counted_at = count + 1, end.at
-        return count
+        return count_moments(end.at for end in self.ends)
 
-    @property
-    def is_due_to_part(self) -> bool:
-        """Return whether so many ends are hardly a coincidence."""
-        needed = KNOWN_PART_ENDS if self.was_answered else QUARANTINE_ENDS
-        return self.count() >= needed
+    def is_due_to_part(self, all_ends: list[EndpointEnd]) -> bool:
+        """Return whether the ends are hardly a coincidence, given all known ones."""
+        count = self.count()
+        if count < (KNOWN_PART_ENDS if self.was_answered else QUARANTINE_ENDS):
+            return False
+        since, until = self.ends[0].at - RECENT_SECONDS, self.ends[-1].at
+        return count >= LEAST_SHARE * count_moments(
+            end.at for end in all_ends if since <= end.at <= until
+        )
 
     def add(self, ends: Iterable[EndpointEnd]) -> bool:
         """Add ends that are not known yet; return whether there were any.
@@ -116,7 +124,10 @@
     def next_trial(self) -> float | None:
         """Return when the next trial is due; None if there may be no further one."""
         waits = KNOWN_PART_TRIAL_SECONDS if self.was_answered else TRIAL_SECONDS
-        if self.trials >= len(waits) or self.count() >= ENDS_ALLOWED:
+        allowed = len(waits)
+        if self.count() >= ENDS_ALLOWED:
+            allowed = TRIALS_AFTER_ENDS_ALLOWED
+        if self.trials >= allowed:
             return None
         return self.last_at + waits[self.trials]
 
@@ -257,10 +268,14 @@
         if len(self.suspects) > MAXIMUM_SUSPECTS:
             kept = sorted(self.suspects.items(), key=rank)[:MAXIMUM_SUSPECTS]
             self.suspects = dict(kept)
+        all_ends = sorted(
+            {end for suspect in self.suspects.values() for end in suspect.ends},
+            key=lambda end: end.at,
+        )
         self.blocking = {
             part: self.equally_likely(part, suspect)
             for part, suspect in self.suspects.items()
-            if suspect.is_due_to_part
+            if suspect.is_due_to_part(all_ends)
         }
 
     def equally_likely(self, part: str, suspect: Suspect) -> frozenset[str]:
@@ -338,6 +353,15 @@
                 yield part, self.answered[part]
 
 
+def count_moments(times: Iterable[float]) -> int:
+    """Return how many of some ascending times are apart from those before them."""
+    count, counted_at = 0, float("-inf")
+    for at in times:
+        if at - counted_at > SIMULTANEOUS_SECONDS:
+            count, counted_at = count + 1, at
+    return count
+
+
 def rank(item: tuple[str, Suspect]) -> tuple[int, float]:
     """Return the sort key of a suspect; the likeliest and newest comes first."""
     _, suspect = item
--- a/tests/soak/parts.py
+++ b/tests/soak/parts.py
@@ -181,11 +181,12 @@
         if plan.moment is CrashMoment.AFTER_FIRST_EVENT:
             event = self.streams.event(request_id, 1)
             transport.write(event if plan.is_unframed else encode_chunk(event))
-        if not (plan.is_unframed and plan.moment is CrashMoment.AFTER_FIRST_EVENT):
-            # That stream would look whole; it is reset with the others.
-            transport.close()
         if self.site.endpoint(self.name) is self:
             self.site.end_endpoint(self, part)
+        if plan.is_unframed and plan.moment is CrashMoment.AFTER_FIRST_EVENT:
+            # A closed stream would look whole; it is reset with the others.
+            await asyncio.sleep(BACK_SECONDS)
+        transport.close()
 
 
 def encode_head(headers, *, is_unframed):
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -132,6 +132,29 @@
     assert ends <= ENDS_ALLOWED
 
 
+def test_a_part_at_few_of_many_ends_is_not_refused():
+    """Guard against refusing sound prompts while no part explains the ends."""
+    quarantine = Quarantine()
+    for number in range(9):
+        end(quarantine, 1.0 + number, ["x" if number % 7 == 0 else f"s{number}"])
+    assert not is_refused(quarantine, "x")
+    end(quarantine, 10.0, "x")
+    end(quarantine, 11.0, "x")
+    assert is_refused(quarantine, "x")
+
+
+def test_a_part_at_more_ends_than_allowed_is_tried_as_well():
+    """Guard against refusing a sound part for a day."""
+    quarantine, trials = Quarantine(), 0
+    for at in range(1, 9):
+        end(quarantine, float(at), "x")
+    while (trial_at := quarantine.check(("x",)).trial_at) is not None:
+        quarantine.begin_trial(("x",), trial_at)
+        end(quarantine, trial_at + 0.1, "x")
+        trials += 1
+    assert 0 < trials < 3
+
+
 def test_a_trial_that_is_answered_releases_the_part():
     quarantine = Quarantine()
     end(quarantine, 1.0, "x")
