Move what a call's prompt shows, peers' state and the beacon to modules of their own

Change: what the attempts of a call show about its prompt is request/prompt.py, the state of another gateway process/peer_gateway.py, and the parts of a beacon are put together in process/beacons/beacon.py. Nothing else changes.

Measured: the tests of the gateway, groups, places, returns and the quarantine pass.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/contested.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/contested.py
@@ -20,10 +20,10 @@
 )
 from fescuedrum.decisions.duties import meshes
 from fescuedrum_gateway.process.filling import Filling
+from fescuedrum_gateway.process.peer_gateway import PeerGateway
 from fescuedrum_gateway.process.peers import (
     CHANGE_BATCH_SECONDS,
     LOAD_EXPIRY_SECONDS,
-    PeerGateway,
     Peers,
 )
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -32,22 +32,10 @@
 from fescuedrum.exceptions import RowNotUnderstood, StoreUnavailable
 from fescuedrum.metrics import measure_loop_delay
 from fescuedrum.process import cancel, on_reload
-from fescuedrum.wire.gen.gateways.ttypes import Beacon
 from fescuedrum_gateway.connection.callers import build_server
 from fescuedrum_gateway.connection.endpoints import open_endpoint_session, open_socket
 from fescuedrum_gateway.process import followers
-from fescuedrum_gateway.process.beacons.demand import (
-    encode_demand,
-    encode_organisations,
-)
-from fescuedrum_gateway.process.beacons.groups import encode_members, encode_states
-from fescuedrum_gateway.process.beacons.limits import encode_limits
-from fescuedrum_gateway.process.beacons.loads import encode_loads
-from fescuedrum_gateway.process.beacons.quarantine import (
-    encode_ended,
-    encode_sound,
-    encode_suspects,
-)
+from fescuedrum_gateway.process.beacons.beacon import build_beacon
 from fescuedrum_gateway.process.directory import EndpointDirectory
 from fescuedrum_gateway.process.duty import GroupSupervisor
 from fescuedrum_gateway.process.followers import TableFollower
@@ -364,24 +352,7 @@
 
     def build_beacon(self):
         """Return a beacon with what this gateway tells the others."""
-        now = asyncio.get_running_loop().time()
-        operators, endpoints = (each.replica.version for each in self.followers)
-        leads = self.supervisor is not None and self.supervisor.leads
-        return Beacon(
-            leaving=self.leaving or None,
-            store_answers=self.store_answers,
-            operators_version=operators,
-            endpoints_version=endpoints,
-            loads=encode_loads(self.directory.own_loads()),
-            limits=encode_limits(self.directory.rate_limits, now) or None,
-            group_members=encode_members(self.group_exchange.next_slice(leads=leads)),
-            group_states=encode_states(self.group_exchange.reports(), now),
-            demand=encode_demand(self.places.own_demand()) or None,
-            organisations=encode_organisations(self.places.own_organisations()) or None,
-            ended=encode_ended(self.quarantine.recently_ended(), now) or None,
-            suspects=encode_suspects(self.quarantine.quarantine, now) or None,
-            sound_parts=encode_sound(self.quarantine.quarantine, now) or None,
-        )
+        return build_beacon(self)
 
     def reload(self):
         """Apply the seeds of the present settings; other settings need a restart.
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_exchange.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/group_exchange.py
@@ -6,7 +6,7 @@
 from fescuedrum.decisions.placing.groups import GroupSlice
 from fescuedrum_gateway.process.beacons.groups import SliceTurns
 from fescuedrum_gateway.process.group_directory import GroupDirectory
-from fescuedrum_gateway.process.peers import PeerGateway
+from fescuedrum_gateway.process.peer_gateway import PeerGateway
 
 
 class GroupExchange:
--- /dev/null
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peer_gateway.py
@@ -0,0 +1,42 @@
+"""Hold what the last beacon of another gateway said."""
+
+from dataclasses import dataclass, field
+
+from fescuedrum.decisions.admitting.quarantine import EndpointEnd, SuspectReport
+from fescuedrum.decisions.placing.group_breakers import GroupReport
+from fescuedrum.decisions.placing.groups import GroupSlice
+from fescuedrum.decisions.placing.placement import Load
+from fescuedrum.decisions.placing.ratelimits import RateReport
+
+
+@dataclass(slots=True)
+class PeerGateway:
+    """Hold the state of another gateway from its last beacon, in loop time."""
+
+    host: str
+    # Its availability zone; empty before its first beacon.
+    zone: str = ""
+    # When its address was learned.
+    known_at: float = float("-inf")
+    last_heard_at: float = float("-inf")
+    probed_at: float = float("-inf")
+    incarnation: int = 0
+    sequence: int = -1
+    leaving: bool = False
+    store_answers: bool = False
+    link_megabits: float = 0.0
+    versions: dict[str, int] = field(default_factory=dict)
+    loads: dict[str, Load] = field(default_factory=dict)
+    # Rate limits that endpoints named to it, with the names of the endpoints.
+    rate_reports: list[tuple[str, RateReport]] = field(default_factory=list)
+    # Membership of groups, and the groups that it found out or back, by service.
+    group_members: list[GroupSlice] = field(default_factory=list)
+    group_states: list[tuple[str, str, GroupReport]] = field(default_factory=list)
+    # By service: new requests per second by rank, and running ones by organisation.
+    demand: dict[str, dict[int, float]] = field(default_factory=dict)
+    organisations: dict[str, dict[str, int]] = field(default_factory=dict)
+    # Endpoints that ended, parts of prompts that may be the cause, and (part, time of
+    # an answer) of those that are not.
+    ended: list[EndpointEnd] = field(default_factory=list)
+    suspects: list[SuspectReport] = field(default_factory=list)
+    sound_parts: list[tuple[str, float]] = field(default_factory=list)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
@@ -8,15 +8,10 @@
 import collections
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
-from fescuedrum.decisions.admitting.quarantine import EndpointEnd, SuspectReport
 from fescuedrum.decisions.duties import leading, meshes
 from fescuedrum.decisions.duties.following import must_read_store
-from fescuedrum.decisions.placing.group_breakers import GroupReport
-from fescuedrum.decisions.placing.groups import GroupSlice
 from fescuedrum.decisions.placing.placement import Load
-from fescuedrum.decisions.placing.ratelimits import RateReport
 from fescuedrum.events.event import log_event
 from fescuedrum.events.processes import (
     DatagramNotUnderstood,
@@ -38,6 +33,7 @@
     decode_sound,
     decode_suspects,
 )
+from fescuedrum_gateway.process.peer_gateway import PeerGateway
 
 logger = logging.getLogger(__name__)
 
@@ -65,39 +61,6 @@
 MAXIMUM_KNOWN_HOSTS = 40
 
 
-@dataclass(slots=True)
-class PeerGateway:
-    """Hold the state of another gateway from its last beacon, in loop time."""
-
-    host: str
-    # Its availability zone; empty before its first beacon.
-    zone: str = ""
-    # When its address was learned.
-    known_at: float = float("-inf")
-    last_heard_at: float = float("-inf")
-    probed_at: float = float("-inf")
-    incarnation: int = 0
-    sequence: int = -1
-    leaving: bool = False
-    store_answers: bool = False
-    link_megabits: float = 0.0
-    versions: dict[str, int] = field(default_factory=dict)
-    loads: dict[str, Load] = field(default_factory=dict)
-    # Rate limits that endpoints named to it, with the names of the endpoints.
-    rate_reports: list[tuple[str, RateReport]] = field(default_factory=list)
-    # Membership of groups, and the groups that it found out or back, by service.
-    group_members: list[GroupSlice] = field(default_factory=list)
-    group_states: list[tuple[str, str, GroupReport]] = field(default_factory=list)
-    # By service: new requests per second by rank, and running ones by organisation.
-    demand: dict[str, dict[int, float]] = field(default_factory=dict)
-    organisations: dict[str, dict[str, int]] = field(default_factory=dict)
-    # Endpoints that ended, parts of prompts that may be the cause, and (part, time of
-    # an answer) of those that are not.
-    ended: list[EndpointEnd] = field(default_factory=list)
-    suspects: list[SuspectReport] = field(default_factory=list)
-    sound_parts: list[tuple[str, float]] = field(default_factory=list)
-
-
 class Peers(asyncio.DatagramProtocol):
     """Own the datagram socket and the state of other gateways by their address."""
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
@@ -22,7 +22,8 @@
 from fescuedrum.exceptions import PromptQuarantined
 from fescuedrum_gateway.connection.endpoint_checks import EndpointChecks, is_closed
 from fescuedrum_gateway.process.directory import EndpointDirectory
-from fescuedrum_gateway.process.peers import LOAD_EXPIRY_SECONDS, PeerGateway, Peers
+from fescuedrum_gateway.process.peer_gateway import PeerGateway
+from fescuedrum_gateway.process.peers import LOAD_EXPIRY_SECONDS, Peers
 
 logger = logging.getLogger(__name__)
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -10,7 +10,6 @@
 from fescuedrum.events.event import log_event
 from fescuedrum.events.requests import RequestSent, RetryDenied, SendingFailed
 from fescuedrum.exceptions import (
-    AnswerLost,
     DeadlinePassed,
     GroupDown,
     Overloaded,
@@ -24,6 +23,7 @@
 from fescuedrum_gateway.process.filling import Filling
 from fescuedrum_gateway.request.admission import build_stopping_error
 from fescuedrum_gateway.request.call import Answered, Lost, NotRun
+from fescuedrum_gateway.request.prompt import PromptAttempts
 from fescuedrum_gateway.request.waiting import ServiceWait
 
 logger = logging.getLogger(__name__)
@@ -32,17 +32,10 @@
 ANSWER_TRANSIT_SECONDS = 0.01
 # With less time left the answer would be late: a plain request takes some 20 ms.
 MINIMUM_SECONDS_LEFT = 0.02
-# Parts of a prompt in a line of the log.
-LOGGED_PARTS = 8
 # Status of an endpoint that is another one than the request was meant for.
 MISDIRECTED_STATUS = 421
 
 
-def describe_parts(parts: tuple[str, ...]) -> str | None:
-    """Return the ids of a prompt's parts for a line of the log; None if it has none."""
-    return " ".join(parts[:LOGGED_PARTS]) or None
-
-
 class Attempts:
     """Send one call to one endpoint after another."""
 
@@ -54,14 +47,12 @@
         "gateway",
         "loop",
         "may_have_arrived",
-        "open_request",
         "place",
         "possible_run",
+        "prompt",
         "reservation",
         "sent_at",
         "sent_count",
-        "taken_back_for",
-        "timeout",
         "tried",
         "wait",
     )
@@ -88,12 +79,8 @@
         self.wait = ServiceWait(self)
         # Reservation at the endpoint of the last attempt.
         self.reservation = None
-        # The last attempt, until its endpoint has got over the beginning of an answer.
-        self.open_request = None
-        # Ends the call at its deadline, or when it is taken back.
-        self.timeout = asyncio.timeout_at(call.deadline)
-        # Quarantined part for which it was taken back; None if it was not.
-        self.taken_back_for = None
+        # What the attempts show about the parts of the prompt.
+        self.prompt = PromptAttempts(call, gateway.quarantine)
 
     async def send_with_retries(self, send_once, is_retryable):
         """Send the call until a result is final; return the most significant result.
@@ -191,7 +178,7 @@
             version=self.gateway.configuration.version,
             group=self.gateway.directory.group_of(chosen.endpoint) or None,
             is_probe=chosen.is_probe or None,
-            parts=describe_parts(self.call.head.prompt_parts),
+            parts=self.prompt.description,
         )
         log_event(logger, event)
 
@@ -215,12 +202,12 @@
         Raise an error if there is no endpoint for it or too little time is left.
         """
         call = self.call
-        self.gateway.quarantine.raise_if_quarantined(call.head.prompt_parts)
+        self.prompt.raise_if_quarantined()
         self.raise_if_too_slow(last_event_id or call.head.last_event_id)
         filling = await self.take_place()
         endpoint = self.choose_endpoint(filling)
         # While it waited for a place, its prompt may have been quarantined or tried.
-        self.gateway.quarantine.raise_if_quarantined(call.head.prompt_parts)
+        self.prompt.raise_if_quarantined()
         seconds_left = call.deadline - self.loop.time() - ANSWER_TRANSIT_SECONDS
         if seconds_left < MINIMUM_SECONDS_LEFT:
             raise DeadlinePassed("Too little time is left to send it.")
@@ -232,7 +219,7 @@
             last_event_id=last_event_id or call.head.last_event_id,
         )
         self.release_reservation()
-        self.close_request()
+        self.prompt.closed()
         self.tried.add(endpoint.name)
         self.endpoint, self.sent_at = endpoint, self.loop.time()
         self.sent_count += 1
@@ -240,9 +227,7 @@
         self.reservation = self.gateway.directory.reserve(
             endpoint, call.head.prompt_tokens, call.tokens
         )
-        self.open_request = self.gateway.quarantine.sent(
-            call.head.request_id, call.head.prompt_parts, endpoint, self.take_back
-        )
+        self.prompt.sent(endpoint)
         opened = await send_call(
             self.gateway.session, self.gateway.adapter, call, endpoint, send
         )
@@ -282,40 +267,6 @@
         route = self.call.route
         return route.kind.is_repeatable and self.attempt_count < route.maximum_attempts
 
-    def record_answered(self):
-        """Record that the endpoint has got over the beginning of an answer."""
-        self.close_request()
-        self.gateway.quarantine.answered(self.call.head.prompt_parts)
-
-    def record_broken(self):
-        """Record that the last attempt broke off before its answer showed anything."""
-        if self.open_request is not None:
-            self.gateway.quarantine.broke(self.open_request)
-            self.open_request = None
-
-    def close_request(self):
-        """Record that the last attempt is over, whatever its result."""
-        if self.open_request is not None:
-            self.gateway.quarantine.closed(self.open_request)
-            self.open_request = None
-
-    def take_back(self, part):
-        """End the call, as endpoints end at a part of its prompt."""
-        self.taken_back_for = part
-        if not self.timeout.expired():
-            self.timeout.reschedule(self.loop.time())
-
-    def describe_taking_back(self):
-        """Return why the call was taken back from its endpoint; None if it was not."""
-        if self.taken_back_for is None:
-            return None
-        return f"taken back: endpoints end at prompts with part {self.taken_back_for}"
-
-    def raise_if_taken_back(self):
-        """Raise AnswerLost for a call that was taken back from its endpoint."""
-        if reason := self.describe_taking_back():
-            raise AnswerLost(f"Last attempt: {reason}.")
-
     def record_first_event(self):
         """Record that the endpoint has read the prompt and sent its first event."""
         seconds = self.loop.time() - self.call.arrived
@@ -324,7 +275,7 @@
 
     def end(self):
         """Release what the call holds, and record its wait."""
-        self.close_request()
+        self.prompt.closed()
         self.release()
         self.wait.end()
 
@@ -355,7 +306,7 @@
         match opened:
             case NotRun(reason, answer):
                 self.may_have_arrived |= answer is not None
-                self.close_request()
+                self.prompt.closed()
                 if answer is None or answer.head.status == MISDIRECTED_STATUS:
                     history.failed(self.loop.time())
                 else:
@@ -367,7 +318,7 @@
                 rest = None if answer is None else answer.head.rest_seconds
                 self.log_failure(endpoint, "not run", reason, rest)
             case Lost(reason):
-                self.record_broken()
+                self.prompt.broke()
                 self.may_have_arrived = True
                 self.attempt_count += 1
                 self.wait.record_taken()
@@ -398,7 +349,7 @@
             result=result,
             reason=reason,
             rest_seconds=rest_seconds,
-            parts=describe_parts(self.call.head.prompt_parts),
+            parts=self.prompt.description,
         )
         log_event(logger, event)
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/plain.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/plain.py
@@ -24,14 +24,14 @@
     async def run(self):
         """Return an endpoint's answer; raise a FescuedrumError if there is none."""
         try:
-            async with self.attempts.timeout:
+            async with self.attempts.prompt.timeout:
                 return answer_or_raise(
                     await self.attempts.send_with_retries(
                         self.send_once, self.is_retryable
                     )
                 )
         except TimeoutError:
-            self.attempts.raise_if_taken_back()
+            self.attempts.prompt.raise_if_taken_back()
             self.attempts.record_deadline_passed()
             raise AnswerOverdue("No answer came before the deadline.") from None
         finally:
@@ -44,9 +44,9 @@
             return opened
         result = await opened.read()
         if isinstance(result, Lost):
-            self.attempts.record_broken()
+            self.attempts.prompt.broke()
         elif opened.head.succeeded and not opened.ends_with_connection:
-            self.attempts.record_answered()
+            self.attempts.prompt.answered()
         return result
 
     def is_retryable(self, result):
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
@@ -10,7 +10,7 @@
 from fescuedrum.events.event import log_event
 from fescuedrum.exceptions import AnswerOverdue
 from fescuedrum_gateway.request import plain
-from fescuedrum_gateway.request.attempts import Attempts, describe_parts
+from fescuedrum_gateway.request.attempts import Attempts
 from fescuedrum_gateway.request.call import (
     Answered,
     Lost,
@@ -72,7 +72,7 @@
     async def run(self):
         """Return Answered; StreamEnded or StreamBroken once events were sent."""
         try:
-            async with self.attempts.timeout:
+            async with self.attempts.prompt.timeout:
                 return self.resolve(
                     await self.attempts.send_with_retries(
                         self.send_once, self.is_retryable
@@ -80,8 +80,8 @@
                 )
         except TimeoutError:
             if self.response is None:
-                self.attempts.raise_if_taken_back()
-            elif reason := self.attempts.describe_taking_back():
+                self.attempts.prompt.raise_if_taken_back()
+            elif reason := self.attempts.prompt.describe_taking_back():
                 return StreamBroken(reason)
             self.attempts.record_deadline_passed()
             if self.response is None:
@@ -139,7 +139,7 @@
                 for event in splitter.feed(chunk):
                     self.event_count += 1
                     if self.event_count == PROOF_EVENTS:
-                        self.attempts.record_answered()
+                        self.attempts.prompt.answered()
                     await self.forward_event(event, opened.head)
                 unread.taken += len(chunk)
         except (TimeoutError, aiohttp.ClientError, EventTooLongError, OSError) as error:
@@ -154,7 +154,7 @@
             return self.handle_break("stream without a length ended before an event")
         is_sure = not opened.ends_with_connection or self.event_count >= PROOF_EVENTS
         if self.event_count and is_sure:
-            self.attempts.record_answered()
+            self.attempts.prompt.answered()
         if self.response is None:
             return Answered(opened.head, b"")
         return StreamEnded()
@@ -175,10 +175,10 @@
             last_event=self.last_event_id,
             endpoint=self.attempts.endpoint.name,
             events=self.event_count,
-            parts=describe_parts(self.call.head.prompt_parts),
+            parts=self.attempts.prompt.description,
         )
         log_event(logger, broken)
-        self.attempts.record_broken()
+        self.attempts.prompt.broke()
         return Lost(reason) if self.response is None else StreamBroken(reason)
 
     def has_caller_left(self):
--- a/tests/unit/test_groups.py
+++ b/tests/unit/test_groups.py
@@ -39,7 +39,7 @@
     decode_states,
 )
 from fescuedrum_gateway.process.group_exchange import GroupExchange
-from fescuedrum_gateway.process.peers import PeerGateway
+from fescuedrum_gateway.process.peer_gateway import PeerGateway
 
 
 def with_gateway(story, groups=2, **shape):
