Read rows of quarantined parts that were written by a clock ahead

Callers would see: after a restart of all gateways a quarantined part ends two more endpoints, if the clock of the gateway that wrote its row was ahead. Cause, found in reading: the row's age was negative and the row left out. Change: such a row is as new as it can be.

Measured: the new test fails before (no report) and passes.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine_rows.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine_rows.py
@@ -46,7 +46,8 @@
     Raise ProtocolError for a malformed row.
     """
     row = decode(QuarantinedPart, value)
-    age = epoch_seconds() - (row.written_at or 0.0)
+    # The clock of the process that wrote it may be ahead.
+    age = max(epoch_seconds() - (row.written_at or 0.0), 0.0)
     if row.suspect is None or not is_age(age):
         return []
     reports = decode_suspects([row.suspect], now - age)
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -13,6 +13,7 @@
 )
 from fescuedrum.wire.datagrams import decode, encode
 from fescuedrum.wire.gen.gateways.ttypes import Beacon
+from fescuedrum_gateway.process import quarantine_rows
 from fescuedrum_gateway.process.beacons.quarantine import (
     decode_sound,
     decode_suspects,
@@ -155,6 +156,18 @@
     assert 0 < trials < 3
 
 
+def test_a_row_of_a_gateway_whose_clock_is_ahead_is_read(monkeypatch):
+    """Guard against a restart that forgets parts because clocks differ."""
+    quarantine = Quarantine()
+    end(quarantine, 1.0, "x")
+    end(quarantine, 2.0, "x")
+    monkeypatch.setattr(quarantine_rows, "epoch_seconds", lambda: 1002.0)
+    row = quarantine_rows.encode_row(quarantine.report("x"), 2.5)
+    monkeypatch.setattr(quarantine_rows, "epoch_seconds", lambda: 1000.0)
+    (report,) = quarantine_rows.decode_row(row, 9.0)
+    assert [each.at for each in report.ends] == [7.5, 8.5]
+
+
 def test_a_trial_that_is_answered_releases_the_part():
     quarantine = Quarantine()
     end(quarantine, 1.0, "x")
