Repeat an urgent beacon on a clock that does not stand still

Callers would see: a gateway that loses one datagram goes on sending a part at which endpoints end until the next regular beacon, up to 8 s among 390 gateways. Cause, found in reading: the time was read twice and compared for equality, which holds on the simulated clock only; the beacon was sent once, a moment later, and not again. Change: the time is compared with the last sending.

Measured: the new test fails before (0 at once, 38 in all, for 38 and 76) and passes.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
@@ -292,12 +292,12 @@
 
         What is announced within URGENT_SECONDS of a beacon goes with its repetition.
         """
-        if self.urgent_timer is None and self.transport is not None:
-            due = max(self.loop.time(), self.urgent_at + URGENT_SECONDS)
-            if due == self.loop.time():
-                self.send_urgently()
-                due += URGENT_SECONDS
-            self.urgent_timer = self.loop.call_at(due, self.repeat_urgently)
+        if self.urgent_timer is not None or self.transport is None:
+            return
+        if self.loop.time() >= self.urgent_at + URGENT_SECONDS:
+            self.send_urgently()
+        due = self.urgent_at + URGENT_SECONDS
+        self.urgent_timer = self.loop.call_at(due, self.repeat_urgently)
 
     def repeat_urgently(self) -> None:
         """Send the second beacon of an urgent announcement."""
--- a/tests/unit/test_beacons.py
+++ b/tests/unit/test_beacons.py
@@ -104,3 +104,19 @@
 
     answers = run_paused(run())
     assert [len(beacon.known_hosts) for beacon in answers] == [GATEWAYS - 1]
+
+
+async def test_an_urgent_announcement_is_sent_twice():
+    """Guard against a lost datagram that leaves a gateway without an urgent change."""
+    gateway = build_gateway()
+    for peer in gateway.peers.hosts.values():
+        peer.last_heard_at = gateway.peers.loop.time()
+    sent = gateway.peers.transport.sent
+    # Those with which it introduced itself.
+    sent.clear()
+    gateway.peers.announce_urgently()
+    at_once = len(sent)
+    gateway.peers.announce_urgently()
+    await asyncio.sleep(0.3)
+    gateway.peers.close()
+    assert (at_once, len(sent)) == (GATEWAYS - 1, 2 * (GATEWAYS - 1))
