--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 # SEEDS="--kind groups --seeds 10" suspensions of the leader of a group of ranks,
 # SEEDS="--kind demand --seeds 10" competing demand at two groups, of which one fails.
 # SEEDS="--kind parts --seeds 10" prompts with a part at which endpoints end.
+# SEEDS="--kind repeats --seeds 10" requests at which endpoints end and that are repeated.
 SEEDS := --seeds 10
 soak: setup
 	cd tests && ../$(PYTHON) -m soak $(SEEDS) --logs ../build/soak
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -105,7 +105,7 @@
         headers = self.headers(record)
         url = f"{url}/{self.path(record)}"
         # An automatic retry of the client library would look like a gateway's fault.
-        async with session.post(url, data=b"{}", headers=headers) as answer:
+        async with session.post(url, data=self.body(record), headers=headers) as answer:
             body = await self.read_body(answer, record)
             record.detail = f"status {answer.status}"
             if answer.headers.get(wire.REQUEST_ID, record.request_id) != (
@@ -129,6 +129,9 @@
     def path(self, record):
         return f"{record.kind}/x"
 
+    def body(self, record):
+        return b"{}"
+
     async def read_body(self, answer, record):
         return await answer.read()
 
--- a/tests/soak/conditions.py
+++ b/tests/soak/conditions.py
@@ -21,6 +21,8 @@
     DEMAND = "demand"
     # Endpoints end at prompts with certain parts, beside other faults.
     PARTS = "parts"
+    # Endpoints end at requests that their callers send again, or as in a release.
+    REPEATS = "repeats"
 
 
 class RequestKind(enum.StrEnum):
@@ -108,7 +110,10 @@
     callers=1,
     requests=(RequestKind.STREAM,),
 )
-CONDITIONS = {each.kind: each for each in (FAULTS, STOPS, GROUPS, DEMAND, PARTS)}
+REPEATS = replace(PARTS, kind=RunKind.REPEATS, seconds=16.0)
+CONDITIONS = {
+    each.kind: each for each in (FAULTS, STOPS, GROUPS, DEMAND, PARTS, REPEATS)
+}
 
 
 class Streams:
--- a/tests/soak/parts.py
+++ b/tests/soak/parts.py
@@ -59,7 +59,7 @@
     AFTER_FIRST_EVENT = "after the first event"
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class CrashPlan:
     """Describe the prompts at which endpoints end, and how."""
 
@@ -112,6 +112,8 @@
     # The part at which endpoints end; empty for a sound request.
     crashing_part: str = ""
     retry_after: float | None = None
+    # The body of an answer that is no success.
+    refusal: str = ""
 
 
 class ResettingProxy(FaultProxy):
@@ -206,13 +208,14 @@
     """Hold endpoints that end at certain prompts, and what reached them."""
 
     zones = tuple(ZONES[number % len(ZONES)] for number in range(ENDPOINTS))
+    routes = ROUTES
 
     def __init__(self, random, plan):
         super().__init__(random, plan)
         self.crashes = draw_crash_plan(plan.seed)
         self.document = replace(
             self.document,
-            routes=ROUTES,
+            routes=self.routes,
             services=(RANKED_SERVICE,),
             organisations=ORGANISATIONS,
         )
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -36,6 +36,8 @@
 )
 from soak.parts_judge import PartsChecker
 from soak.planned import draw_work
+from soak.repeats import RepeatCaller, RepeatSite
+from soak.repeats_judge import RepeatsChecker
 from soak.site import Site
 
 GATEWAYS = 4
@@ -55,6 +57,7 @@
 SITES_AND_CHECKERS = {
     RunKind.DEMAND: (DemandSite, DemandChecker),
     RunKind.PARTS: (PartsSite, PartsChecker),
+    RunKind.REPEATS: (RepeatSite, RepeatsChecker),
 }
 # Of a logged line in a finding; the whole one is in the log.
 LINE_LENGTH = 400
@@ -133,6 +136,10 @@
                 self.site.session = session
                 lasting += self.start_callers(PartsCaller)
                 await self.send_crashing_prompts()
+            case RunKind.REPEATS:
+                self.site.session = session
+                lasting += self.start_callers(RepeatCaller)
+                await self.repeat_crashing_requests()
         await asyncio.sleep(RECOVERY_SECONDS)
         recovered_at = self.loop.time()
         await self.watch_recovery()
@@ -244,6 +251,15 @@
             await asyncio.sleep(until - self.loop.time())
         await apart
 
+    async def repeat_crashing_requests(self):
+        """Let callers repeat requests at which endpoints end, or end some otherwise."""
+        self.faults.append(f"{self.loop.time():.3f} {self.site.scenario}")
+        await asyncio.sleep(CALM_SECONDS)
+        until = self.loop.time() + self.plan.seconds - CALM_SECONDS
+        with self.site.record_crashing_span():
+            await self.site.end_harmlessly()
+            await asyncio.sleep(until - self.loop.time())
+
     def start_fault(self, fault, inject=inject):
         """Record a fault; return the task that injects it."""
         self.faults.append(f"{self.loop.time():.3f} {fault}")
