--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/adapter.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/adapter.py
@@ -30,6 +30,9 @@
     headers: list[tuple[str, str]]
     # Ids of the parts of its prompt that other requests may have as well, in order.
     prompt_parts: tuple[str, ...] = ()
+    # Id of the part of its prompt that belongs to this request or its session; empty
+    # if it names no parts.
+    own_part: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from fescuedrum.conf.routing import choose_service
+from fescuedrum.decisions.admitting.fingerprints import fingerprint
 from fescuedrum.decisions.admitting.memory import (
     count_tokens,
     is_too_large,
@@ -151,15 +152,18 @@
     is_caller_retry = not gateway.patience_trackers[route.name].is_fresh(
         head.seconds_left
     )
+    name = organisation.name if organisation else ""
+    method, target = http_request.method, http_request.raw_path
     return Call(
         head=head,
         route=route,
         service=service,
-        organisation=organisation.name if organisation else "",
+        organisation=name,
         priority=call_priority(route, organisation, is_caller_retry=is_caller_retry),
         is_caller_retry=is_caller_retry,
-        method=http_request.method,
-        target=http_request.raw_path,
+        method=method,
+        target=target,
+        fingerprint=fingerprint(name, head.own_part, method, target, held.body),
         held=held,
         tokens=tokens,
         arrived=arrived,
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -179,6 +179,7 @@
             group=self.gateway.directory.group_of(chosen.endpoint) or None,
             is_probe=chosen.is_probe or None,
             parts=self.prompt.description,
+            fingerprint=self.call.fingerprint,
         )
         log_event(logger, event)
 
@@ -350,6 +351,7 @@
             reason=reason,
             rest_seconds=rest_seconds,
             parts=self.prompt.description,
+            fingerprint=self.call.fingerprint,
         )
         log_event(logger, event)
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/call.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/call.py
@@ -21,6 +21,8 @@
     method: str
     # Path and query as received.
     target: str
+    # Identity of its content, which its caller's repeats have as well.
+    fingerprint: str
     # Holds the body, and counts it and the answers.
     held: HeldRequest
     # Tokens that it holds at an engine or may still generate.
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
@@ -176,6 +176,7 @@
             endpoint=self.attempts.endpoint.name,
             events=self.event_count,
             parts=self.attempts.prompt.description,
+            fingerprint=self.call.fingerprint,
         )
         log_event(logger, broken)
         self.attempts.prompt.broke()
--- a/packages/fescuedrum/src/fescuedrum/events/requests.py
+++ b/packages/fescuedrum/src/fescuedrum/events/requests.py
@@ -18,6 +18,10 @@
     "by spaces; at most eight",
 ]
 
+Fingerprint = Annotated[
+    str, "identity of the request's content, which repeats by its caller have as well"
+]
+
 # Results of a request that was sent.
 ANSWERED = "answered"
 CUT = "cut"
@@ -44,6 +48,7 @@
         bool | None, "true if it is sent to see whether a group that is out answers"
     ]
     parts: PromptParts | None
+    fingerprint: Fingerprint
 
 
 @event
@@ -73,6 +78,7 @@
         float | None, "time in which the endpoint asks for no more requests, in seconds"
     ]
     parts: PromptParts | None
+    fingerprint: Fingerprint
 
 
 @event
@@ -87,6 +93,7 @@
     endpoint: EndpointName
     events: Annotated[int, "events that came from this endpoint"]
     parts: PromptParts | None
+    fingerprint: Fingerprint
 
 
 @event
--- a/tests/support/contested.py
+++ b/tests/support/contested.py
@@ -64,6 +64,7 @@
         is_caller_retry=False,
         method="POST",
         target=route.prefix,
+        fingerprint="request:1",
         held=None,
         tokens=0,
         arrived=arrived,
--- a/tests/support/dialect.py
+++ b/tests/support/dialect.py
@@ -123,6 +123,7 @@
             last_event_id=headers.get("Last-Event", ""),
             headers=end_to_end_headers(headers, without=REPLACED),
             prompt_parts=tuple(headers.get("Parts", "").split()),
+            own_part=headers.get("Own-Part", ""),
         )
 
     def write_call(self, head, send):
--- a/tests/support/returning.py
+++ b/tests/support/returning.py
@@ -76,7 +76,7 @@
         end = now + patience
         return Call(
             *(call_head, found, SERVICE, "club", priority, is_caller_retry, "POST"),
-            *(found.prefix, held, 0, now, end),
+            *(found.prefix, "request:1", held, 0, now, end),
         )
 
     def start(self, *args, **changes):
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -185,6 +185,15 @@
     }
 
 
+@pytest.mark.parametrize(
+    ("text", "own_part"),
+    [("", ""), ("e4402b7d:250", "e4402b7d"), ("5c1e07a2:800, e440 :2", "e440")],
+)
+def test_the_last_part_of_a_prompt_is_the_requests_own(text, own_part):
+    received = CIMultiDict({"Attempt-Id": "r-1", "Prefix-Hash": text})
+    assert headers.read_call(received).own_part == own_part
+
+
 @pytest.mark.parametrize(
     ("text", "parts"),
     [
