--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -1,6 +1,7 @@
 """Run short soaks, and check that their checker finds violations."""
 
 import asyncio
+import functools
 import random
 from itertools import pairwise
 from types import SimpleNamespace
@@ -13,6 +14,7 @@
     FAULTS,
     GROUPS,
     PARTS,
+    REPEATS,
     STOPS,
     RequestKind,
     Streams,
@@ -28,6 +30,8 @@
 from soak.planned import draw_work
 from soak.processes import tells_of_exception
 from soak.ranks import RankGroup
+from soak.repeats import RepeatScenario
+from soak.repeats_judge import RepeatsChecker
 from soak.run import play
 from soak.site import Span
 from soak.store import StoreMode
@@ -51,6 +55,10 @@
 }
 # Two parts that are not the first ones; one that is, with answers without a length.
 PARTS_SEEDS = (1, 2)
+# One stream, one that breaks off late, one request without a prompt, six streams.
+REPEATS_SEEDS = (0, 1, 2, 5)
+# Endpoints end one after the other, and several at once, whatever is sent to them.
+HARMLESS_SEEDS = (6, 7)
 GATEWAYS = [f"gateway-{number}" for number in range(4)]
 # Shortest time from the signal to the next start of a gateway.
 STOP_SECONDS = 3.1
@@ -429,6 +437,42 @@
     assert result.endings["answered"] > 100
 
 
+@pytest.mark.parametrize("seed", REPEATS_SEEDS)
+async def test_a_repeated_request_does_not_end_one_endpoint_after_the_other(
+    seed, tmp_path
+):
+    """Guard against repeats that gateways can't tell from new requests."""
+    run = play(seed, REPEATS.seconds, tmp_path, REPEATS)
+    result = await asyncio.wait_for(run, 80)
+    assert result.findings == [], "\n".join(result.faults)
+
+
+@pytest.mark.parametrize("seed", HARMLESS_SEEDS)
+async def test_a_release_and_a_rack_make_gateways_refuse_no_request(seed, tmp_path):
+    """Guard against blaming requests that were only at the endpoints that ended."""
+    run = play(seed, REPEATS.seconds, tmp_path, REPEATS)
+    result = await asyncio.wait_for(run, 80)
+    assert result.findings == [], "\n".join(result.faults)
+
+
+def test_the_checker_finds_requests_that_are_sent_after_the_third_end():
+    ends = [PartEnd(f"i-{number}", "p", 10.0 + number) for number in range(3)]
+    site = {"part_ends": ends, "crashing_span": Span("requests", 9.0, 30.0)}
+    site["scenario"] = RepeatScenario.STREAM
+    late = [PartArrival("r", "p", 12.1)]
+    violations = functools.partial(find_violations, build_checker=RepeatsChecker)
+    answered = build_parts_records(20, began=20.0)
+    (finding,) = violations(answered, part_arrivals=late, **site)
+    assert "p, under which 3 endpoints had ended, was sent to endpoints 1 " in finding
+    allowed = [PartArrival("r", "p", 12.0)]
+    assert not violations(answered, part_arrivals=allowed, **site)
+    for record in answered[:2]:
+        record.ending, record.refusal = Ending.NOT_RUN, "Endpoints ended at it."
+    lost, blamed = violations(answered, part_arrivals=allowed, **site)
+    assert "0.900 of the sound requests were answered" in lost
+    assert "2 sound requests were refused" in blamed
+
+
 def test_the_checker_finds_requests_with_a_part_at_which_endpoints_end():
     ends = [PartEnd(f"i-{number}", "p", 10.0 + number) for number in range(5)]
     crashing = build_parts_records(4, began=18.0, crashing_part="p")
