--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -44,7 +44,7 @@
 from fescuedrum_gateway.process.metrics import GatewayMetrics
 from fescuedrum_gateway.process.peers import ENDPOINTS, OPERATORS, Peers
 from fescuedrum_gateway.process.places import Places
-from fescuedrum_gateway.process.quarantine import PromptQuarantine
+from fescuedrum_gateway.process.quarantine import GatewayQuarantine
 from fescuedrum_gateway.process.quarantine_rows import QuarantineRows
 from fescuedrum_gateway.process.returns import Returns
 from fescuedrum_gateway.request.handler import RequestHandler
@@ -115,7 +115,7 @@
             self.random,
         )
         self.directory.announce_change = self.on_load_change
-        self.quarantine = PromptQuarantine(self.directory, self.peers)
+        self.quarantine = GatewayQuarantine(self.directory, self.peers)
         self.group_exchange = GroupExchange(self.directory.groups)
         self.patience_trackers = collections.defaultdict(PatienceTracker)
         self.retries = collections.defaultdict(self.build_retry_budget)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
@@ -159,13 +159,28 @@
                 "suspect_parts",
                 "Parts of prompts that were in requests at endpoints which ended, with "
                 "no answer since.",
-                lambda: len(gateway.quarantine.quarantine.suspects),
+                lambda: gateway.quarantine.quarantine.count_suspects(
+                    are_requests=False
+                ),
+            ),
+            (
+                "suspect_requests",
+                "Requests that were at endpoints which ended, with no whole answer "
+                "since.",
+                lambda: gateway.quarantine.quarantine.count_suspects(are_requests=True),
             ),
             (
                 "quarantined_parts",
                 "Parts of prompts at which endpoints end, so that prompts with them "
                 "are refused.",
-                lambda: len(gateway.quarantine.quarantine.blocking),
+                lambda: gateway.quarantine.quarantine.count_blocking(
+                    are_requests=False
+                ),
+            ),
+            (
+                "quarantined_requests",
+                "Requests at which endpoints end, so that repeats of them are refused.",
+                lambda: gateway.quarantine.quarantine.count_blocking(are_requests=True),
             ),
             (
                 "gateways_sharing",
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peer_gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peer_gateway.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from fescuedrum.decisions.admitting.quarantine import EndpointEnd, SuspectReport
+from fescuedrum.decisions.admitting.suspects import EndpointEnd, SuspectReport
 from fescuedrum.decisions.placing.group_breakers import GroupReport
 from fescuedrum.decisions.placing.groups import GroupSlice
 from fescuedrum.decisions.placing.placement import Load
@@ -35,8 +35,8 @@
     # By service: new requests per second by rank, and running ones by organisation.
     demand: dict[str, dict[int, float]] = field(default_factory=dict)
     organisations: dict[str, dict[str, int]] = field(default_factory=dict)
-    # Endpoints that ended, parts of prompts that may be the cause, and (part, time of
-    # an answer) of those that are not.
+    # Endpoints that ended, traits of requests that may be the cause, and (trait, time
+    # of an answer) of those that are not.
     ended: list[EndpointEnd] = field(default_factory=list)
     suspects: list[SuspectReport] = field(default_factory=list)
     sound_parts: list[tuple[str, float]] = field(default_factory=list)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
@@ -1,25 +1,21 @@
-"""Refuse prompts at which endpoints end, by what all gateways have seen."""
+"""Refuse requests at which endpoints end, by what all gateways have seen."""
 
 import asyncio
 import logging
 import zlib
 from collections.abc import Callable, Iterable
 
-from fescuedrum.decisions.admitting.quarantine import (
+from fescuedrum.decisions.admitting.fingerprints import is_fingerprint
+from fescuedrum.decisions.admitting.quarantine import Quarantine
+from fescuedrum.decisions.admitting.suspects import (
+    BrokenRequest,
     EndpointEnd,
-    Quarantine,
     SuspectReport,
 )
 from fescuedrum.decisions.placing.presence import ListedEndpoint
-from fescuedrum.events.event import log_event
-from fescuedrum.events.quarantine import (
-    EndpointEnded,
-    PartQuarantined,
-    PartReleased,
-    PartTried,
-    RequestTakenBack,
-)
-from fescuedrum.exceptions import PromptQuarantined
+from fescuedrum.events import quarantine as events
+from fescuedrum.events.event import Event, log_event
+from fescuedrum.exceptions import PromptQuarantined, RequestQuarantined
 from fescuedrum_gateway.connection.endpoint_checks import EndpointChecks, is_closed
 from fescuedrum_gateway.process.directory import EndpointDirectory
 from fescuedrum_gateway.process.peer_gateway import PeerGateway
@@ -31,41 +27,64 @@
 ENDED_SECONDS = 3.0
 # A gateway that has just started may not know who else would send a trial.
 TRIAL_UPTIME_SECONDS = 10.0
-# Told to a caller whose prompt is not tried again.
+# Told to a caller whose request is not tried again.
 NEVER_SECONDS = 3600.0
-LOGGED_PARTS = 24
+LOGGED_TRAITS = 24
 # Time after which one more gateway may send a trial that is due.
 TURN_SECONDS = 1.0
 
 
-def turn_key(part: str, host: str) -> tuple[int, str]:
-    """Return the sort key of a gateway in the order of trials of a part."""
-    return zlib.crc32(f"{part} {host}".encode()), host
+def turn_key(trait: str, host: str) -> tuple[int, str]:
+    """Return the sort key of a gateway in the order of trials of a trait."""
+    return zlib.crc32(f"{trait} {host}".encode()), host
+
+
+def join_names(names: Iterable[str]) -> str | None:
+    """Return some names for a line of the log; None if there are none."""
+    return " ".join(list(dict.fromkeys(names))[:LOGGED_TRAITS]) or None
 
 
 class OpenRequest:
-    """Hold a request that an endpoint has and whose answer shows nothing yet."""
+    """Hold a request that an endpoint has and whose answer is not whole yet."""
 
-    __slots__ = ("endpoint", "is_trial", "parts", "request_id", "take_back")
+    __slots__ = (
+        "endpoint",
+        "fingerprint",
+        "is_begun",
+        "is_trial",
+        "parts",
+        "request_id",
+        "take_back",
+    )
 
     def __init__(
         self,
         request_id: str,
         parts: tuple[str, ...],
+        fingerprint: str,
         endpoint: ListedEndpoint,
         take_back: Callable[[str], None],
-        *,
-        is_trial: bool,
     ) -> None:
         self.request_id = request_id
         self.parts = parts
+        self.fingerprint = fingerprint
         self.endpoint = endpoint
-        # Called with the quarantined part to take the request from the endpoint.
+        # Called with the quarantined trait to take the request from the endpoint.
         self.take_back = take_back
-        self.is_trial = is_trial
+        # Whether the endpoint has got over the beginning of an answer.
+        self.is_begun = False
+        self.is_trial = False
+
+    @property
+    def traits(self) -> tuple[str, ...]:
+        return (*self.parts, self.fingerprint)
 
+    def broken(self) -> BrokenRequest:
+        """Return what requests may have in common with this one."""
+        return BrokenRequest(self.parts, self.fingerprint, self.is_begun)
 
-class PromptQuarantine:
+
+class GatewayQuarantine:
     """Apply the quarantine to the requests of one gateway, and tell the others."""
 
     __slots__ = (
@@ -95,29 +114,46 @@
         self.checks = EndpointChecks(self.record_end, check)
         # When endpoints ended, by name, as this or another gateway found out.
         self.ended: dict[str, float] = {}
+        # Those whose answers have not begun.
         self.open_requests: set[OpenRequest] = set()
-        # Called with the parts whose rows in the platform's store have to be written.
-        self.on_own_change = lambda parts: None
+        # Called with the traits whose rows in the platform's store have to be written.
+        self.on_own_change = lambda traits: None
         # Called with the service of an endpoint that this gateway finds ended.
         self.count_end = lambda service: None
 
     # Requests
 
-    def raise_if_quarantined(self, parts: tuple[str, ...]) -> None:
-        """Raise PromptQuarantined for a prompt that may not be sent."""
-        blocked = self.quarantine.check(parts)
-        if blocked is None or self.is_trial_due(blocked.part, blocked.trial_at):
+    async def until_checked(self, fingerprint: str) -> None:
+        """Wait for the checks of endpoints if they decide whether a request is refused.
+
+        A retry leaves right after its request broke off. Without the wait it would end
+        one more endpoint than callers allow.
+        """
+        checks = self.checks.checking(fingerprint)
+        if self.quarantine.is_decided_by(fingerprint, len(checks)):
+            await asyncio.wait(checks)
+
+    def raise_if_quarantined(self, traits: tuple[str, ...]) -> None:
+        """Raise Quarantined for a request that may not be sent."""
+        blocked = self.quarantine.check(traits)
+        if blocked is None:
             return
-        now, seconds = self.loop.time(), NEVER_SECONDS
-        if blocked.trial_at is not None:
-            seconds = max(blocked.trial_at - now, 1.0)
+        trait, trial_at = blocked.trait, blocked.trial_at
+        if blocked.may_be_trial and self.is_trial_due(trait, trial_at):
+            return
+        seconds = NEVER_SECONDS
+        if trial_at is not None:
+            seconds = max(trial_at - self.loop.time(), 1.0)
+        if is_fingerprint(trait):
+            raise RequestQuarantined(
+                f"Endpoints ended at {trait}.", retry_after=seconds
+            )
         raise PromptQuarantined(
-            f"Endpoints ended at prompts with part {blocked.part}.",
-            retry_after=seconds,
+            f"Endpoints ended at prompts with part {trait}.", retry_after=seconds
         )
 
-    def is_trial_due(self, part: str, trial_at: float | None) -> bool:
-        """Return whether this gateway may send a prompt with a quarantined part."""
+    def is_trial_due(self, trait: str, trial_at: float | None) -> bool:
+        """Return whether this gateway may send a request with a quarantined trait."""
         now = self.loop.time()
         if trial_at is None or now < trial_at:
             return False
@@ -125,45 +161,67 @@
             return False
         # Gateways take turns, so that not all send a trial at the same moment.
         heard = [each.host for each in self.peers.heard_within(LOAD_EXPIRY_SECONDS)]
-        own_turn = turn_key(part, self.peers.settings.host)
-        turn = sum(turn_key(part, host) < own_turn for host in heard)
+        own_turn = turn_key(trait, self.peers.settings.host)
+        turn = sum(turn_key(trait, host) < own_turn for host in heard)
         return now >= trial_at + turn * TURN_SECONDS
 
     def sent(
         self,
         request_id: str,
         parts: tuple[str, ...],
+        fingerprint: str,
         endpoint: ListedEndpoint,
         take_back: Callable[[str], None],
     ) -> OpenRequest:
         """Record that a request is sent to an endpoint; return it."""
-        is_trial = self.quarantine.check(parts) is not None
-        if is_trial:
-            tried = self.quarantine.begin_trial(parts, self.loop.time())
-            self.on_own_change(set(tried))
-            for part in tried:
-                trial = self.quarantine.suspects[part].trials
-                log_event(logger, PartTried(part, request_id, trial))
-            self.peers.announce_urgently()
-        request = OpenRequest(request_id, parts, endpoint, take_back, is_trial=is_trial)
+        request = OpenRequest(request_id, parts, fingerprint, endpoint, take_back)
+        request.is_trial = self.quarantine.check(request.traits) is not None
+        if request.is_trial:
+            self.begin_trial(request)
         self.open_requests.add(request)
         return request
 
-    def answered(self, parts: tuple[str, ...]) -> None:
-        """Record that an endpoint has got over the beginning of an answer."""
-        if not parts:
-            return
+    def begin_trial(self, request: OpenRequest) -> None:
+        """Record that a request with quarantined traits is sent all the same."""
+        tried = self.quarantine.begin_trial(request.traits, self.loop.time())
+        self.on_own_change(set(tried))
+        for trait in tried:
+            number = self.quarantine.suspects[trait].trials
+            build = events.RequestTried if is_fingerprint(trait) else events.PartTried
+            log_event(logger, build(trait, request.request_id, number))
+        self.peers.announce_urgently()
+
+    def begun(self, request: OpenRequest) -> None:
+        """Record that an endpoint has got over the beginning of an answer.
+
+        It shows the parts of the prompt to be sound, and not yet the request: engines
+        may end late in an answer.
+        """
+        request.is_begun = True
+        self.open_requests.discard(request)
+        self.record_answer(request.parts)
+
+    def answered(self, request: OpenRequest) -> None:
+        """Record that an answer is whole."""
+        self.closed(request)
+        self.record_answer(request.traits)
+
+    def record_answer(self, traits: tuple[str, ...]) -> None:
+        """Record that traits of a request are shown to be sound."""
         before = set(self.quarantine.blocking)
-        if self.quarantine.record_answer(parts, self.loop.time()):
+        if self.quarantine.record_answer(traits, self.loop.time()):
             self.on_own_change(before - self.quarantine.blocking.keys())
             self.log_changes(before)
             self.peers.announce_urgently()
 
     def broke(self, request: OpenRequest) -> None:
-        """Record that a request broke off before its answer showed anything."""
+        """Record that a request broke off before its answer was whole."""
         self.closed(request)
-        if request.parts:
-            self.checks.request_broke(request.endpoint, request.parts)
+        is_suspect = request.fingerprint in self.quarantine.suspects
+        if request.is_begun and not is_suspect:
+            self.checks.answer_broke(request.endpoint, request.broken())
+        else:
+            self.checks.request_broke(request.endpoint, request.broken())
 
     def closed(self, request: OpenRequest) -> None:
         """Record that a request is at its endpoint no more, or that it is answered."""
@@ -171,9 +229,7 @@
 
     # Ends of endpoints
 
-    def record_end(
-        self, endpoint: ListedEndpoint, prompts: list[tuple[str, ...]]
-    ) -> None:
+    def record_end(self, endpoint: ListedEndpoint, broken: list[BrokenRequest]) -> None:
         """Record that an endpoint has ended, with requests that broke off there."""
         now = self.loop.time()
         is_new = endpoint.name not in self.recently_ended()
@@ -181,21 +237,32 @@
             self.ended[endpoint.name] = now
             self.directory.avoid(endpoint)
             self.count_end(endpoint.service)
-        if not (is_new or prompts):
+        if not (is_new or broken):
             return
-        names = list(dict.fromkeys(part for parts in prompts for part in parts))
-        parts = " ".join(names[:LOGGED_PARTS]) or None
-        log_event(logger, EndpointEnded(endpoint.name, len(prompts), parts))
-        if prompts:
+        self.log_end(endpoint, broken)
+        if broken:
             before = set(self.quarantine.blocking)
             end = EndpointEnd(endpoint.name, self.ended[endpoint.name])
-            self.quarantine.record_end(end, prompts, now)
-            self.on_own_change(set(names) & self.quarantine.blocking.keys())
+            self.quarantine.record_end(end, broken, now)
+            suspects = {trait for each in broken for trait in each.suspects}
+            self.on_own_change(suspects & self.quarantine.blocking.keys())
             self.apply_changes(before)
             self.peers.announce_urgently()
         else:
             self.peers.announce_change(endpoint.zone)
 
+    def log_end(self, endpoint: ListedEndpoint, broken: list[BrokenRequest]) -> None:
+        """Log that an endpoint has ended, and what it may be due to."""
+        unanswered = [each for each in broken if not each.is_begun]
+        event = events.EndpointEnded(
+            endpoint.name,
+            len(unanswered),
+            join_names(part for each in unanswered for part in each.parts),
+            len(broken) - len(unanswered),
+            join_names(each.fingerprint for each in broken),
+        )
+        log_event(logger, event)
+
     def recently_ended(self) -> dict[str, float]:
         """Return when endpoints ended lately, by name; forget earlier ends."""
         since = self.loop.time() - ENDED_SECONDS
@@ -210,11 +277,11 @@
             self.merge_reports(peer.suspects, peer.sound_parts)
 
     def merge_reports(
-        self, suspects: list[SuspectReport], sound_parts: list[tuple[str, float]]
+        self, suspects: list[SuspectReport], sound: list[tuple[str, float]]
     ) -> None:
-        """Apply what is reported of suspects and of parts that answers have cleared."""
+        """Apply reports of suspects and of traits that answers have cleared."""
         before = set(self.quarantine.blocking)
-        if self.quarantine.merge(suspects, sound_parts, self.loop.time()):
+        if self.quarantine.merge(suspects, sound, self.loop.time()):
             self.apply_changes(before)
 
     def merge_ended(self, ended: Iterable[EndpointEnd]) -> None:
@@ -226,6 +293,8 @@
                 continue
             known[end.endpoint] = end.at
             self.directory.avoid(listed.endpoint)
+            if late := self.checks.take_late(end.endpoint):
+                self.record_end(listed.endpoint, late)
 
     # Changes of the quarantine
 
@@ -233,27 +302,35 @@
         """Log changes of the quarantine, and take back the requests that it affects."""
         self.log_changes(before)
         for request in list(self.open_requests):
-            blocked = self.quarantine.check(request.parts)
-            # An answer is to show whether a part that was sound is the cause now.
+            blocked = self.quarantine.check(request.traits)
+            # An answer is to show whether a trait that was sound is the cause now.
             if blocked and not (blocked.was_answered or request.is_trial):
                 self.closed(request)
-                event = RequestTakenBack(
-                    blocked.part, request.request_id, request.endpoint.name
+                event = events.RequestTakenBack(
+                    blocked.trait, request.request_id, request.endpoint.name
                 )
                 log_event(logger, event)
-                request.take_back(blocked.part)
+                request.take_back(blocked.trait)
 
     def log_changes(self, before: set[str]) -> None:
-        """Log the parts that are newly quarantined or released."""
+        """Log the traits that are newly quarantined or released."""
         blocking = self.quarantine.blocking
-        for part in blocking.keys() - before:
-            ends = self.quarantine.suspects[part].ends
-            endpoints = " ".join(end.endpoint for end in ends)
-            only_with = " ".join(sorted(blocking[part])[:LOGGED_PARTS]) or None
-            log_event(logger, PartQuarantined(part, endpoints, only_with))
-        for part in before - blocking.keys():
-            was_answered = part in self.quarantine.answered
-            log_event(logger, PartReleased(part, was_answered))
+        for trait in blocking.keys() - before:
+            log_event(logger, self.build_quarantined(trait))
+        for trait in before - blocking.keys():
+            was_answered = trait in self.quarantine.answered(trait)
+            is_request = is_fingerprint(trait)
+            build = events.RequestReleased if is_request else events.PartReleased
+            log_event(logger, build(trait, was_answered))
+
+    def build_quarantined(self, trait: str) -> Event:
+        """Return the event for a trait that is newly quarantined."""
+        ends = self.quarantine.suspects[trait].ends
+        endpoints = " ".join(end.endpoint for end in ends)
+        if is_fingerprint(trait):
+            return events.RequestQuarantined(trait, endpoints)
+        only_with = join_names(sorted(self.quarantine.blocking[trait]))
+        return events.PartQuarantined(trait, endpoints, only_with)
 
     def close(self) -> None:
         """Cancel what is under way."""
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine_rows.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine_rows.py
@@ -4,7 +4,7 @@
 import datetime
 import logging
 
-from fescuedrum.decisions.admitting.quarantine import SuspectReport
+from fescuedrum.decisions.admitting.suspects import SuspectReport
 from fescuedrum.events.event import log_event
 from fescuedrum.events.quarantine import (
     QuarantineNotRead,
@@ -19,7 +19,7 @@
     encode_suspect,
     is_age,
 )
-from fescuedrum_gateway.process.quarantine import PromptQuarantine
+from fescuedrum_gateway.process.quarantine import GatewayQuarantine
 
 logger = logging.getLogger(__name__)
 
@@ -59,7 +59,7 @@
 
     __slots__ = ("changed", "quarantine", "unsaved")
 
-    def __init__(self, quarantine: PromptQuarantine) -> None:
+    def __init__(self, quarantine: GatewayQuarantine) -> None:
         self.quarantine = quarantine
         self.unsaved: set[str] = set()
         self.changed = asyncio.Event()
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/admission.py
@@ -148,13 +148,12 @@
     held.keep_body(await read_body_within(gateway, seconds_left, http_request, limit))
     if asyncio.get_running_loop().time() >= deadline:
         raise DeadlinePassed("The caller's deadline passed before it was read.")
-    gateway.quarantine.raise_if_quarantined(head.prompt_parts)
     is_caller_retry = not gateway.patience_trackers[route.name].is_fresh(
         head.seconds_left
     )
     name = organisation.name if organisation else ""
     method, target = http_request.method, http_request.raw_path
-    return Call(
+    call = Call(
         head=head,
         route=route,
         service=service,
@@ -169,3 +168,5 @@
         arrived=arrived,
         deadline=deadline,
     )
+    gateway.quarantine.raise_if_quarantined(call.traits)
+    return call
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -14,7 +14,7 @@
     GroupDown,
     Overloaded,
     ProcessStopping,
-    PromptQuarantined,
+    Quarantined,
     TooSlow,
     Unavailable,
 )
@@ -23,7 +23,7 @@
 from fescuedrum_gateway.process.filling import Filling
 from fescuedrum_gateway.request.admission import build_stopping_error
 from fescuedrum_gateway.request.call import Answered, Lost, NotRun
-from fescuedrum_gateway.request.prompt import PromptAttempts
+from fescuedrum_gateway.request.evidence import CallEvidence
 from fescuedrum_gateway.request.waiting import ServiceWait
 
 logger = logging.getLogger(__name__)
@@ -44,12 +44,12 @@
         "call",
         "charged_at_count",
         "endpoint",
+        "evidence",
         "gateway",
         "loop",
         "may_have_arrived",
         "place",
         "possible_run",
-        "prompt",
         "reservation",
         "sent_at",
         "sent_count",
@@ -79,8 +79,8 @@
         self.wait = ServiceWait(self)
         # Reservation at the endpoint of the last attempt.
         self.reservation = None
-        # What the attempts show about the parts of the prompt.
-        self.prompt = PromptAttempts(call, gateway.quarantine)
+        # What the attempts show about what ends endpoints.
+        self.evidence = CallEvidence(call, gateway.quarantine)
 
     async def send_with_retries(self, send_once, is_retryable):
         """Send the call until a result is final; return the most significant result.
@@ -97,7 +97,7 @@
             except ProcessStopping:
                 # The caller is told when to retry, and is served elsewhere at once.
                 raise
-            except (Overloaded, DeadlinePassed, PromptQuarantined) as error:
+            except (Overloaded, DeadlinePassed, Quarantined) as error:
                 if self.wait.follows(error):
                     continue
                 if last is None:
@@ -178,7 +178,7 @@
             version=self.gateway.configuration.version,
             group=self.gateway.directory.group_of(chosen.endpoint) or None,
             is_probe=chosen.is_probe or None,
-            parts=self.prompt.description,
+            parts=self.evidence.parts,
             fingerprint=self.call.fingerprint,
         )
         log_event(logger, event)
@@ -203,12 +203,13 @@
         Raise an error if there is no endpoint for it or too little time is left.
         """
         call = self.call
-        self.prompt.raise_if_quarantined()
+        await self.evidence.until_checked()
+        self.evidence.raise_if_quarantined()
         self.raise_if_too_slow(last_event_id or call.head.last_event_id)
         filling = await self.take_place()
         endpoint = self.choose_endpoint(filling)
-        # While it waited for a place, its prompt may have been quarantined or tried.
-        self.prompt.raise_if_quarantined()
+        # While it waited for a place, it may have been quarantined or tried.
+        self.evidence.raise_if_quarantined()
         seconds_left = call.deadline - self.loop.time() - ANSWER_TRANSIT_SECONDS
         if seconds_left < MINIMUM_SECONDS_LEFT:
             raise DeadlinePassed("Too little time is left to send it.")
@@ -220,7 +221,7 @@
             last_event_id=last_event_id or call.head.last_event_id,
         )
         self.release_reservation()
-        self.prompt.closed()
+        self.evidence.closed()
         self.tried.add(endpoint.name)
         self.endpoint, self.sent_at = endpoint, self.loop.time()
         self.sent_count += 1
@@ -228,7 +229,7 @@
         self.reservation = self.gateway.directory.reserve(
             endpoint, call.head.prompt_tokens, call.tokens
         )
-        self.prompt.sent(endpoint)
+        self.evidence.sent(endpoint)
         opened = await send_call(
             self.gateway.session, self.gateway.adapter, call, endpoint, send
         )
@@ -276,7 +277,7 @@
 
     def end(self):
         """Release what the call holds, and record its wait."""
-        self.prompt.closed()
+        self.evidence.closed()
         self.release()
         self.wait.end()
 
@@ -307,7 +308,7 @@
         match opened:
             case NotRun(reason, answer):
                 self.may_have_arrived |= answer is not None
-                self.prompt.closed()
+                self.evidence.closed()
                 if answer is None or answer.head.status == MISDIRECTED_STATUS:
                     history.failed(self.loop.time())
                 else:
@@ -319,7 +320,7 @@
                 rest = None if answer is None else answer.head.rest_seconds
                 self.log_failure(endpoint, "not run", reason, rest)
             case Lost(reason):
-                self.prompt.broke()
+                self.evidence.broke()
                 self.may_have_arrived = True
                 self.attempt_count += 1
                 self.wait.record_taken()
@@ -350,7 +351,7 @@
             result=result,
             reason=reason,
             rest_seconds=rest_seconds,
-            parts=self.prompt.description,
+            parts=self.evidence.parts,
             fingerprint=self.call.fingerprint,
         )
         log_event(logger, event)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/call.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/call.py
@@ -31,6 +31,11 @@
     # End of the caller's time or of the route's timeout, whichever is earlier.
     deadline: float
 
+    @property
+    def traits(self) -> tuple[str, ...]:
+        """Return what it may have in common with requests at which endpoints end."""
+        return (*self.head.prompt_parts, self.fingerprint)
+
     @property
     def body(self) -> bytes:
         """Return the body; it is empty once no further attempt can need it."""
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/plain.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/plain.py
@@ -24,14 +24,14 @@
     async def run(self):
         """Return an endpoint's answer; raise a FescuedrumError if there is none."""
         try:
-            async with self.attempts.prompt.timeout:
+            async with self.attempts.evidence.timeout:
                 return answer_or_raise(
                     await self.attempts.send_with_retries(
                         self.send_once, self.is_retryable
                     )
                 )
         except TimeoutError:
-            self.attempts.prompt.raise_if_taken_back()
+            self.attempts.evidence.raise_if_taken_back()
             self.attempts.record_deadline_passed()
             raise AnswerOverdue("No answer came before the deadline.") from None
         finally:
@@ -44,9 +44,9 @@
             return opened
         result = await opened.read()
         if isinstance(result, Lost):
-            self.attempts.prompt.broke()
+            self.attempts.evidence.broke()
         elif opened.head.succeeded and not opened.ends_with_connection:
-            self.attempts.prompt.answered()
+            self.attempts.evidence.answered()
         return result
 
     def is_retryable(self, result):
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
@@ -72,7 +72,7 @@
     async def run(self):
         """Return Answered; StreamEnded or StreamBroken once events were sent."""
         try:
-            async with self.attempts.prompt.timeout:
+            async with self.attempts.evidence.timeout:
                 return self.resolve(
                     await self.attempts.send_with_retries(
                         self.send_once, self.is_retryable
@@ -80,8 +80,8 @@
                 )
         except TimeoutError:
             if self.response is None:
-                self.attempts.prompt.raise_if_taken_back()
-            elif reason := self.attempts.prompt.describe_taking_back():
+                self.attempts.evidence.raise_if_taken_back()
+            elif reason := self.attempts.evidence.describe_taking_back():
                 return StreamBroken(reason)
             self.attempts.record_deadline_passed()
             if self.response is None:
@@ -139,7 +139,7 @@
                 for event in splitter.feed(chunk):
                     self.event_count += 1
                     if self.event_count == PROOF_EVENTS:
-                        self.attempts.prompt.answered()
+                        self.attempts.evidence.begun()
                     await self.forward_event(event, opened.head)
                 unread.taken += len(chunk)
         except (TimeoutError, aiohttp.ClientError, EventTooLongError, OSError) as error:
@@ -154,7 +154,7 @@
             return self.handle_break("stream without a length ended before an event")
         is_sure = not opened.ends_with_connection or self.event_count >= PROOF_EVENTS
         if self.event_count and is_sure:
-            self.attempts.prompt.answered()
+            self.attempts.evidence.answered()
         if self.response is None:
             return Answered(opened.head, b"")
         return StreamEnded()
@@ -175,11 +175,11 @@
             last_event=self.last_event_id,
             endpoint=self.attempts.endpoint.name,
             events=self.event_count,
-            parts=self.attempts.prompt.description,
+            parts=self.attempts.evidence.parts,
             fingerprint=self.call.fingerprint,
         )
         log_event(logger, broken)
-        self.attempts.prompt.broke()
+        self.attempts.evidence.broke()
         return Lost(reason) if self.response is None else StreamBroken(reason)
 
     def has_caller_left(self):
--- a/packages/fescuedrum/src/fescuedrum/events/event.py
+++ b/packages/fescuedrum/src/fescuedrum/events/event.py
@@ -5,6 +5,9 @@
 from typing import Annotated, ClassVar
 
 RequestId = Annotated[str, "the request's id, as its caller sent it"]
+Fingerprint = Annotated[
+    str, "identity of the request's content, which repeats by its caller have as well"
+]
 EndpointName = Annotated[str, "name of the endpoint"]
 ServiceName = Annotated[str, "name of the service"]
 GroupName = Annotated[str, "name of the group of ranks"]
--- a/packages/fescuedrum/src/fescuedrum/events/quarantine.py
+++ b/packages/fescuedrum/src/fescuedrum/events/quarantine.py
@@ -1,11 +1,20 @@
-"""Events about endpoints that end and the parts of prompts at which they do."""
+"""Events about endpoints that end and the requests at which they do."""
 
 import logging
 from typing import Annotated
 
-from fescuedrum.events.event import EndpointName, Error, Event, RequestId, event
+from fescuedrum.events.event import (
+    EndpointName,
+    Error,
+    Event,
+    Fingerprint,
+    RequestId,
+    event,
+)
 
 PartId = Annotated[str, "id of the part of a prompt"]
+EndpointNames = Annotated[str, "the endpoints that ended, separated by spaces"]
+TrialNumber = Annotated[int, "number of the trial, 1 for the first"]
 
 
 @event
@@ -21,6 +30,10 @@
     parts: Annotated[
         str | None, "ids of the parts of their prompts, separated by spaces; at most 24"
     ]
+    begun: Annotated[int, "requests that broke off there in their answers"]
+    fingerprints: Annotated[
+        str | None, "of both kinds of requests, separated by spaces; at most 24"
+    ]
 
 
 @event
@@ -31,7 +44,7 @@
     level = logging.WARNING
 
     part: PartId
-    endpoints: Annotated[str, "the endpoints that ended, separated by spaces"]
+    endpoints: EndpointNames
     only_with: Annotated[
         str | None,
         "ids of the parts that explain the ends as well, separated by spaces; only "
@@ -57,32 +70,64 @@
 
     part: PartId
     request: RequestId
-    trial: Annotated[int, "number of the trial, 1 for the first"]
+    trial: TrialNumber
+
+
+@event
+class RequestQuarantined(Event):
+    """Logged when repeats of a request are refused, as endpoints ended at it."""
+
+    message = "request quarantined"
+    level = logging.WARNING
+
+    fingerprint: Fingerprint
+    endpoints: EndpointNames
+
+
+@event
+class RequestReleased(Event):
+    """Logged when repeats of a quarantined request are sent again."""
+
+    message = "request released"
+
+    fingerprint: Fingerprint
+    was_answered: Annotated[bool, "whether a whole answer has shown it to be sound"]
+
+
+@event
+class RequestTried(Event):
+    """Logged when a repeat of a quarantined request is sent to see if it is sound."""
+
+    message = "request tried"
+
+    fingerprint: Fingerprint
+    request: RequestId
+    trial: TrialNumber
 
 
 @event
 class RequestTakenBack(Event):
-    """Logged when a request is taken from its endpoint, as a part is quarantined."""
+    """Logged when a request is taken from its endpoint, as it is quarantined."""
 
     message = "request taken back"
 
-    part: PartId
+    part: Annotated[str, "id of the part of its prompt, or its fingerprint"]
     request: RequestId
     endpoint: EndpointName
 
 
 @event
 class QuarantineRead(Event):
-    """Logged when a process that starts reads quarantined parts from the store."""
+    """Logged when a process that starts reads what is quarantined from the store."""
 
     message = "quarantine read"
 
-    parts: Annotated[int, "number of parts"]
+    parts: Annotated[int, "number of parts and requests"]
 
 
 @event
 class QuarantineNotRead(Event):
-    """Logged when quarantined parts can't be read from the store, or a row decoded.
+    """Logged when rows of the quarantine can't be read from the store, or decoded.
 
     If the store does not answer, they are read again. Other gateways tell them as well.
     """
@@ -94,9 +139,9 @@
 
 @event
 class QuarantineNotSaved(Event):
-    """Logged when a quarantined part can't be written to the store; it is retried."""
+    """Logged when a row of the quarantine can't be written; it is written again."""
 
     message = "quarantine not saved"
 
-    part: PartId
+    part: Annotated[str, "id of the part, or fingerprint of the request"]
     error: Error
--- a/packages/fescuedrum/src/fescuedrum/events/requests.py
+++ b/packages/fescuedrum/src/fescuedrum/events/requests.py
@@ -7,6 +7,7 @@
     EndpointName,
     Error,
     Event,
+    Fingerprint,
     GroupName,
     RequestId,
     event,
@@ -18,10 +19,6 @@
     "by spaces; at most eight",
 ]
 
-Fingerprint = Annotated[
-    str, "identity of the request's content, which repeats by its caller have as well"
-]
-
 # Results of a request that was sent.
 ANSWERED = "answered"
 CUT = "cut"
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -149,15 +149,27 @@
     closes_connection = True
 
 
-class PromptQuarantined(FescuedrumError):  # noqa: N818 - the field's term
-    """Refuse a prompt at which endpoints have ended; it was not run."""
+class Quarantined(FescuedrumError):  # noqa: N818 - the field's term
+    """Refuse what endpoints have ended at; it was not run."""
 
-    code = "prompt-quarantined"
     status = 503
     outcome = Outcome.NOT_RUN
+
+
+class PromptQuarantined(Quarantined):
+    """Refuse a prompt with a part at which endpoints have ended; it was not run."""
+
+    code = "prompt-quarantined"
     remedy = "Send the request without that part of its prompt."
 
 
+class RequestQuarantined(Quarantined):
+    """Refuse a repeat of a request at which endpoints have ended; it was not run."""
+
+    code = "request-quarantined"
+    remedy = "Do not send the request again before its cause is found."
+
+
 class GroupDown(Unavailable):
     """Refuse work while a group of engines can't run anything; it was not run."""
 
--- a/packages/fescuedrum/src/fescuedrum/wire/gen/gateways/ttypes.py
+++ b/packages/fescuedrum/src/fescuedrum/wire/gen/gateways/ttypes.py
@@ -617,18 +617,21 @@
     Attributes:
      - endpoint
      - age
+     - is_begun
 
     """
 
     __slots__ = (
         'endpoint',
         'age',
+        'is_begun',
     )
 
 
-    def __init__(self, endpoint=None, age=None,):
+    def __init__(self, endpoint=None, age=None, is_begun=None,):
         self.endpoint = endpoint
         self.age = age
+        self.is_begun = is_begun
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -649,6 +652,11 @@
                     self.age = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_begun = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -667,6 +675,10 @@
             oprot.writeFieldBegin('age', TType.DOUBLE, 2)
             oprot.writeDouble(self.age)
             oprot.writeFieldEnd()
+        if self.is_begun is not None:
+            oprot.writeFieldBegin('is_begun', TType.BOOL, 3)
+            oprot.writeBool(self.is_begun)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1423,6 +1435,7 @@
     None,  # 0
     (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
     (2, TType.DOUBLE, 'age', None, None, ),  # 2
+    (3, TType.BOOL, 'is_begun', None, None, ),  # 3
 )
 all_structs.append(SuspectPart)
 SuspectPart.thrift_spec = (
--- a/packages/fescuedrum/src/fescuedrum/wire/idl/gateways.thrift
+++ b/packages/fescuedrum/src/fescuedrum/wire/idl/gateways.thrift
@@ -56,10 +56,13 @@
   1: optional string endpoint,
   // Time since then, in seconds.
   2: optional double age,
+  // For an end of a request: whether its answer had begun.
+  3: optional bool is_begun,
 }
 
-// A part of prompts at whose answers endpoints have ended.
+// A part of prompts, or a request, at whose answers endpoints have ended.
 struct SuspectPart {
+  // Id of the part, or fingerprint of the request.
   1: optional string part,
   2: optional list<EndpointEnd> ends,
   // Whether an answer had shown it to be sound before the first of these ends.
@@ -70,14 +73,16 @@
   5: optional double trial_age,
 }
 
-// A part that was suspect until an answer showed it to be sound.
+// A part or request that was suspect until an answer showed it to be sound.
 struct SoundPart {
+  // Id of the part, or fingerprint of the request.
   1: optional string part,
   // Time since the answer, in seconds.
   2: optional double age,
 }
 
-// Row of the platform's store with a quarantined part; without ends it is released.
+// Row of the platform's store with a quarantined part or request; without ends it is
+// released.
 struct QuarantinedPart {
   1: optional SuspectPart suspect,
   // When the row was written, in seconds since the epoch.
--- a/tests/integration/test_repeated_requests.py
+++ b/tests/integration/test_repeated_requests.py
@@ -1,8 +1,10 @@
 """Check that one request does not end one endpoint after the other."""
 
 import asyncio
+import contextlib
 import itertools
 
+import aiohttp
 import pytest
 from support import engines
 from support.engines import StandInEndpoint
@@ -64,11 +66,16 @@
 
 
 async def repeat(gateways, session, body=b"{}", **headers):
-    """Send a request again and again to gateways in turn; return the statuses."""
+    """Send a request again and again to gateways in turn; return the statuses.
+
+    The status of a stream that breaks off is None.
+    """
     statuses = []
     for number, gateway in enumerate(itertools.islice(gateways, REPEATS)):
         changes = {"Request_Id": f"r-{number}"} | headers
-        status, _, _ = await call(gateway, session, body=body, **changes)
+        status = None
+        with contextlib.suppress(aiohttp.ClientPayloadError):
+            status, _, _ = await call(gateway, session, body=body, **changes)
         statuses.append(status)
         await asyncio.sleep(REPEAT_SECONDS)
     return statuses
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -4,13 +4,17 @@
 from support import crashing_fleet
 
 from fescuedrum.decisions.admitting.quarantine import (
-    ENDS_ALLOWED,
     MAXIMUM_ANSWERED,
+    MAXIMUM_ENDS,
     MAXIMUM_SUSPECTS,
     SUSPECT_SECONDS,
-    EndpointEnd,
     Quarantine,
 )
+from fescuedrum.decisions.admitting.suspects import (
+    ENDS_ALLOWED,
+    BrokenRequest,
+    EndpointEnd,
+)
 from fescuedrum.wire.datagrams import decode, encode
 from fescuedrum.wire.gen.gateways.ttypes import Beacon
 from fescuedrum_gateway.process import quarantine_rows
@@ -22,10 +26,19 @@
 )
 
 
-def end(quarantine, at, *prompts):
-    """Record the end of an endpoint that was to answer some prompts."""
-    ended = EndpointEnd(f"e-{at}", at)
-    quarantine.record_end(ended, [tuple(parts) for parts in prompts], at)
+def end(quarantine, at, *prompts, endpoint="", requests=(), begun=()):
+    """Record the end of an endpoint that was to answer some prompts.
+
+    Each prompt is of a request of its own; requests and begun name further ones.
+    """
+    ended = EndpointEnd(endpoint or f"e-{at}", at)
+    broken = [
+        BrokenRequest(tuple(parts), f"request:{at}-{number}")
+        for number, parts in enumerate(prompts)
+    ]
+    broken += [BrokenRequest((), f"request:{each}") for each in requests]
+    broken += [BrokenRequest((), f"request:{each}", is_begun=True) for each in begun]
+    quarantine.record_end(ended, broken, at)
 
 
 def is_refused(quarantine, *parts):
@@ -82,7 +95,7 @@
 def test_ends_that_several_gateways_saw_are_counted_once_and_summed():
     first, second = Quarantine(), Quarantine()
     end(first, 1.0, "x")
-    second.record_end(EndpointEnd("e-1.0", 1.2), ["x"], 1.2)
+    end(second, 1.2, "x", endpoint="e-1.0")
     exchange(second, first, 1.3)
     assert not is_refused(first, "x")
     end(second, 2.0, "x")
@@ -182,13 +195,114 @@
     end(quarantine, 1.0, ["x"])
     end(quarantine, 2.0, ["x"])
     for number in range(3000):
-        quarantine.record_answer([f"a{number}"], 3.0)
+        quarantine.record_answer([f"a{number}", f"request:a{number}"], 3.0)
         end(quarantine, 3.0 + number, [f"s{number}"])
-    assert len(quarantine.answered) <= MAXIMUM_ANSWERED
+    assert len(quarantine.answered_parts) <= MAXIMUM_ANSWERED
+    assert len(quarantine.answered_requests) <= MAXIMUM_ANSWERED
+    assert len(quarantine.ends) <= MAXIMUM_ENDS
     assert len(quarantine.suspects) <= MAXIMUM_SUSPECTS
     assert is_refused(quarantine, "x")
 
 
+def test_a_request_at_three_ends_is_refused_and_its_parts_are_not():
+    """Guard against one caller's repeats that shut out all who share its parts."""
+    quarantine = Quarantine()
+    quarantine.record_answer("abc", 0.5)
+    for at in (1.0, 2.0, 3.0):
+        assert not is_refused(quarantine, *"abc", "request:x")
+        ended = EndpointEnd(f"e-{at}", at)
+        quarantine.record_end(ended, [BrokenRequest(tuple("abc"), "request:x")], at)
+    assert is_refused(quarantine, *"abc", "request:x")
+    assert not is_refused(quarantine, *"abc", "request:y")
+    assert quarantine.check(("request:x",)).trial_at > 600.0
+
+
+def test_the_beginning_of_an_answer_shows_parts_to_be_sound_and_not_the_request():
+    """Guard against a request at whose third event each endpoint ends."""
+    quarantine = Quarantine()
+    for at in (1.0, 2.0, 3.0):
+        quarantine.record_answer("ab", at - 0.1)
+        end(quarantine, at, begun=["x"])
+    assert is_refused(quarantine, *"ab", "request:x")
+    assert not is_refused(quarantine, *"ab")
+    assert quarantine.record_answer(["request:x"], 4.0)
+    assert not is_refused(quarantine, *"ab", "request:x")
+
+
+def test_a_long_stream_that_is_resumed_during_a_release_is_not_refused():
+    """Guard against blaming a request that was only at endpoints that ended."""
+    quarantine = Quarantine()
+    for number in range(24):
+        begun = ["long"] if number % 4 == 0 else []
+        end(quarantine, 1.0 + 0.5 * number, begun=[*begun, f"s{number}"])
+    assert not is_refused(quarantine, "request:long")
+    assert not quarantine.blocking
+
+
+def test_requests_that_several_callers_repeat_are_all_refused():
+    """Guard against repeated requests that hide each other's ends."""
+    quarantine = Quarantine()
+    for number in range(18):
+        end(quarantine, 1.0 + 0.1 * number, requests=[f"r{number % 6}"])
+    for number in range(6):
+        assert is_refused(quarantine, f"request:r{number}")
+
+
+def test_a_request_that_was_answered_before_is_tried_soon():
+    """Guard against refusing a lookup that all callers send for long by mistake."""
+    quarantine = Quarantine()
+    quarantine.record_answer(["request:x"], 0.5)
+    for at in (1.0, 2.0, 3.0):
+        end(quarantine, at, requests=["x"])
+    assert quarantine.check(("request:x",)).trial_at == 8.0
+
+
+def test_how_far_a_request_had_come_is_told_to_other_gateways():
+    here, there = Quarantine(), Quarantine()
+    for at in (1.0, 2.0):
+        end(here, at, begun=["x"])
+    exchange(here, there, 2.1)
+    assert all(each.is_begun for each in there.suspects["request:x"].ends)
+
+
+def test_successive_beacons_tell_of_all_suspects():
+    """Guard against a request that other gateways never hear of."""
+    here, there = Quarantine(), Quarantine()
+    end(here, 1.0, *(f"p{number}" for number in range(40)))
+    for number in range(8):
+        exchange(here, there, 1.1 + number / 10)
+    assert there.suspects.keys() == here.suspects.keys()
+
+
+def test_beacons_of_the_same_moment_tell_of_the_same_suspects():
+    quarantine = Quarantine()
+    end(quarantine, 1.0, *(f"p{number}" for number in range(40)))
+    first, second = (encode_suspects(quarantine, 1.1) for _ in range(2))
+    assert [each.part for each in first] == [each.part for each in second]
+
+
+@pytest.mark.parametrize(
+    ("gateways", "engines", "callers"),
+    [(1, 8, 1), (7, 12, 1), (7, 12, 6), (98, 129, 1)],
+)
+def test_a_repeated_request_ends_no_more_engines_than_callers_allow(
+    gateways, engines, callers
+):
+    """Guard against a bound that each gateway keeps by itself."""
+    fleet = crashing_fleet.play(
+        gateways=gateways,
+        engines=engines,
+        rate=40.0,
+        crashing_rate=0.0,
+        repeating_callers=callers,
+        seconds=8.0,
+    )
+    assert len(fleet.repeat_crashes) == callers
+    assert max(fleet.repeat_crashes.values()) <= 3
+    if callers == 1:
+        assert fleet.results["begun"] >= 0.95 * sum(fleet.results.values())
+
+
 @pytest.mark.parametrize(("gateways", "engines"), [(1, 8), (7, 12), (98, 129)])
 def test_few_engines_end_at_a_part_whatever_the_number_of_gateways(gateways, engines):
     """Guard against a bound that each gateway keeps by itself."""
