--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoint_checks.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoint_checks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import enum
 from collections.abc import Awaitable, Callable
 
 from fescuedrum.decisions.admitting.suspects import BrokenRequest
@@ -11,29 +12,53 @@
 # before its listening socket.
 CHECK_SECONDS = (0.0, 0.1)
 CONNECT_SECONDS = 0.3
+# A proxy before an endpoint that has ended drops a connection within this time.
+DROP_SECONDS = 0.05
 # Of one gateway; an end that is not checked is found by the next request.
 MAXIMUM_CHECKS = 64
-# A request that broke off in its answer counts if its endpoint is found to have ended
-# within this time; ranks break off theirs 1.5 s after another rank has ended.
+# A request that broke off counts if its endpoint is found to have ended within this
+# time; ranks break off theirs 1.5 s after another rank has ended.
 LATE_SECONDS = 1.0
 MAXIMUM_LATE = 256
 
 
-async def is_closed(endpoint: ListedEndpoint) -> bool:
-    """Return whether nothing listens at an endpoint's address.
+class ConnectResult(enum.Enum):
+    """List what may become of a connection to an endpoint's address."""
 
-    A machine that can't be reached does not answer, which says nothing about what its
-    requests did to it.
-    """
+    # Nothing listens there: the endpoint has ended.
+    REFUSED = enum.auto()
+    # Accepted and closed at once, by a full endpoint or by a proxy before one that has
+    # ended.
+    DROPPED = enum.auto()
+    # The endpoint runs; also a rank that broke off because another one ended.
+    OPEN = enum.auto()
+    # A machine that can't be reached does not answer, which says nothing about what its
+    # requests did to it.
+    SILENT = enum.auto()
+
+
+async def connect(endpoint: ListedEndpoint) -> ConnectResult:
+    """Return what becomes of a connection to an endpoint's address."""
     try:
         async with asyncio.timeout(CONNECT_SECONDS):
-            _, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+            reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
     except ConnectionRefusedError:
-        return True
+        return ConnectResult.REFUSED
+    except ConnectionResetError:
+        return ConnectResult.DROPPED
     except (TimeoutError, OSError):
-        return False
-    writer.close()
-    return False
+        return ConnectResult.SILENT
+    try:
+        async with asyncio.timeout(DROP_SECONDS):
+            await reader.read(1)
+        # An endpoint says nothing before it has a request.
+        return ConnectResult.DROPPED
+    except TimeoutError:
+        return ConnectResult.OPEN
+    except OSError:
+        return ConnectResult.DROPPED
+    finally:
+        writer.close()
 
 
 class EndpointChecks:
@@ -43,20 +68,34 @@
     breaks answers off, and ranks break off all of theirs when another one ends.
     """
 
-    __slots__ = ("broken", "check", "late", "late_check", "loop", "on_end", "tasks")
+    __slots__ = (
+        "broken",
+        "check",
+        "is_running",
+        "late",
+        "late_check",
+        "loop",
+        "on_end",
+        "tasks",
+    )
 
     def __init__(
         self,
         on_end: Callable[[ListedEndpoint, list[BrokenRequest]], None],
-        check: Callable[[ListedEndpoint], Awaitable[bool]] = is_closed,
+        is_running: Callable[[ListedEndpoint, float], bool],
+        check: Callable[[ListedEndpoint], Awaitable[ConnectResult]] = connect,
     ) -> None:
         # Called with an endpoint that has ended and the requests that broke off there.
         self.on_end = on_end
+        # Whether an endpoint that drops connections may have too many of them; called
+        # with the time at which a request broke off there.
+        self.is_running = is_running
         self.check = check
         self.loop = asyncio.get_running_loop()
         # These requests by endpoint, while it is checked.
         self.broken: dict[str, list[BrokenRequest]] = {}
-        # When requests broke off in their answers, and at which endpoint.
+        # When requests broke off and at which endpoint: in their answers, or with no
+        # sign yet that it has ended. Another gateway may find one.
         self.late: collections.deque[tuple[float, str, BrokenRequest]] = (
             collections.deque(maxlen=MAXIMUM_LATE)
         )
@@ -108,17 +147,26 @@
         return [self.tasks[name] for name in names | late if name in self.tasks]
 
     async def check_endpoint(self, endpoint: ListedEndpoint) -> None:
-        """Check an endpoint a few times, until it is found to have ended."""
+        """Check an endpoint a few times, until it is found to have ended.
+
+        One that drops each connection has ended behind a proxy, unless it is full.
+        """
+        results, broke_at = [], self.loop.time()
         try:
             for seconds in CHECK_SECONDS:
                 await asyncio.sleep(seconds)
                 if endpoint.name not in self.broken:
                     return
-                if await self.check(endpoint):
+                results.append(await self.check(endpoint))
+                if results[-1] is ConnectResult.REFUSED:
                     self.found_closed(endpoint)
                     return
+            dropped = all(each is ConnectResult.DROPPED for each in results)
+            if dropped and not self.is_running(endpoint, broke_at):
+                self.found_closed(endpoint)
         finally:
-            self.broken.pop(endpoint.name, None)
+            left = self.broken.pop(endpoint.name, ())
+            self.late.extend((broke_at, endpoint.name, each) for each in left)
 
     def found_closed(self, endpoint: ListedEndpoint) -> None:
         """Record that nothing listens at an endpoint's address."""
@@ -126,7 +174,7 @@
         self.on_end(endpoint, [*broken, *self.take_late(endpoint.name)])
 
     def take_late(self, name: str) -> list[BrokenRequest]:
-        """Remove and return the requests that broke off lately in their answers."""
+        """Remove and return the requests that broke off lately at an endpoint."""
         since = self.loop.time() - LATE_SECONDS
         own = [each for each in self.late if each[1] == name]
         for each in own:
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
@@ -16,7 +16,7 @@
 from fescuedrum.events import quarantine as events
 from fescuedrum.events.event import Event, log_event
 from fescuedrum.exceptions import PromptQuarantined, RequestQuarantined
-from fescuedrum_gateway.connection.endpoint_checks import EndpointChecks, is_closed
+from fescuedrum_gateway.connection.endpoint_checks import EndpointChecks, connect
 from fescuedrum_gateway.process.directory import EndpointDirectory
 from fescuedrum_gateway.process.peer_gateway import PeerGateway
 from fescuedrum_gateway.process.peers import LOAD_EXPIRY_SECONDS, Peers
@@ -54,6 +54,7 @@
         "is_trial",
         "parts",
         "request_id",
+        "sent_at",
         "take_back",
     )
 
@@ -71,6 +72,7 @@
         self.endpoint = endpoint
         # Called with the quarantined trait to take the request from the endpoint.
         self.take_back = take_back
+        self.sent_at = float("-inf")
         # Whether the endpoint has got over the beginning of an answer.
         self.is_begun = False
         self.is_trial = False
@@ -104,17 +106,16 @@
         self,
         directory: EndpointDirectory,
         peers: Peers,
-        check=is_closed,
+        check=connect,
     ) -> None:
         self.directory = directory
         self.peers = peers
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
         self.quarantine = Quarantine()
-        self.checks = EndpointChecks(self.record_end, check)
+        self.checks = EndpointChecks(self.record_end, self.is_running, check)
         # When endpoints ended, by name, as this or another gateway found out.
         self.ended: dict[str, float] = {}
-        # Those whose answers have not begun.
         self.open_requests: set[OpenRequest] = set()
         # Called with the traits whose rows in the platform's store have to be written.
         self.on_own_change = lambda traits: None
@@ -175,6 +176,7 @@
     ) -> OpenRequest:
         """Record that a request is sent to an endpoint; return it."""
         request = OpenRequest(request_id, parts, fingerprint, endpoint, take_back)
+        request.sent_at = self.loop.time()
         request.is_trial = self.quarantine.check(request.traits) is not None
         if request.is_trial:
             self.begin_trial(request)
@@ -198,7 +200,6 @@
         may end late in an answer.
         """
         request.is_begun = True
-        self.open_requests.discard(request)
         self.record_answer(request.parts)
 
     def answered(self, request: OpenRequest) -> None:
@@ -217,6 +218,9 @@
     def broke(self, request: OpenRequest) -> None:
         """Record that a request broke off before its answer was whole."""
         self.closed(request)
+        if request.sent_at >= self.ended.get(request.endpoint.name, float("inf")):
+            # It was sent to a proxy before an endpoint that had ended already.
+            return
         is_suspect = request.fingerprint in self.quarantine.suspects
         if request.is_begun and not is_suspect:
             self.checks.answer_broke(request.endpoint, request.broken())
@@ -229,6 +233,17 @@
 
     # Ends of endpoints
 
+    def is_running(self, endpoint: ListedEndpoint, broke_at: float) -> bool:
+        """Return whether an endpoint that drops new connections may be running.
+
+        It may if it is full, or if a request that was there when another one broke off
+        has not broken off as well.
+        """
+        return self.directory.is_full(endpoint) or any(
+            each.endpoint.name == endpoint.name and each.sent_at < broke_at
+            for each in self.open_requests
+        )
+
     def record_end(self, endpoint: ListedEndpoint, broken: list[BrokenRequest]) -> None:
         """Record that an endpoint has ended, with requests that broke off there."""
         now = self.loop.time()
@@ -302,6 +317,8 @@
         """Log changes of the quarantine, and take back the requests that it affects."""
         self.log_changes(before)
         for request in list(self.open_requests):
+            if request.is_begun:
+                continue
             blocked = self.quarantine.check(request.traits)
             # An answer is to show whether a trait that was sound is the cause now.
             if blocked and not (blocked.was_answered or request.is_trial):
--- a/tests/integration/test_quarantine.py
+++ b/tests/integration/test_quarantine.py
@@ -82,6 +82,59 @@
         assert count_ended(endpoints) == 2
 
 
+class DroppingEndpoint(StandInEndpoint):
+    """Reset each new connection once it drops them, as a proxy or a full one does."""
+
+    drops = False
+
+    async def serve(self, reader, writer):
+        if self.drops:
+            writer.transport.abort()
+            return
+        await super().serve(reader, writer)
+
+
+def build_dropping(count):
+    """Return endpoints that break a request with the part x off, and then drop all."""
+
+    def build(number):
+        async def answer(seen):
+            if "x" not in seen["Parts"].split():
+                await engines.streaming(1, 30, pause=0.05)(seen)
+                return
+            await asyncio.sleep(PROMPT_SECONDS)
+            endpoint.drops = True
+            engines.reset(seen)
+
+        endpoint = DroppingEndpoint(f"e-{number}", answer)
+        return endpoint
+
+    return [build(number) for number in range(count)]
+
+
+async def test_an_endpoint_that_ends_behind_a_proxy_is_found():
+    """Guard against a proxy that accepts connections for endpoints that have ended."""
+    endpoints = build_dropping(4)
+    async with site(*endpoints, document=DOCUMENT) as (running, session):
+        await call(running, session, Parts="a x b")
+        await running.until(lambda gateway: gateway.quarantine.quarantine.blocking)
+        assert (await call(running, session, Parts="a x b"))[0] == 503
+        assert sum(each.drops for each in endpoints) == 2
+
+
+async def test_a_full_endpoint_that_drops_connections_has_not_ended():
+    """Guard against blaming a request whose connection a busy engine has reset."""
+    endpoints = build_dropping(1)
+    async with site(*endpoints, document=DOCUMENT) as (running, session):
+        stream = asyncio.create_task(call(running, session, Parts="a b"))
+        await running.until(lambda _: endpoints[0].seen)
+        await call(running, session, Parts="a x b")
+        await running.until(lambda gateway: not gateway.quarantine.checks.tasks)
+        assert endpoints[0].drops
+        assert not running.gateway.quarantine.quarantine.suspects
+        assert (await stream)[0] == 200
+
+
 async def test_a_closed_connection_at_an_endpoint_that_goes_on_is_no_end():
     """Guard against refusing prompts because an engine spoils its answers."""
 
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -7,13 +7,16 @@
 
 from aiohttp import web
 
+from fescuedrum_bench.faultproxy import Mode
 from soak import wire
 from soak.callers import Ending
 from soak.conditions import RequestKind
 from soak.parts import (
+    BACK_SECONDS,
     ORGANISATIONS,
     PROMPT_SECONDS,
     SOUND_PER_SECOND,
+    UNLISTED_SECONDS,
     CrashingEndpoint,
     CrashMoment,
     PartArrival,
@@ -53,6 +56,7 @@
     # Nothing that is sent ends an endpoint.
     RELEASE = "a release that ends endpoints without a notice"
     RACK = "racks that go down and return"
+    PROXIED = "a stream, before proxies that reset connections while endpoints are down"
 
 
 SCENARIOS = tuple(RepeatScenario)
@@ -132,6 +136,19 @@
     def build_endpoint(self, *arguments):
         return RepeatEndpoint(*arguments, site=self)
 
+    async def return_endpoint(self, endpoint):
+        if self.scenario is not RepeatScenario.PROXIED:
+            await super().return_endpoint(endpoint)
+            return
+        endpoint.proxy.mode = Mode.REFUSE
+        endpoint.proxy.cut()
+        with self.record_disturbance(endpoint.name):
+            await asyncio.sleep(UNLISTED_SECONDS)
+            self.store.put(wire.ENDPOINTS, endpoint.name, None)
+            await asyncio.sleep(BACK_SECONDS - UNLISTED_SECONDS)
+            await self.add_endpoint(endpoint.service, endpoint.zone)
+            await endpoint.stop()
+
     async def end_harmlessly(self):
         """End endpoints for a reason that no request has."""
         if self.scenario is RepeatScenario.RELEASE:
--- a/tests/support/crashing_fleet.py
+++ b/tests/support/crashing_fleet.py
@@ -7,6 +7,7 @@
 
 from fescuedrum.decisions.placing.placement import Chosen
 from fescuedrum.exceptions import Quarantined
+from fescuedrum_gateway.connection.endpoint_checks import ConnectResult
 from fescuedrum_gateway.process.beacons.quarantine import (
     encode_ended,
     encode_sound,
@@ -70,7 +71,7 @@
     def build_gateway(self, number):
         directory = super().build_gateway(number)
         peers = directory.peers
-        quarantine = GatewayQuarantine(directory, peers, self.is_closed)
+        quarantine = GatewayQuarantine(directory, peers, self.connect)
         self.quarantines[peers.settings.host] = quarantine
         build_others, merge_others = peers.build_beacon, peers.on_beacon
 
@@ -88,9 +89,10 @@
         peers.build_beacon, peers.on_beacon = build_beacon, on_beacon
         return directory
 
-    async def is_closed(self, endpoint):
+    async def connect(self, endpoint):
         await asyncio.sleep(2 * NETWORK_DELAY_SECONDS)
-        return endpoint.name in self.ended
+        is_ended = endpoint.name in self.ended
+        return ConnectResult.REFUSED if is_ended else ConnectResult.OPEN
 
     async def send_callers(self):
         async with asyncio.TaskGroup() as group:
