--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoint_checks.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoint_checks.py
@@ -81,11 +81,12 @@
 
     def __init__(
         self,
-        on_end: Callable[[ListedEndpoint, list[BrokenRequest]], None],
+        on_end: Callable[..., None],
         is_running: Callable[[ListedEndpoint, float], bool],
         check: Callable[[ListedEndpoint], Awaitable[ConnectResult]] = connect,
     ) -> None:
-        # Called with an endpoint that has ended and the requests that broke off there.
+        # Called with an endpoint that has ended, the requests that broke off there, and
+        # whether it is behind a proxy that accepts connections.
         self.on_end = on_end
         # Whether an endpoint that drops connections may have too many of them; called
         # with the time at which a request broke off there.
@@ -138,6 +139,8 @@
 
     def checking(self, fingerprint: str) -> list[asyncio.Task]:
         """Return the checks of endpoints at which a request broke off."""
+        if not self.tasks:
+            return []
         names = {
             name
             for name, requests in self.broken.items()
@@ -163,15 +166,18 @@
                     return
             dropped = all(each is ConnectResult.DROPPED for each in results)
             if dropped and not self.is_running(endpoint, broke_at):
-                self.found_closed(endpoint)
+                self.found_closed(endpoint, is_behind_proxy=True)
         finally:
             left = self.broken.pop(endpoint.name, ())
             self.late.extend((broke_at, endpoint.name, each) for each in left)
 
-    def found_closed(self, endpoint: ListedEndpoint) -> None:
-        """Record that nothing listens at an endpoint's address."""
+    def found_closed(
+        self, endpoint: ListedEndpoint, *, is_behind_proxy: bool = False
+    ) -> None:
+        """Record that nothing serves at an endpoint's address."""
         broken = self.broken.pop(endpoint.name, [])
-        self.on_end(endpoint, [*broken, *self.take_late(endpoint.name)])
+        broken += self.take_late(endpoint.name)
+        self.on_end(endpoint, broken, is_behind_proxy=is_behind_proxy)
 
     def take_late(self, name: str) -> list[BrokenRequest]:
         """Remove and return the requests that broke off lately at an endpoint."""
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
@@ -83,7 +83,7 @@
 
     def broken(self) -> BrokenRequest:
         """Return what requests may have in common with this one."""
-        return BrokenRequest(self.parts, self.fingerprint, self.is_begun)
+        return BrokenRequest(self.parts, self.fingerprint, self.is_begun, self.sent_at)
 
 
 class GatewayQuarantine:
@@ -218,9 +218,6 @@
     def broke(self, request: OpenRequest) -> None:
         """Record that a request broke off before its answer was whole."""
         self.closed(request)
-        if request.sent_at >= self.ended.get(request.endpoint.name, float("inf")):
-            # It was sent to a proxy before an endpoint that had ended already.
-            return
         is_suspect = request.fingerprint in self.quarantine.suspects
         if request.is_begun and not is_suspect:
             self.checks.answer_broke(request.endpoint, request.broken())
@@ -244,10 +241,20 @@
             for each in self.open_requests
         )
 
-    def record_end(self, endpoint: ListedEndpoint, broken: list[BrokenRequest]) -> None:
+    def record_end(
+        self,
+        endpoint: ListedEndpoint,
+        broken: list[BrokenRequest],
+        *,
+        is_behind_proxy: bool = False,
+    ) -> None:
         """Record that an endpoint has ended, with requests that broke off there."""
         now = self.loop.time()
-        is_new = endpoint.name not in self.recently_ended()
+        ended_at = self.recently_ended().get(endpoint.name)
+        is_new = ended_at is None
+        if is_behind_proxy and not is_new:
+            # A proxy accepts requests for an endpoint that has ended already.
+            broken = [each for each in broken if each.sent_at < ended_at]
         if is_new:
             self.ended[endpoint.name] = now
             self.directory.avoid(endpoint)
@@ -309,7 +316,7 @@
             known[end.endpoint] = end.at
             self.directory.avoid(listed.endpoint)
             if late := self.checks.take_late(end.endpoint):
-                self.record_end(listed.endpoint, late)
+                self.record_end(listed.endpoint, late, is_behind_proxy=True)
 
     # Changes of the quarantine
 
--- a/packages/fescuedrum/src/fescuedrum/decisions/admitting/quarantine.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/admitting/quarantine.py
@@ -45,7 +45,6 @@
     EndpointEnd,
     Suspect,
     SuspectReport,
-    add_end,
     build_suspect,
     rank,
 )
@@ -106,8 +105,8 @@
         self.cleared: dict[str, float] = {}
         # Quarantined traits, each with those that must be in the request as well.
         self.blocking: dict[str, frozenset[str]] = {}
-        # The newest ends, also those whose suspects are forgotten.
-        self.ends: list[EndpointEnd] = []
+        # The newest ends by endpoint, also those whose suspects are forgotten.
+        self.ends: dict[str, EndpointEnd] = {}
         self.forgot_at = NEVER
 
     # Evidence
@@ -207,8 +206,15 @@
 
     def add_end(self, end: EndpointEnd) -> None:
         """Add an end, whatever may have caused it."""
-        add_end(self.ends, end)
-        self.ends = sorted(self.ends, key=lambda each: each.at)[-MAXIMUM_ENDS:]
+        known = self.ends.get(end.endpoint)
+        if known is not None and known.is_same(end):
+            end = known.merge(end)
+        elif known is not None and known.at > end.at:
+            return
+        self.ends[end.endpoint] = end
+        if len(self.ends) > MAXIMUM_ENDS:
+            oldest = min(self.ends.values(), key=lambda each: each.at)
+            del self.ends[oldest.endpoint]
 
     def forget_old(self, now: float) -> bool:
         """Drop suspects whose last end was long ago; return whether there were any."""
@@ -235,10 +241,11 @@
         if len(self.suspects) > MAXIMUM_SUSPECTS:
             kept = sorted(self.suspects.items(), key=rank)[:MAXIMUM_SUSPECTS]
             self.suspects = dict(kept)
+        ends = sorted(self.ends.values(), key=lambda end: end.at)
         causes = {
             trait: suspect
             for trait, suspect in self.suspects.items()
-            if suspect.is_cause(self.ends)
+            if suspect.is_cause(ends)
         }
         requests = [each for each in causes.values() if each.is_request]
         self.blocking = {
--- a/packages/fescuedrum/src/fescuedrum/decisions/admitting/suspects.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/admitting/suspects.py
@@ -89,6 +89,8 @@
     fingerprint: str
     # Whether its answer had begun, which shows that its parts are sound.
     is_begun: bool = False
+    # When it was sent to the endpoint, in loop time.
+    sent_at: float = NEVER
 
     @property
     def suspects(self) -> tuple[str, ...]:
@@ -164,7 +166,9 @@
 
     def explains(self, ends: list[EndpointEnd]) -> bool:
         """Return whether the trait was at all of some ends."""
-        return all(any(each.is_same(end) for end in self.ends) for each in ends)
+        return len(self.ends) >= len(ends) and all(
+            any(each.is_same(end) for end in self.ends) for each in ends
+        )
 
     def next_trial(self) -> float | None:
         """Return when the next trial is due; None if there may be no further one."""
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -55,8 +55,9 @@
 }
 # Two parts that are not the first ones; one that is, with answers without a length.
 PARTS_SEEDS = (1, 2)
-# One stream, one that breaks off late, one request without a prompt, six streams.
-REPEATS_SEEDS = (0, 1, 2, 5)
+# One stream, one that breaks off late, one request without a prompt, six streams, one
+# stream behind proxies.
+REPEATS_SEEDS = (0, 1, 2, 5, 8)
 # Endpoints end one after the other, and several at once, whatever is sent to them.
 HARMLESS_SEEDS = (6, 7)
 GATEWAYS = [f"gateway-{number}" for number in range(4)]
