--- a/packages/fescuedrum/src/fescuedrum/decisions/admitting/quarantine.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/admitting/quarantine.py
@@ -114,19 +114,22 @@
     def record_answer(self, traits: Iterable[str], now: float) -> list[str]:
         """Record that traits are shown to be sound.
 
-        Return the suspects that it clears and others should be told of: a request at
-        one end, as each stream that is resumed after a crash is, is far from refused.
+        Return the suspects that it clears and others should be told of at once: a
+        request at one end, as each stream that is resumed after a crash is, can wait
+        for a regular beacon.
         """
-        told, is_any_cleared = [], False
+        urgent, is_any_cleared = [], False
         for trait in traits:
             ends = self.record_sound(trait, now)
-            is_any_cleared |= ends > 0
-            if ends > is_fingerprint(trait):
-                told.append(trait)
-                self.cleared[trait] = now + REPORT_SECONDS
+            if not ends:
+                continue
+            is_any_cleared = True
+            self.cleared[trait] = now + REPORT_SECONDS
+            if ends > 1 or not is_fingerprint(trait):
+                urgent.append(trait)
         if is_any_cleared:
             self.update()
-        return told
+        return urgent
 
     def answered(self, trait: str) -> collections.OrderedDict[str, float]:
         """Return the newest answered traits of the same kind."""
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -294,6 +294,16 @@
     assert quarantine.check(("request:x",)).trial_at == 8.0
 
 
+def test_a_whole_answer_at_another_gateway_clears_a_request_at_one_end():
+    """Guard against ends that are far apart, with answers in between elsewhere."""
+    here, there = Quarantine(), Quarantine()
+    end(here, 1.0, requests=["x"])
+    exchange(here, there, 1.1)
+    assert there.record_answer(["request:x"], 2.0) == []
+    exchange(there, here, 2.1)
+    assert "request:x" not in here.suspects
+
+
 def test_how_far_a_request_had_come_is_told_to_other_gateways():
     here, there = Quarantine(), Quarantine()
     for at in (1.0, 2.0):
