--- a/tests/soak/parts.py
+++ b/tests/soak/parts.py
@@ -59,7 +59,7 @@
     AFTER_FIRST_EVENT = "after the first event"
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, frozen=True)
 class CrashPlan:
     """Describe the prompts at which endpoints end, and how."""
 
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -3,7 +3,7 @@
 import asyncio
 import enum
 import random
-from dataclasses import dataclass
+from dataclasses import replace
 
 from aiohttp import web
 
@@ -64,17 +64,10 @@
 
 
 def choose_scenario(seed):
-    """Return the scenario of a seed; successive seeds play all of them."""
+    """Return the scenario of a seed; nine successive seeds play all of them."""
     return SCENARIOS[seed % len(SCENARIOS)]
 
 
-@dataclass(slots=True)
-class RepeatedRecord(PartsRecord):
-    """Hold one sending of a request; the own part is the last one of its prompt."""
-
-    own_part: str = ""
-
-
 class RepeatEndpoint(CrashingEndpoint):
     """End at the requests of the scenario; other requests are answered."""
 
@@ -122,16 +115,21 @@
     def __init__(self, random_, plan):
         super().__init__(random_, plan)
         self.scenario = choose_scenario(plan.seed)
+        # Ends of gateways and of endpoints at which no request is the cause.
+        self.has_other_faults = plan.seed // len(SCENARIOS) % 2 == 1
         rng = random.Random(f"{plan.seed}/repeats")
-        several = self.scenario is RepeatScenario.SEVERAL
-        count = SEVERAL_CALLERS if several else 1
-        if self.scenario in HARMLESS:
-            count = 0
-        self.crashes.parts = tuple(f"crash{number}" for number in range(count))
-        self.crashes.moment = rng.choice(
-            (CrashMoment.BEFORE_HEAD, CrashMoment.AFTER_HEAD)
+        self.crashes = replace(
+            self.crashes,
+            parts=tuple(f"crash{number}" for number in range(self.count_callers())),
+            moment=rng.choice((CrashMoment.BEFORE_HEAD, CrashMoment.AFTER_HEAD)),
+            is_unframed=False,
         )
-        self.crashes.is_unframed = False
+
+    def count_callers(self):
+        """Return how many callers repeat a request."""
+        if self.scenario in HARMLESS:
+            return 0
+        return SEVERAL_CALLERS if self.scenario is RepeatScenario.SEVERAL else 1
 
     def build_endpoint(self, *arguments):
         return RepeatEndpoint(*arguments, site=self)
@@ -190,7 +188,7 @@
         organisation = self.random.choice(ORGANISATIONS)
         while self.comes:
             gateway = self.random.choice(self.site.gateways)
-            record = RepeatedRecord(
+            record = PartsRecord(
                 f"{part}.{number}",
                 gateway=gateway.name,
                 began=self.loop.time(),
@@ -200,7 +198,6 @@
                 organisation=organisation,
                 deadline=self.loop.time() + self.conditions.patience_seconds,
                 crashing_part=part,
-                own_part=part,
             )
             self.records.append(record)
             await self.send(self.session, gateway.url, record)
@@ -225,7 +222,7 @@
         if record.kind is not RequestKind.STREAM:
             del headers[wire.PROMPT_PARTS]
         elif record.crashing_part:
-            names = (*record.parts, record.own_part)
+            names = (*record.parts, record.crashing_part)
             headers[wire.PROMPT_PARTS] = ",".join(f"{each}:50" for each in names)
         return headers
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -256,9 +256,16 @@
         self.faults.append(f"{self.loop.time():.3f} {self.site.scenario}")
         await asyncio.sleep(CALM_SECONDS)
         until = self.loop.time() + self.plan.seconds - CALM_SECONDS
+        running = []
+        if self.site.has_other_faults:
+            apart = self.inject_apart(
+                until, "disruptions", draw_process_end, FAULT_PAUSE_SECONDS
+            )
+            running.append(asyncio.create_task(apart))
         with self.site.record_crashing_span():
             await self.site.end_harmlessly()
             await asyncio.sleep(until - self.loop.time())
+        await asyncio.gather(*running)
 
     def start_fault(self, fault, inject=inject):
         """Record a fault; return the task that injects it."""
