--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
@@ -72,6 +72,7 @@
         self.endpoint = endpoint
         # Called with the quarantined trait to take the request from the endpoint.
         self.take_back = take_back
+        # Loop time at which it was sent.
         self.sent_at = float("-inf")
         # Whether the endpoint has got over the beginning of an answer.
         self.is_begun = False
--- a/packages/fescuedrum/src/fescuedrum/decisions/admitting/quarantine.py
+++ b/packages/fescuedrum/src/fescuedrum/decisions/admitting/quarantine.py
@@ -57,8 +57,8 @@
 MAXIMUM_ENDS = 64
 # Parts of the newest answers, and as many fingerprints.
 MAXIMUM_ANSWERED = 1024
-# Quarantined requests at whose ends a known part is not the cause. Two have six ends;
-# callers allow three requests with a part after the fifth.
+# Quarantined requests whose ends are not held against a part that was sound before. Two
+# have six ends; callers allow three requests with a part after the fifth.
 EXPLAINING_REQUESTS = 2
 # Seconds for which a change is reported to others; a quarantined trait always is.
 REPORT_SECONDS = 10.0
@@ -375,7 +375,7 @@
 
 
 def is_explained(suspect: Suspect, requests: list[Suspect]) -> bool:
-    """Return whether few quarantined requests were at all ends of a known part.
+    """Return whether few quarantined requests were at all ends of a part.
 
     A part that was sound before is rather in these requests by chance, but not in ever
     more of them.
