--- a/packages/fescuedrum/src/fescuedrum/events/quarantine.py
+++ b/packages/fescuedrum/src/fescuedrum/events/quarantine.py
@@ -19,7 +19,10 @@
 
 @event
 class EndpointEnded(Event):
-    """Logged when nothing listens at an endpoint's address any more."""
+    """Logged when nothing serves at an endpoint's address any more.
+
+    Nothing listens there, or a proxy drops each connection.
+    """
 
     message = "endpoint ended"
 
