--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/directory.py
@@ -257,10 +257,6 @@
         own = self.histories[name].own.requests
         return own + loads[name].requests if name in loads else own
 
-    def is_full(self, endpoint: ListedEndpoint) -> bool:
-        """Return whether an endpoint has a request in each slot."""
-        return self.requests_at(endpoint.name, self.peers.loads()) >= endpoint.slots
-
     def choose_endpoint(
         self,
         service,
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/quarantine.py
@@ -237,7 +237,8 @@
         It may if it is full, or if a request that was there when another one broke off
         has not broken off as well.
         """
-        return self.directory.is_full(endpoint) or any(
+        requests = self.directory.requests_at(endpoint.name, self.peers.loads())
+        return requests >= endpoint.slots or any(
             each.endpoint.name == endpoint.name and each.sent_at < broke_at
             for each in self.open_requests
         )
