--- a/review/standins/site_parts.py
+++ b/review/standins/site_parts.py
@@ -293,6 +293,7 @@
             stdout=self.output,
             stderr=self.output,
         )
+        self.started_at = time.monotonic()
         self.site.record(f"platform: started {self.name}")
 
     def send_signal(self, number):
