Check the head of each answer against the grammar before it is parsed

What callers saw: an endpoint in trouble answered with status 000, and the caller got 'HTTP/1.1 0' as an answer; the same with 099, 101 without an upgrade, 600 and 999. Folded lines, a line that begins with a blank after the status line, a blank line before it, HTTP/2.0 in it and control bytes in the reason passed as a 200; a control byte in a field's value ended in a closed connection without an answer, as the caller's response could not be written.

Cause: the HTTP library reads answers leniently, and what it made of them was taken for what HTTP allows. After parsing, some of it can't be seen any more.

Change: a HeadReader holds the bytes of an answer back until its head is complete and follows RFC 9110 and 9112; the parser sees only checked bytes, and a malformed answer is a lost one, of which nothing is believed. It sits in the connector that gateways and agents open to endpoints, so it holds for every kind of route. A status of 600 or above is malformed as well: RFC 9110, section 15 says that clients treat it as a server error, so a caller gets 502, or the answer of another endpoint where the route may be repeated.

Why it works: no byte reaches the parser that its leniency could reinterpret.

A blank or control byte in a name, a missing name or colon, CR or NUL in a value (502) held before and keep their cases.

--- a/packages/fescuedrum/src/fescuedrum/once.py
+++ b/packages/fescuedrum/src/fescuedrum/once.py
@@ -2,6 +2,8 @@
 
 import aiohttp
 
+from fescuedrum.answer_connection import AnswerConnector
+
 
 class ResendRefused(aiohttp.ClientError):
     """Raised to end a request that the client would send a second time."""
@@ -46,7 +48,7 @@
     tracing.on_connection_create_end.append(report_connection)
     tracing.on_connection_reuseconn.append(count_connection)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+        connector=AnswerConnector(
             limit=0,
             force_close=not keep_connections,
             socket_factory=socket_factory,
--- /dev/null
+++ b/tests/integration/test_broken_answers.py
@@ -0,0 +1,142 @@
+"""Check what callers get when endpoints send answers that are broken."""
+
+import logging
+
+import pytest
+from support import engines, raw_answers
+from support.engines import StandInEndpoint
+from support.gateways import call, site
+from support.raw_answers import head
+from support.routing import build_route, build_routing_document
+
+from fescuedrum.conf.routing import RequestKind
+
+KINDS = (
+    RequestKind.NON_IDEMPOTENT,
+    RequestKind.IDEMPOTENT,
+    RequestKind.STREAM,
+)
+
+OK = b"HTTP/1.1 200 OK"
+INVALID_STATUSES = {
+    "000": head(b"HTTP/1.1 000 Odd"),
+    "099": head(b"HTTP/1.1 099 Odd"),
+    "101": head(b"HTTP/1.1 101 Odd", b"Upgrade: odd", b"Connection: upgrade"),
+    "600": head(b"HTTP/1.1 600 Odd"),
+    "999": head(b"HTTP/1.1 999 Odd"),
+    "two digits": head(b"HTTP/1.1 20 Odd"),
+    "four digits": head(b"HTTP/1.1 2000 Odd"),
+}
+INVALID_LINES = {
+    "blank in a name": head(OK, b"X Odd: 1"),
+    "blank after a name": head(OK, b"X-Odd : 1"),
+    "control byte in a name": head(OK, b"X\x01Odd: 1"),
+    "no name": head(OK, b": 1"),
+    "no colon": head(OK, b"X-Odd"),
+    "blank first": head(OK, before=b" X-Odd: 1\r\n"),
+    "tab first": head(OK, before=b"\tX-Odd: 1\r\n"),
+    "folded": head(OK, b"X-Odd: 1", b" folded"),
+    "control byte in a value": head(OK, b"X-Odd: a\x01b"),
+    "NUL in a value": head(OK, b"X-Odd: a\x00b"),
+    "CR in a value": head(OK, b"X-Odd: a\rb"),
+    "DEL in a value": head(OK, b"X-Odd: a\x7fb"),
+    "control byte in the reason": head(b"HTTP/1.1 200 O\x01K"),
+    "blank line first": b"\r\n" + head(),
+    "other protocol": head(b"ICY 200 OK"),
+    "other version": head(b"HTTP/2.0 200 OK"),
+}
+
+
+def parametrize(answers):
+    """Return a decorator that runs a test with each of the answers, by name."""
+    return pytest.mark.parametrize("raw", answers.values(), ids=answers.keys())
+
+
+def document_of(kind):
+    """Return a document with one route of a kind."""
+    return build_routing_document(routes=(build_route(kind=kind),))
+
+
+async def answers_of(kind, raw):
+    """Return (status, headers, body) of the answer to a caller.
+
+    The endpoint that is asked first sends the bytes, another one a sound answer.
+    """
+    broken = StandInEndpoint("broken", raw_answers.sending(raw))
+    sound = StandInEndpoint("sound", sound_answer(kind))
+    async with site(broken, sound, document=document_of(kind)) as (running, session):
+        running.gateway.directory.histories["sound"].own.requests = 3
+        status, headers, body = await call(running, session)
+    assert len(broken.seen) == 1
+    return status, headers, body
+
+
+def sound_answer(kind):
+    """Return the answer function of a sound endpoint."""
+    return engines.streaming(1, 2) if kind.is_stream else engines.whole(b"sound")
+
+
+async def expect_no_answer(kind, raw):
+    """Check that a caller gets no success from a broken answer, nor its status."""
+    status, headers, body = await answers_of(kind, raw)
+    if kind.is_repeatable:
+        assert (status, body) == (200, b"sound")
+    else:
+        assert status == 502
+        assert "Signed" not in headers
+    assert b"done" not in body
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@parametrize(INVALID_STATUSES)
+async def test_an_answer_with_an_invalid_status_is_not_forwarded(raw, kind):
+    """Guard against a status such as 000 that reaches a caller as an answer."""
+    await expect_no_answer(kind, raw + b"done")
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@parametrize(INVALID_LINES)
+async def test_an_answer_with_an_invalid_line_in_its_head_is_not_forwarded(raw, kind):
+    """Guard against fields that HTTP does not allow, and against no answer at all."""
+    await expect_no_answer(kind, raw + b"done")
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        head(framing=b"") + b"done",
+        head(b"HTTP/1.0 200 OK", framing=b"") + b"done",
+        head(framing=b"content-length:4") + b"done",
+        head(framing=b"Transfer-Encoding: Chunked ") + b"4;a=b\r\ndone\r\n0\r\n\r\n",
+        head(b"HTTP/1.1 200", b"X-Odd:\t\xe9 \x09 b ") + b"done",
+        b"HTTP/1.1 103 Early\r\nLink: a\r\n\r\n" + head() + b"done",
+    ],
+)
+async def test_an_answer_that_http_allows_is_forwarded(raw):
+    """Guard against a check that is stricter than the grammar."""
+    endpoint = StandInEndpoint("e-1", raw_answers.sending(raw))
+    document = document_of(RequestKind.NON_IDEMPOTENT)
+    async with site(endpoint, document=document) as (running, session):
+        for _ in range(5):
+            status, headers, body = await call(running, session)
+            assert (status, body) == (200, b"done")
+            assert headers["Signed"] == "yes"
+
+
+async def test_a_broken_answer_that_says_not_run_is_not_believed():
+    """Guard against sending a request again that may have run."""
+    raw = head(b"HTTP/1.1 503 No", b"Not-Run: 1", b"Leaving: 1", b"X Odd: 1") + b"done"
+    broken = StandInEndpoint("broken", raw_answers.sending(raw))
+    document = document_of(RequestKind.NON_IDEMPOTENT)
+    async with site(broken, document=document) as (running, session):
+        assert (await call(running, session))[0] == 502
+        listed = running.gateway.directory.usable("advice")
+        assert [each.name for each in listed] == ["broken"]
+
+
+async def test_nothing_that_an_endpoint_sends_is_an_unhandled_exception(caplog):
+    """Guard against a closed connection and a traceback in place of an answer."""
+    caplog.set_level(logging.ERROR)
+    for raw in (INVALID_STATUSES | INVALID_LINES).values():
+        await answers_of(RequestKind.NON_IDEMPOTENT, raw + b"done")
+    assert caplog.records == []
