Give gateways of tests ports that nothing else takes

Cause: ports were taken from the range of outgoing connections, free for TCP at that moment. Until the gateway listened, a connection of another test could take one; and gateways that tests cancel left their datagram socket open, so that a port free for TCP was taken for UDP.

Change: ports come from below that range, a part for each test worker, and are free for both; a cancelled gateway's datagram socket is closed. No check changes.

--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import contextlib
+import itertools
+import os
+import random
 import socket
 
 import aiohttp
@@ -12,18 +15,37 @@
 from support.routing import build_routing_document
 
 READY_SECONDS = 5.0
+# Outgoing connections use ports from 32768 on.
+LOWEST_PORT = 12000
+PORTS_PER_WORKER = 1200
+WORKERS = 16
 
 # Path and query of requests on the route that build_route makes.
 PATH = "/advice/tension?court=clay%20dust"
 
 
 def free_ports(count):
-    """Return ports that are free at the moment."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(("0.0.0.0", 0))
-        return [each.getsockname()[1] for each in sockets]
+    """Return ports that are free at the moment.
+
+    They are below those of outgoing connections, one of which might take a port before
+    a gateway listens on it, and differ from those of the other test workers.
+    """
+    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
+    begin = LOWEST_PORT + PORTS_PER_WORKER * (int(worker) % WORKERS)
+    candidates = random.sample(range(begin, begin + PORTS_PER_WORKER), PORTS_PER_WORKER)
+    free = (port for port in candidates if is_free(port))
+    return list(itertools.islice(free, count))
+
+
+def is_free(port):
+    """Return whether no socket of this machine uses a port, for TCP or for UDP."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as opened:
+            try:
+                opened.bind(("0.0.0.0", port))
+            except OSError:
+                return False
+    return True
 
 
 def build_settings(name, host, ports, **changes):
@@ -89,6 +111,8 @@
         running.stop.set()
         running.task.cancel()
         await asyncio.gather(running.task, return_exceptions=True)
+        # A gateway that was cancelled has not done it.
+        running.gateway.peers.close()
 
 
 @contextlib.asynccontextmanager
