Reject answers whose body has no defined end

What callers saw: an answer with a transfer coding other than chunked alone (gzip, identity, an empty one, chunked twice, chunked before gzip, any in HTTP/1.0) was a 200 with bytes that are not the body, or with a body that ended when the connection did and was taken for whole.

Cause: the library frames such bodies as well as it can; RFC 9112, section 6.3 gives them no end that a client could know.

Change: Transfer-Encoding is chunked, once and in HTTP/1.1, or absent, and it is the only field that says where the body ends besides at most one Content-Length with digits alone. Anything else is a malformed answer.

Lists of lengths, two lengths, signs, and a coding with a length (502) held before and keep their cases.

--- a/packages/fescuedrum/src/fescuedrum/answer_heads.py
+++ b/packages/fescuedrum/src/fescuedrum/answer_heads.py
@@ -16,15 +16,20 @@
 HIGHEST_STATUS = 599
 SWITCHING_PROTOCOLS = 101
 FINAL_STATUSES = range(200, HIGHEST_STATUS + 1)
+CHUNKED = b"chunked"
+VERSION_WITHOUT_CODINGS = b"1.0"
 
 TEXT = rb"[\t\x20-\x7e\x80-\xff]"
 TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]"
 # A line may end with a line feed alone (RFC 9112, section 2.2).
 LINE_END = rb"\r?\n"
-STATUS_LINE = rb"HTTP/1\.[01] ([0-9]{3})(?: " + TEXT + rb"*+)?" + LINE_END
+STATUS_LINE = rb"HTTP/(1\.[01]) ([0-9]{3})(?: " + TEXT + rb"*+)?" + LINE_END
 FIELD_LINE = TOKEN + rb"++:" + TEXT + rb"*+" + LINE_END
 HEAD = re.compile(STATUS_LINE + rb"(?:" + FIELD_LINE + rb")*+" + LINE_END)
 HEAD_END = re.compile(rb"\n\r?\n")
+FRAMING_FIELD = re.compile(
+    rb"\n(transfer-encoding|content-length):([^\r\n]*)", re.IGNORECASE
+)
 WHOLE_STATUS_LINE = re.compile(STATUS_LINE)
 WHOLE_FIELD_LINE = re.compile(FIELD_LINE)
 BEGINNING_OF_STATUS_LINE = re.compile(TEXT + rb"*+\r?")
@@ -40,6 +45,8 @@
     # The protocol may change only if the request asked for it.
     UPGRADE = "upgrade"
     FIELD = "field"
+    # How the end of the body is found.
+    FRAMING = "framing"
     SIZE = "size"
 
 
@@ -120,8 +127,11 @@
         for number, line in enumerate(head.splitlines(keepends=True)[:-1], 1):
             check_line(line, number)
         raise MalformedAnswer(HeadRule.STATUS_LINE, "line 1 is no status line")
-    status = int(found[1])
+    status = int(found[2])
     check_status(status)
+    fields = FRAMING_FIELD.findall(head)
+    if fields:
+        check_framing(fields, version=found[1])
     return status
 
 
@@ -155,3 +165,25 @@
         raise MalformedAnswer(
             HeadRule.UPGRADE, f"status {status} to a request without an upgrade"
         )
+
+
+def check_framing(fields: list[tuple[bytes, bytes]], version: bytes) -> None:
+    """Raise MalformedAnswer if the end of the body is not defined (RFC 9112, 6.3).
+
+    fields are the names and values of Transfer-Encoding and Content-Length.
+    """
+    codings = [value.strip() for name, value in fields if name[:1] in b"Tt"]
+    lengths = [value.strip() for name, value in fields if name[:1] in b"Cc"]
+    if codings and version == VERSION_WITHOUT_CODINGS:
+        raise MalformedAnswer(HeadRule.FRAMING, "HTTP/1.0 has no transfer codings")
+    if codings and [each.lower() for each in codings] != [CHUNKED]:
+        raise MalformedAnswer(
+            HeadRule.FRAMING, "the transfer coding is not chunked alone"
+        )
+    if len(codings) + len(lengths) > 1:
+        raise MalformedAnswer(
+            HeadRule.FRAMING,
+            f"{len(codings) + len(lengths)} fields say where the body ends",
+        )
+    if lengths and not lengths[0].isdigit():
+        raise MalformedAnswer(HeadRule.FRAMING, "the length of the body is no number")
--- a/tests/integration/test_broken_answers.py
+++ b/tests/integration/test_broken_answers.py
@@ -18,6 +18,7 @@
 )
 
 OK = b"HTTP/1.1 200 OK"
+CHUNKS = b"4\r\ndone\r\n0\r\n\r\n"
 INVALID_STATUSES = {
     "000": head(b"HTTP/1.1 000 Odd"),
     "099": head(b"HTTP/1.1 099 Odd"),
@@ -45,6 +46,21 @@
     "other protocol": head(b"ICY 200 OK"),
     "other version": head(b"HTTP/2.0 200 OK"),
 }
+INVALID_FRAMING = {
+    "gzip": head(framing=b"Transfer-Encoding: gzip") + b"done",
+    "gzip, chunked": head(framing=b"Transfer-Encoding: gzip, chunked") + CHUNKS,
+    "chunked, gzip": head(framing=b"Transfer-Encoding: chunked, gzip") + CHUNKS,
+    "chunked twice": head(framing=b"Transfer-Encoding: chunked, chunked") + CHUNKS,
+    "identity": head(framing=b"Transfer-Encoding: identity") + b"done",
+    "empty coding": head(framing=b"Transfer-Encoding:") + b"done",
+    "HTTP/1.0": head(b"HTTP/1.0 200 OK", framing=b"Transfer-Encoding: chunked")
+    + CHUNKS,
+    "coding and length": head(OK, b"Transfer-Encoding: chunked") + CHUNKS,
+    "list of lengths": head(framing=b"Content-Length: 4, 4") + b"done",
+    "two lengths": head(OK, b"Content-Length: 5") + b"done!",
+    "sign": head(framing=b"Content-Length: +4") + b"done",
+    "negative length": head(framing=b"Content-Length: -1") + b"done",
+}
 
 
 def parametrize(answers):
@@ -101,6 +117,13 @@
     await expect_no_answer(kind, raw + b"done")
 
 
+@pytest.mark.parametrize("kind", KINDS)
+@parametrize(INVALID_FRAMING)
+async def test_an_answer_whose_end_is_not_defined_is_not_forwarded(raw, kind):
+    """Guard against bytes that are not the body, or a part taken for the whole."""
+    await expect_no_answer(kind, raw)
+
+
 @pytest.mark.parametrize(
     "raw",
     [
@@ -137,6 +160,6 @@
 async def test_nothing_that_an_endpoint_sends_is_an_unhandled_exception(caplog):
     """Guard against a closed connection and a traceback in place of an answer."""
     caplog.set_level(logging.ERROR)
-    for raw in (INVALID_STATUSES | INVALID_LINES).values():
+    for raw in (INVALID_STATUSES | INVALID_LINES | INVALID_FRAMING).values():
         await answers_of(RequestKind.NON_IDEMPOTENT, raw + b"done")
     assert caplog.records == []
