Fail a body whose connection was not closed in order

What callers saw: an endpoint answered a 4 MB upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was being written; callers of routes that run once, and of those that may be repeated, got that part as a complete answer. A stream was cut, and an upload of 2 bytes got 502, as they should.

Cause: the library ends a body without a length when the connection ends, however it ends. The gateway asked the connection for the error afterwards, but the failure of the upload made the library release the connection, which removes the error: no error was taken for an orderly close.

Change: the connection itself records whether the peer closed its side in order, and fails a body that has not ended when that was not seen. Readers of any session get the error; the gateway no longer asks.

Why it works: the peer's own end of data is the only sign that nothing is missing, and no failure of the write side can give or take it.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
@@ -61,7 +61,7 @@
 class OpenedAnswer:
     """Hold an answer whose head has been read and whose body has not."""
 
-    __slots__ = ("head", "held", "protocol", "response")
+    __slots__ = ("head", "held", "response")
     __match_args__ = ("head",)
 
     def __init__(self, head, response, held):
@@ -69,14 +69,12 @@
         self.response = response
         # Counts the bytes of a body that is read whole.
         self.held = held
-        connection = response.connection
-        self.protocol = None if connection is None else connection.protocol
 
     async def read(self):
         """Return Answered with the whole body, or Lost."""
         chunks, size = [], 0
         try:
-            async for chunk in self.read_chunks():
+            async for chunk in self.chunks():
                 chunks.append(chunk)
                 size += len(chunk)
                 if not self.held.add_answer(len(chunk)):
@@ -87,27 +85,15 @@
             return Lost(f"answer broke off: {error!r}")
         finally:
             self.response.close()
-        if not self.is_complete():
-            self.held.drop_answer(size)
-            return Lost("connection was reset in an answer without a length")
         if not chunks and self.head.succeeded and self.ends_with_connection:
             # An endpoint that ends as it begins to write leaves just that.
             return Lost("answer without a length ended before its body")
         return Answered(self.head, b"".join(chunks))
 
-    async def read_chunks(self):
-        """Yield the body as it arrives."""
-        while chunk := await self.response.content.read(READ_BYTES):
-            yield chunk
-
     async def chunks(self):
         """Yield the body as it arrives; raise ClientError if it breaks off."""
-        async for chunk in self.read_chunks():
+        while chunk := await self.response.content.read(READ_BYTES):
             yield chunk
-        if not self.is_complete():
-            raise aiohttp.ClientPayloadError(
-                "connection was reset in a body without a length"
-            )
 
     @property
     def ends_with_connection(self):
@@ -117,18 +103,6 @@
         has_body = self.response.status not in STATUSES_WITHOUT_BODY
         return has_body and not is_framed and self.response.method != hdrs.METH_HEAD
 
-    def is_complete(self):
-        """Return whether the body that was read is complete.
-
-        A body without a length ends when its connection does, and the library treats a
-        reset as such an end: half an answer would pass for a whole one.
-        """
-        if not self.ends_with_connection:
-            return True
-        if self.protocol is None:
-            return False
-        return not isinstance(self.protocol.exception(), aiohttp.ClientOSError)
-
     def close(self):
         """Close the connection."""
         self.response.close()
--- a/packages/fescuedrum/src/fescuedrum/answer_connection.py
+++ b/packages/fescuedrum/src/fescuedrum/answer_connection.py
@@ -14,6 +14,9 @@
     def __init__(self, loop):
         super().__init__(loop)
         self.heads = HeadReader()
+        # Whether the peer has closed its side in order. What fails here after that,
+        # such as sending the rest of a request, takes nothing from its answer.
+        self.peer_closed = False
 
     def set_response_params(self, **params):
         """Prepare for the answer to the next request."""
@@ -34,6 +37,23 @@
                 return
         super().data_received(data)
 
+    def eof_received(self):
+        """Record that the peer has sent everything."""
+        self.peer_closed = True
+        return super().eof_received()
+
+    def connection_lost(self, exc):
+        """Fail a body that has not ended, unless the peer closed in order.
+
+        The library takes any end of the connection for that of a body without a length.
+        """
+        body = self._payload
+        if not self.peer_closed and body is not None and not body.is_eof():
+            body.set_exception(
+                aiohttp.ClientPayloadError("the connection was reset in the body")
+            )
+        super().connection_lost(exc)
+
 
 class AnswerConnector(aiohttp.TCPConnector):
     """Open an AnswerConnection for each connection."""
--- a/tests/integration/test_broken_answers.py
+++ b/tests/integration/test_broken_answers.py
@@ -6,11 +6,12 @@
 from support import engines, raw_answers
 from support.engines import StandInEndpoint
 from support.gateways import call, site
-from support.raw_answers import head
-from support.routing import build_route, build_routing_document
+from support.raw_answers import EarlyAnswer, head
+from support.routing import build_endpoint, build_route, build_routing_document
 
 from fescuedrum.conf.routing import RequestKind
 
+LONG_BODY = b"x" * (4 * 1024 * 1024)
 KINDS = (
     RequestKind.NON_IDEMPOTENT,
     RequestKind.IDEMPOTENT,
@@ -124,6 +125,36 @@
     await expect_no_answer(kind, raw)
 
 
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("body", [LONG_BODY, b"{}"])
+async def test_an_answer_that_is_reset_during_the_upload_is_not_forwarded(kind, body):
+    """Guard against half an answer without a length that passes for a whole one."""
+    raw = head(framing=b"") + b"half an ans"
+    endpoint = EarlyAnswer(raw, resets=True)
+    await endpoint.start()
+    document = build_routing_document(routes=(build_route(kind=kind),))
+    async with site(document=document) as (running, session):
+        listed = build_endpoint("e-1", port=endpoint.port)
+        running.gateway.directory.presences.listed(listed)
+        status, _, got = await call(running, session, body=body)
+    assert endpoint.requests == 1
+    assert status == 502
+    assert b"half" not in got
+
+
+@pytest.mark.parametrize("body", [LONG_BODY, b"{}"])
+async def test_a_whole_answer_without_a_length_is_forwarded_during_the_upload(body):
+    """Guard against a whole answer that is lost as the upload can't be finished."""
+    endpoint = EarlyAnswer(head(framing=b"") + b"done", resets=False)
+    await endpoint.start()
+    document = document_of(RequestKind.NON_IDEMPOTENT)
+    async with site(document=document) as (running, session):
+        listed = build_endpoint("e-1", port=endpoint.port)
+        running.gateway.directory.presences.listed(listed)
+        status, _, got = await call(running, session, body=body)
+    assert (status, got) == (200, b"done")
+
+
 @pytest.mark.parametrize(
     "raw",
     [
--- a/tests/support/raw_answers.py
+++ b/tests/support/raw_answers.py
@@ -1,5 +1,9 @@
 """Build answers byte by byte, also ones that HTTP does not allow."""
 
+import asyncio
+
+from support import engines
+
 SOUND_FIELDS = (b"Request-Id: r-1", b"Signed: yes")
 
 
@@ -22,3 +26,56 @@
         await seen.writer.drain()
 
     return answer
+
+
+def repeating(begin: bytes, part: bytes):
+    """Return an answer function that sends a part again and again without end."""
+
+    async def answer(seen):
+        seen.writer.write(begin)
+        while True:
+            seen.writer.write(part)
+            await seen.writer.drain()
+            # A drain that need not wait would keep the loop from the gateway.
+            await asyncio.sleep(0)
+
+    return answer
+
+
+class EarlyAnswer:
+    """Listen on a loopback port; answer each request before its body is read.
+
+    It sends the bytes as soon as the head of a request has arrived, reads nothing more,
+    and then resets the connection, or closes its side of it in order.
+    """
+
+    def __init__(self, raw: bytes, *, resets: bool):
+        self.raw = raw
+        self.resets = resets
+        self.requests = 0
+        self.server = None
+
+    async def start(self):
+        """Start to listen."""
+        self.server = await asyncio.start_server(
+            self.serve, "127.0.0.1", 0, limit=16 * 1024
+        )
+
+    @property
+    def port(self) -> int:
+        """Return the port on which it listens."""
+        return self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        """Answer one request."""
+        await reader.readuntil(b"\r\n\r\n")
+        self.requests += 1
+        writer.write(self.raw)
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        if self.resets:
+            engines.reset(engines.ReceivedRequest("", "", {}, b"", writer))
+        else:
+            writer.write_eof()
+            await asyncio.sleep(1.0)
+            writer.transport.abort()
