Believe nothing of an answer whose headers contradict each other

What callers saw: a 200 with an empty Server-Stamp, with two stamps, or with two values of Attempt-Id was an answer, and so was a body encoded with gzip if another Content-Encoding said identity before. A 200 with Not-Executed, or a 503 with it and with the id of another request besides the own one, became a promise that the request had not run.

Cause: of each header the first value was taken, or only its presence.

Change: the adapter reports a fault for an answer that names two requests or has two stamps, and for a success that says it was not run; such an answer is lost, and its notices are not used. An empty stamp signs nothing, and each Content-Encoding counts.

Why it works: what a header can have once only is read only where it is there once, before anything of the answer is believed.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/adapter.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/adapter.py
@@ -72,6 +72,9 @@
     rest_seconds: float | None = None
     # Whether the endpoint announces that it leaves.
     is_leaving: bool = False
+    # Why nothing in the answer can be believed, as its headers contradict each other;
+    # empty if they do not.
+    fault: str = ""
 
     @property
     def succeeded(self):
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
@@ -184,6 +184,9 @@
 
 async def classify_answer(head, response, call):
     """Return OpenedAnswer for an endpoint's answer to this call, NotRun or Lost."""
+    if head.fault:
+        response.close()
+        return Lost(f"malformed answer: {head.fault}")
     if head.not_run and head.request_id in (None, call.head.request_id):
         return await read_refusal(head, response, call)
     if head.request_id != call.head.request_id:
--- a/tests/integration/test_broken_answers.py
+++ b/tests/integration/test_broken_answers.py
@@ -4,8 +4,9 @@
 
 import pytest
 from support import engines, raw_answers
+from support.dialect import PlatformHeadersAdapter
 from support.engines import StandInEndpoint
-from support.gateways import call, site
+from support.gateways import PATH, call, site
 from support.raw_answers import EarlyAnswer, head
 from support.routing import build_endpoint, build_route, build_routing_document
 
@@ -188,6 +189,46 @@
         assert [each.name for each in listed] == ["broken"]
 
 
+CONTRADICTIONS = {
+    "two ids": (OK, b"Attempt-Id: other"),
+    "two ids, not run": (b"HTTP/1.1 503 No", b"Attempt-Id: other", b"Not-Executed: 1"),
+    "two stamps": (OK, b"Server-Stamp: other"),
+    "not run": (OK, b"Not-Executed: 1"),
+    "encoded": (OK, b"Content-Encoding: identity", b"Content-Encoding: gzip"),
+}
+
+
+@pytest.mark.parametrize(
+    "lines", CONTRADICTIONS.values(), ids=list(CONTRADICTIONS.keys())
+)
+async def test_an_answer_that_contradicts_itself_is_not_forwarded(lines):
+    """Guard against the answer to another request, and a false "not run"."""
+    own = (b"Attempt-Id: r-1", b"Server-Stamp: s", b"Content-Length: 4")
+    status_line, *others = lines
+    assert await call_platform(b"\r\n".join((status_line, *own, *others))) == 502
+
+
+async def test_a_success_with_an_empty_stamp_is_not_forwarded():
+    """Guard against a success that no engine has vouched for."""
+    lines = (OK, b"Attempt-Id: r-1", b"Server-Stamp: ", b"Content-Length: 4")
+    assert await call_platform(b"\r\n".join(lines)) == 502
+
+
+async def call_platform(head):
+    """Return the status for a caller if an engine of the platform sends a head."""
+    raw = head + b"\r\n\r\ndone"
+    engine = StandInEndpoint("e-1", raw_answers.sending(raw))
+    document = document_of(RequestKind.NON_IDEMPOTENT)
+    async with site(engine, document=document, adapter=PlatformHeadersAdapter) as (
+        running,
+        session,
+    ):
+        told = {"Host": "club.example", "Attempt-Id": "r-1", "Api-Key": "club-key"}
+        async with session.post(running.url + PATH, headers=told) as answer:
+            await answer.read()
+            return answer.status
+
+
 async def test_nothing_that_an_endpoint_sends_is_an_unhandled_exception(caplog):
     """Guard against a closed connection and a traceback in place of an answer."""
     caplog.set_level(logging.ERROR)
--- a/tests/support/dialect.py
+++ b/tests/support/dialect.py
@@ -10,6 +10,7 @@
 from fescuedrum.headers import end_to_end_headers
 from fescuedrum.platform.interfaces import Changes, VersionedRow
 from fescuedrum_gateway.adapter import AnswerHead, CallHead, ZoneOut
+from fescuedrum_platform import headers as platform_headers
 
 REPLACED = frozenset(
     ("key", "patience", "last-event", "organisation", "endpoint", "content-length")
@@ -153,3 +154,12 @@
         if retry_after is not None:
             headers["Retry-After"] = f"{retry_after:.3f}"
         return headers
+
+
+class PlatformHeadersAdapter(PlainAdapter):
+    """Use the header names of the users' platform, and Python objects as rows."""
+
+    read_call = staticmethod(platform_headers.read_call)
+    write_call = staticmethod(platform_headers.write_call)
+    read_answer = staticmethod(platform_headers.read_answer)
+    refusal_headers = staticmethod(platform_headers.refusal_headers)
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -96,13 +96,19 @@
 
 @contextlib.asynccontextmanager
 async def running_gateway(
-    store, *, host="127.0.0.1", ports=None, ready=True, **changes
+    store,
+    *,
+    host="127.0.0.1",
+    ports=None,
+    ready=True,
+    adapter=PlainAdapter,
+    **changes,
 ):
     """Run a gateway with a store until the block ends; yield a RunningGateway."""
     settings = build_settings(
         f"gateway-{host}", host, ports or free_ports(3), **changes
     )
-    running = RunningGateway(Gateway(settings, PlainAdapter(store), incarnation=1))
+    running = RunningGateway(Gateway(settings, adapter(store), incarnation=1))
     try:
         if ready:
             await running.until(lambda gateway: gateway.ready)
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -249,6 +249,37 @@
     assert headers.read_answer(200, CIMultiDict({"Content-Encoding": "br"})).encoded
 
 
+def test_an_empty_stamp_signs_nothing():
+    """Guard against a success that no engine has vouched for."""
+    for stamp in ("", " "):
+        received = CIMultiDict({"Attempt-Id": "a", "Server-Stamp": stamp})
+        assert not headers.read_answer(200, received).signed
+
+
+def test_an_encoding_after_identity_counts():
+    """Guard against an encoded body that passes for the endpoint's own bytes."""
+    received = [("Content-Encoding", "identity"), ("Content-Encoding", "gzip")]
+    assert headers.read_answer(200, CIMultiDict(received)).encoded
+
+
+@pytest.mark.parametrize(
+    ("status", "added", "fault"),
+    [
+        (200, [], ""),
+        (200, [("Attempt-Id", "a"), ("Server-Stamp", "s")], ""),
+        (200, [("Attempt-Id", "b")], "Attempt-Id has 2 values"),
+        (503, [("Attempt-Id", "b"), ("Not-Executed", "1")], "Attempt-Id has 2 values"),
+        (200, [("Server-Stamp", "t")], "Server-Stamp has 2 values"),
+        (200, [("Not-Executed", "1")], "status 200 with Not-Executed"),
+        (503, [("Not-Executed", "1")], ""),
+    ],
+)
+def test_headers_that_contradict_each_other_are_a_fault(status, added, fault):
+    """Guard against an answer to another request, and a false "not run"."""
+    received = [("Attempt-Id", "a"), ("Server-Stamp", "s"), *added]
+    assert headers.read_answer(status, CIMultiDict(received)).fault == fault
+
+
 @pytest.mark.parametrize(
     ("text", "rate"),
     [
