Answer a caller with 502 when the head of its response can't be written

What callers saw: a control byte in a field's value of an endpoint's answer closed the caller's connection without an answer, and the log of the process had an unhandled exception. If the answer was a stream, the caller got the bytes of an error in chunks that its head had not announced, which is no answer.

Cause: the library raises ValueError when it writes a head with such a value, outside of the handler, and treats that as a fault of the connection. After a stream, the error was written with what the failed head had set: chunks.

Should a head be unwritable for any other reason, the connection writes a 502 in its place and logs 'head not writable' with the traceback; each response begins with a writer of its own.

--- a/packages/fescuedrum/src/fescuedrum/events/requests.py
+++ b/packages/fescuedrum/src/fescuedrum/events/requests.py
@@ -223,6 +223,19 @@
     request: RequestId
 
 
+@event
+class HeadNotWritable(Event):
+    """Logged when the head of a response can't be written and the caller gets 502.
+
+    The traceback follows.
+    """
+
+    message = "head not writable"
+    level = logging.ERROR
+
+    request: RequestId
+
+
 @event
 class RequestHandlerFailed(Event):
     """Logged when an error in the process's own code fails a request.
--- a/packages/fescuedrum/src/fescuedrum/serving.py
+++ b/packages/fescuedrum/src/fescuedrum/serving.py
@@ -5,15 +5,21 @@
 import logging
 
 from aiohttp import web
+from aiohttp.http_writer import StreamWriter
 from aiohttp.web_protocol import RequestHandler
 
 from fescuedrum.events.event import log_event
-from fescuedrum.events.requests import AnswerNotDelivered, TakenWhileStopping
+from fescuedrum.events.requests import (
+    AnswerNotDelivered,
+    HeadNotWritable,
+    TakenWhileStopping,
+)
 
 logger = logging.getLogger(__name__)
 
 # Key of the request's id, which its log lines carry.
 REQUEST_ID = web.RequestKey("request_id", str)
+BAD_GATEWAY_STATUS = 502
 # How long the rest of a refused body is read and dropped. Closing at once would reset
 # the connection, and the caller could lose the refusal.
 LINGERING_SECONDS = 1.0
@@ -107,7 +113,7 @@
         if self.ends_after_response:
             resp.force_close()
         try:
-            return await super().finish_response(request, resp, start_time)
+            return await self.write_response(request, resp, start_time)
         except asyncio.CancelledError:
             log_event(logger, AnswerNotDelivered(request.get(REQUEST_ID, "")))
             raise
@@ -115,6 +121,30 @@
             self.responses_sent += 1
             self.idle_since = self._loop.time()
 
+    async def write_response(self, request, resp, start_time):
+        """Write a response, or an error in place of one whose head can't be written.
+
+        Otherwise the caller would see a closed connection and no answer.
+        """
+        if not resp.prepared:
+            self.reset_writer(request)
+        try:
+            return await super().finish_response(request, resp, start_time)
+        except ValueError as error:
+            if request._payload_writer.output_size:
+                raise
+            log_event(logger, HeadNotWritable(request.get(REQUEST_ID, "")), error=error)
+            self.reset_writer(request)
+            text = f"The answer with status {resp.status} can't be passed on."
+            failure = web.Response(status=BAD_GATEWAY_STATUS, text=text)
+            failure.force_close()
+            return await super().finish_response(request, failure, start_time)
+
+    def reset_writer(self, request):
+        """Forget how a response would have been framed whose head was not written."""
+        if not request._payload_writer.output_size:
+            request._payload_writer = StreamWriter(self, self._loop)
+
 
 class TrackingServer(web.Server):
     """Create a connection of a class for each caller and close idle connections."""
--- a/tests/integration/test_broken_answers.py
+++ b/tests/integration/test_broken_answers.py
@@ -1,10 +1,11 @@
 """Check what callers get when endpoints send answers that are broken."""
 
 import logging
+from dataclasses import replace
 
 import pytest
 from support import engines, raw_answers
-from support.dialect import PlatformHeadersAdapter
+from support.dialect import PlainAdapter, PlatformHeadersAdapter
 from support.engines import StandInEndpoint
 from support.gateways import PATH, call, site
 from support.raw_answers import EarlyAnswer, head
@@ -229,6 +230,27 @@
             return answer.status
 
 
+class UnwritableHeadAdapter(PlainAdapter):
+    """Pass a header on that no response can have."""
+
+    def read_answer(self, status, headers):
+        read = super().read_answer(status, headers)
+        return replace(read, headers=[*read.headers, ("X-Odd", "a\nb")])
+
+
+@pytest.mark.parametrize("kind", [RequestKind.NON_IDEMPOTENT, RequestKind.STREAM])
+async def test_a_caller_gets_an_error_if_the_head_can_not_be_written(kind):
+    """Guard against a closed connection in place of an answer."""
+    endpoint = StandInEndpoint("e-1", sound_answer(kind))
+    async with site(
+        endpoint, document=document_of(kind), adapter=UnwritableHeadAdapter
+    ) as (running, session):
+        status, headers, body = await call(running, session)
+    assert status in (500, 502)
+    assert "Signed" not in headers
+    assert b"sound" not in body
+
+
 async def test_nothing_that_an_endpoint_sends_is_an_unhandled_exception(caplog):
     """Guard against a closed connection and a traceback in place of an answer."""
     caplog.set_level(logging.ERROR)
