Keep an endpoint's bytes out of the errors for callers

What callers saw: the text of a 502 quoted the HTTP library's message, with 500 bytes and more of the endpoint's broken answer in it, and internal addresses.

Cause: the reason of a lost answer was the library's error as text, made for the log, and the error for the caller repeats the reason.

Change: a lost answer has a reason in words of ours, for callers, and the error, which only the log shows, cut to 240 characters. A plain answer that breaks off in its body is logged with its endpoint ('sending failed'); so far only its caller's refusal was.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
@@ -7,6 +7,7 @@
 from aiohttp import hdrs
 from yarl import URL
 
+from fescuedrum.answer_heads import MalformedAnswer
 from fescuedrum.once import SendOnceGuard, open_session
 from fescuedrum_gateway.request.call import Answered, Lost, NotRun
 
@@ -82,7 +83,7 @@
                     return Lost("no memory for the answer")
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self.held.drop_answer(size)
-            return Lost(f"answer broke off: {error!r}")
+            return Lost("answer broke off", error=error)
         finally:
             self.response.close()
         if not chunks and self.head.succeeded and self.ends_with_connection:
@@ -172,10 +173,12 @@
         # No connection was opened, so nothing of the request was sent.
         is_closed = isinstance(error.os_error, ConnectionRefusedError)
         return NotRun(f"no connection: {error!r}", is_closed=is_closed)
+    except MalformedAnswer as error:
+        return Lost(str(error))
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         if limit.timeout.expired() and not limit.is_connected:
             return NotRun(f"no connection in {CONNECT_TIMEOUT_SECONDS} s")
-        return Lost(f"no answer: {error!r}")
+        return Lost("no answer", error=error)
     finally:
         limit.end()
     head = adapter.read_answer(response.status, response.headers)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -319,14 +319,14 @@
                 self.gateway.metrics.count_attempt("not-run")
                 rest = None if answer is None else answer.head.rest_seconds
                 self.log_failure(endpoint, "not run", reason, rest)
-            case Lost(reason):
+            case Lost():
                 self.evidence.broke()
                 self.may_have_arrived = True
                 self.attempt_count += 1
                 self.wait.record_taken()
                 history.failed(self.loop.time())
                 self.gateway.metrics.count_attempt("lost")
-                self.log_failure(endpoint, "lost", reason)
+                self.log_failure(endpoint, "lost", opened.description)
             case _:
                 self.may_have_arrived = True
                 self.attempt_count += 1
@@ -338,6 +338,11 @@
                 self.wait.record_taken()
                 self.gateway.returns.record_answer(self.call.service)
 
+    def record_broken_answer(self, lost: Lost) -> None:
+        """Record that an answer broke off after its head."""
+        self.evidence.broke()
+        self.log_failure(self.endpoint, "lost", lost.description)
+
     def record_deadline_passed(self):
         """Count that the deadline passed while an endpoint had the call."""
         if self.reservation is not None:
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/call.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/call.py
@@ -6,6 +6,9 @@
 from fescuedrum_gateway.adapter import AnswerHead, CallHead
 from fescuedrum_gateway.process.holders import HeldRequest
 
+# Characters; an endpoint determines the length of what the library quotes.
+LONGEST_DESCRIPTION = 240
+
 
 @dataclass(slots=True, frozen=True)
 class Call:
@@ -42,6 +45,13 @@
         return self.held.body
 
 
+def describe_failure(reason: str, error: Exception | None) -> str:
+    """Return a reason for the log, with the beginning of an error if there is one."""
+    if error is None:
+        return reason
+    return f"{reason}: {error!r}"[:LONGEST_DESCRIPTION]
+
+
 @dataclass(slots=True, frozen=True)
 class Answered:
     """Hold the complete answer of an endpoint."""
@@ -67,9 +77,17 @@
 class Lost:
     """Report that the request may have run and that its answer is lost."""
 
+    # For the caller and the log; nothing that the endpoint sent.
     reason: str
     # Head of the answer that arrived in its place, if there is one.
     head: AnswerHead | None = None
+    # The error as the library reports it, for the log; may quote the endpoint's bytes.
+    error: Exception | None = None
+
+    @property
+    def description(self) -> str:
+        """Return the reason for the log, with the beginning of the error."""
+        return describe_failure(self.reason, self.error)
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/plain.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/plain.py
@@ -44,7 +44,7 @@
             return opened
         result = await opened.read()
         if isinstance(result, Lost):
-            self.attempts.evidence.broke()
+            self.attempts.record_broken_answer(result)
         elif opened.head.succeeded and not opened.ends_with_connection:
             self.attempts.evidence.answered()
         return result
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
@@ -17,6 +17,7 @@
     NotRun,
     StreamBroken,
     StreamEnded,
+    describe_failure,
 )
 from fescuedrum_gateway.request.events import (
     EventSplitter,
@@ -108,7 +109,9 @@
         if isinstance(result, StreamEnded | StreamBroken):
             return result
         if self.response is not None:
-            return StreamBroken(f"could not resume at another endpoint: {result}")
+            return StreamBroken(
+                f"could not resume at another endpoint: {describe_result(result)}"
+            )
         return plain.answer_or_raise(result)
 
     async def send_once(self):
@@ -145,7 +148,7 @@
         except (TimeoutError, aiohttp.ClientError, EventTooLongError, OSError) as error:
             if self.has_caller_left():
                 raise
-            return self.handle_break(f"stream broke off: {error!r}")
+            return self.handle_break("stream broke off", error)
         finally:
             unread.follow(None)
         if splitter.remainder:
@@ -167,11 +170,11 @@
             opened.response.content,
         )
 
-    def handle_break(self, reason):
+    def handle_break(self, reason, error=None):
         """Log that a stream broke off; return Lost or StreamBroken."""
         broken = events.StreamBroken(
             request=self.call.head.request_id,
-            reason=reason,
+            reason=describe_failure(reason, error),
             last_event=self.last_event_id,
             endpoint=self.attempts.endpoint.name,
             events=self.event_count,
@@ -222,3 +225,14 @@
         if self.http_request.protocol.ends_after_response:
             self.response.force_close()
         await self.response.prepare(self.http_request)
+
+
+def describe_result(result):
+    """Return the result of an attempt for the log."""
+    match result:
+        case Answered(head):
+            return f"status {head.status}"
+        case Lost():
+            return result.description
+        case NotRun(reason):
+            return reason
--- a/tests/integration/test_broken_answers.py
+++ b/tests/integration/test_broken_answers.py
@@ -251,6 +251,34 @@
     assert b"sound" not in body
 
 
+QUOTED = b"odd" * 200
+QUOTING = {
+    "status line": QUOTED + b"\r\n\r\n",
+    "field": head(OK, b"X " + QUOTED + b": 1"),
+    "chunk": head(framing=b"Transfer-Encoding: chunked") + QUOTED + b"\r\n",
+    "cut": head(framing=b"Content-Length: 9999") + QUOTED,
+}
+
+
+@pytest.mark.parametrize("kind", [RequestKind.NON_IDEMPOTENT, RequestKind.STREAM])
+@parametrize(QUOTING)
+async def test_errors_quote_nothing_of_a_broken_answer(raw, kind, caplog):
+    """Guard against an endpoint's bytes in errors, and against logs without a cause."""
+    caplog.set_level(logging.INFO)
+    endpoint = StandInEndpoint("e-1", raw_answers.sending(raw))
+    async with site(endpoint, document=document_of(kind)) as (running, session):
+        status, headers, body = await call(running, session)
+    assert status == 502
+    assert b"odd" not in body + str(headers).encode()
+    (failed,) = [
+        each
+        for each in caplog.records
+        if each.getMessage() in ("sending failed", "stream broken")
+    ]
+    assert failed.endpoint == "e-1"
+    assert 0 < len(failed.reason) < 300
+
+
 async def test_nothing_that_an_endpoint_sends_is_an_unhandled_exception(caplog):
     """Guard against a closed connection and a traceback in place of an answer."""
     caplog.set_level(logging.ERROR)
