Count malformed answers by the rule that they break

Cause: an engine in trouble could be found only by reading each line of the log; no metric told how often endpoints send answers that HTTP does not allow.

Change: fescuedrum_gateway_malformed_answers_total, labelled by rule (status line, status, upgrade, field, framing, size, contradiction). 'sending failed' names the endpoint and what is wrong.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
@@ -27,6 +27,8 @@
 LIBRARY_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 # Statuses whose answers never have a body (RFC 9110, section 6.4.1).
 STATUSES_WITHOUT_BODY = (204, 304)
+# Rule that an answer breaks whose headers contradict each other.
+CONTRADICTION = "contradiction"
 # Parts in which a body is read, as a stream holds one part besides its buffers.
 READ_BYTES = 16 * 1024
 
@@ -174,7 +176,7 @@
         is_closed = isinstance(error.os_error, ConnectionRefusedError)
         return NotRun(f"no connection: {error!r}", is_closed=is_closed)
     except MalformedAnswer as error:
-        return Lost(str(error))
+        return Lost(str(error), broken_rule=error.rule)
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         if limit.timeout.expired() and not limit.is_connected:
             return NotRun(f"no connection in {CONNECT_TIMEOUT_SECONDS} s")
@@ -189,7 +191,7 @@
     """Return OpenedAnswer for an endpoint's answer to this call, NotRun or Lost."""
     if head.fault:
         response.close()
-        return Lost(f"malformed answer: {head.fault}")
+        return Lost(f"malformed answer: {head.fault}", broken_rule=CONTRADICTION)
     if head.not_run and head.request_id in (None, call.head.request_id):
         return await read_refusal(head, response, call)
     if head.request_id != call.head.request_id:
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
@@ -1,6 +1,8 @@
 """Declare the gateway's metrics and count the outcomes of its requests."""
 
+from fescuedrum.answer_heads import HeadRule
 from fescuedrum.metrics import LOOP_DELAY_BUCKETS, SERVICE, Label, MetricCatalogue
+from fescuedrum_gateway.connection.endpoints import CONTRADICTION
 from fescuedrum_gateway.process.group_metrics import GroupMetrics
 from fescuedrum_gateway.process.holders import Kind
 from fescuedrum_gateway.process.place_metrics import PlaceMetrics
@@ -9,6 +11,7 @@
 NO_SERVICE = "none"
 RESULT = Label("result", "5: answered, failed, cut, refused, left")
 ATTEMPT = Label("result", "3: opened, not-run, lost")
+RULE = Label("rule", f"{len(HeadRule) + 1}: {', '.join(HeadRule)}, {CONTRADICTION}")
 CODE = Label("code", "the error codes of the callers' interface")
 HELD = Label("kind", "3: bodies, answers, unread")
 CHANGE = Label("result", "4: switched, abandoned, epoch-ended, unsettled")
@@ -26,6 +29,7 @@
         "groups",
         "held_bytes",
         "loop_delay",
+        "malformed_answers",
         "map_changes",
         "places",
         "refusals",
@@ -59,6 +63,12 @@
             "Attempts to send a request to an endpoint, retries included.",
             ATTEMPT,
         )
+        self.malformed_answers = catalogue.counter(
+            "fescuedrum_gateway_malformed_answers_total",
+            "Answers of endpoints that HTTP does not allow or that contradict "
+            "themselves; `sending failed` in the log names the endpoint.",
+            RULE,
+        )
         self.refusals = catalogue.counter(
             "fescuedrum_gateway_refusals_total",
             "Requests refused by the gateway itself.",
@@ -251,3 +261,7 @@
     def count_attempt(self, result):
         """Count an attempt to send a request to an endpoint."""
         self.attempts.labels(result).inc()
+
+    def count_malformed(self, rule):
+        """Count an answer that breaks a rule."""
+        self.malformed_answers.labels(rule).inc()
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -326,6 +326,8 @@
                 self.wait.record_taken()
                 history.failed(self.loop.time())
                 self.gateway.metrics.count_attempt("lost")
+                if opened.broken_rule:
+                    self.gateway.metrics.count_malformed(opened.broken_rule)
                 self.log_failure(endpoint, "lost", opened.description)
             case _:
                 self.may_have_arrived = True
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/call.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/call.py
@@ -83,6 +83,8 @@
     head: AnswerHead | None = None
     # The error as the library reports it, for the log; may quote the endpoint's bytes.
     error: Exception | None = None
+    # Rule that a malformed answer breaks; empty if it is not malformed.
+    broken_rule: str = ""
 
     @property
     def description(self) -> str:
--- a/tests/integration/test_broken_answers.py
+++ b/tests/integration/test_broken_answers.py
@@ -279,6 +279,24 @@
     assert 0 < len(failed.reason) < 300
 
 
+async def test_malformed_answers_are_logged_and_counted_by_rule(caplog):
+    """Guard against an engine in trouble that no log or metric names."""
+    caplog.set_level(logging.INFO)
+    endpoint = StandInEndpoint("e-1", raw_answers.sending(INVALID_STATUSES["000"]))
+    document = document_of(RequestKind.NON_IDEMPOTENT)
+    async with site(endpoint, document=document) as (running, session):
+        await call(running, session)
+        text, _ = running.gateway.metrics.catalogue.expose()
+        history = running.gateway.directory.histories["e-1"]
+    assert b'malformed_answers_total{rule="status"} 1.0' in text
+    (failed,) = [
+        each for each in caplog.records if each.getMessage() == "sending failed"
+    ]
+    assert failed.endpoint == "e-1"
+    assert failed.reason == "malformed answer: status 000 is not within 100 to 599"
+    assert history.failures == 1
+
+
 async def test_nothing_that_an_endpoint_sends_is_an_unhandled_exception(caplog):
     """Guard against a closed connection and a traceback in place of an answer."""
     caplog.set_level(logging.ERROR)
