Bound the bytes held by a gateway whose settings name no memory

What was seen: without memory_megabytes in its settings, a gateway kept an answer without end until its caller's deadline, 4 GB in 2 s; a few of them end the process and with it the requests of all callers.

Cause: the default of the setting was 0, no bound.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/conf.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/conf.py
@@ -59,7 +59,7 @@
         1000.0, help="Bandwidth of this machine's link.", minimum=0.1, unit="Mbit/s"
     )
     memory_megabytes: float = setting(
-        0.0,
+        1024.0,
         help="Memory of this machine; two fifths of it may hold bodies and answers. "
         "0 sets no bound.",
         minimum=0.0,
--- a/tests/integration/test_broken_answers.py
+++ b/tests/integration/test_broken_answers.py
@@ -1,14 +1,18 @@
 """Check what callers get when endpoints send answers that are broken."""
 
+import asyncio
+import contextlib
 import logging
+import types
 from dataclasses import replace
 
+import psutil
 import pytest
 from support import engines, raw_answers
 from support.dialect import PlainAdapter, PlatformHeadersAdapter
 from support.engines import StandInEndpoint
 from support.gateways import PATH, call, site
-from support.raw_answers import EarlyAnswer, head
+from support.raw_answers import EarlyAnswer, EndlessAnswer, head
 from support.routing import build_endpoint, build_route, build_routing_document
 
 from fescuedrum.conf.routing import RequestKind
@@ -21,6 +25,8 @@
 )
 
 OK = b"HTTP/1.1 200 OK"
+# Of the callers of tests.
+PATIENCE_SECONDS = 2.0
 CHUNKS = b"4\r\ndone\r\n0\r\n\r\n"
 INVALID_STATUSES = {
     "000": head(b"HTTP/1.1 000 Odd"),
@@ -279,6 +285,92 @@
     assert 0 < len(failed.reason) < 300
 
 
+ENDLESS = {
+    "line": (OK + b"\r\n", b"x" * 1024),
+    "value": (OK + b"\r\nX-Odd: ", b"x" * 1024),
+    "fields": (OK + b"\r\n", b"X-Odd: 1\r\n" * 100),
+    "reason": (b"HTTP/1.1 200 ", b"x" * 1024),
+    "blank lines": (b"", b"\r\n" * 512),
+    "interim answers": (b"", b"HTTP/1.1 103 Early\r\nLink: a\r\n\r\n" * 30),
+    "NUL": (b"", b"\0" * 1024),
+    "body": (head(framing=b""), b"x" * 64 * 1024),
+    "chunks": (
+        head(framing=b"Transfer-Encoding: chunked"),
+        engines.chunk(b"x" * 64 * 1024),
+    ),
+    "chunk extension": (
+        head(framing=b"Transfer-Encoding: chunked") + b"4;",
+        b"x" * 1024,
+    ),
+    "trailers": (
+        head(framing=b"Transfer-Encoding: chunked") + b"0\r\n",
+        b"X-Odd: 1\r\n" * 100,
+    ),
+}
+MEGABYTE = 1024 * 1024
+MEMORY_MEGABYTES = 100.0
+# Of a gateway whose settings say nothing of memory.
+DEFAULT_MEMORY_MEGABYTES = 1024.0
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("parts", ENDLESS.values(), ids=list(ENDLESS))
+async def test_bytes_without_end_are_given_up(parts, kind):
+    """Guard against an endpoint that fills the memory of a gateway or keeps callers."""
+    settings = {"memory_megabytes": MEMORY_MEGABYTES}
+    taken = await call_endless(parts, kind, **settings)
+    assert taken < 0.4 * MEMORY_MEGABYTES + 64
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("part", ["body", "chunks"])
+async def test_bodies_without_end_are_given_up_by_default(part, kind):
+    """Guard against a gateway that fills the machine as no setting bounds it."""
+    taken = await call_endless(ENDLESS[part], kind)
+    assert taken < 0.4 * DEFAULT_MEMORY_MEGABYTES + 64
+
+
+async def call_endless(parts, kind, **settings):
+    """Return the most megabytes that an endless answer took while a caller waited."""
+    answer = EndlessAnswer(*parts)
+    endpoint = StandInEndpoint("e-1", answer)
+    loop = asyncio.get_running_loop()
+    async with site(endpoint, document=document_of(kind), **settings) as (
+        running,
+        session,
+    ):
+        async with measured_memory() as memory:
+            began = loop.time()
+            status, _, _ = await call(running, session)
+            seconds = loop.time() - began
+        async with asyncio.timeout(1.0):
+            await answer.ended.wait()
+        assert running.gateway.memory.total == 0
+    assert status in (502, 504)
+    assert seconds < PATIENCE_SECONDS + 1.0
+    return memory.megabytes
+
+
+@contextlib.asynccontextmanager
+async def measured_memory():
+    """Yield an object whose megabytes are the most that the block took so far."""
+    process = psutil.Process()
+    before = process.memory_info().rss
+    measured = types.SimpleNamespace(megabytes=0.0)
+
+    async def measure():
+        while True:
+            taken = (process.memory_info().rss - before) / MEGABYTE
+            measured.megabytes = max(measured.megabytes, taken)
+            await asyncio.sleep(0.01)
+
+    task = asyncio.create_task(measure())
+    try:
+        yield measured
+    finally:
+        task.cancel()
+
+
 async def test_malformed_answers_are_logged_and_counted_by_rule(caplog):
     """Guard against an engine in trouble that no log or metric names."""
     caplog.set_level(logging.INFO)
--- a/tests/support/raw_answers.py
+++ b/tests/support/raw_answers.py
@@ -28,18 +28,26 @@
     return answer
 
 
-def repeating(begin: bytes, part: bytes):
-    """Return an answer function that sends a part again and again without end."""
-
-    async def answer(seen):
-        seen.writer.write(begin)
-        while True:
-            seen.writer.write(part)
-            await seen.writer.drain()
-            # A drain that need not wait would keep the loop from the gateway.
-            await asyncio.sleep(0)
-
-    return answer
+class EndlessAnswer:
+    """Answer a request with a part that comes again and again."""
+
+    def __init__(self, begin: bytes, part: bytes):
+        self.begin = begin
+        self.part = part
+        # Set when the sender of the request has closed its connection.
+        self.ended = asyncio.Event()
+
+    async def __call__(self, seen):
+        """Write until the connection is closed."""
+        seen.writer.write(self.begin)
+        try:
+            while True:
+                seen.writer.write(self.part)
+                await seen.writer.drain()
+                # A drain that need not wait would keep the loop from the gateway.
+                await asyncio.sleep(0)
+        finally:
+            self.ended.set()
 
 
 class EarlyAnswer:
