--- /dev/null
+++ b/tests/support/odd_rows.py
@@ -0,0 +1,71 @@
+"""Build rows of the list of endpoints as another writer might leave them."""
+
+import json
+
+SOUND = {
+    "service": "advice",
+    "address": "127.0.0.1:8080",
+    "zone": "zone-1",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq": 4,
+}
+HUGE = "1" + "0" * 400
+
+
+def raw(**changes) -> bytes:
+    """Return the bytes of a row with some fields changed."""
+    return json.dumps(SOUND | changes).encode()
+
+
+def raw_with(field: str, text: str) -> bytes:
+    """Return the bytes of a row with the given JSON text as a field."""
+    others = json.dumps({name: SOUND[name] for name in SOUND if name != field})
+    return f'{others[:-1]}, "{field}": {text}}}'.encode()
+
+
+def nested(depth: int) -> str:
+    """Return the JSON text of lists within lists."""
+    return "[" * depth + "]" * depth
+
+
+ODD_ROWS = {
+    "no JSON": b"\xff\x00",
+    "empty": b"",
+    "deep": nested(100_000).encode(),
+    "deep field": raw_with("x", nested(100_000)),
+    "deep state": raw_with("state", nested(900)),
+    "huge time": raw_with("cold_left_ms", HUGE),
+    "infinite time": raw_with("cold_left_ms", "Infinity"),
+    "time that is no number": raw_with("cold_left_ms", "NaN"),
+    "time beyond floats": raw_with("cold_left_ms", "1e999"),
+    "huge slots": raw_with("slots", HUGE),
+    "no slots": raw(slots=0),
+    "negative slots": raw(slots=-6),
+    "huge start": raw_with("born", HUGE),
+    "number of 5,000 digits": raw_with("slots", "9" * 5000),
+    "port 0": raw(address="127.0.0.1:0"),
+    "port 65536": raw(address="127.0.0.1:65536"),
+    "negative port": raw(address="127.0.0.1:-1"),
+    "port of 5,000 digits": raw(address="127.0.0.1:" + "9" * 5000),
+    "port in other digits": raw(address="127.0.0.1:٨٠٨٠"),
+    "host with a blank": raw(address="a b:80"),
+    "host with a line end": raw(address="a\nb:80"),
+    "host with a path": raw(address="a/b:80"),
+    "host with a user": raw(address="u@a:80"),
+    "host of 300 characters": raw(address="a" * 300 + ":80"),
+    "host without brackets": raw(address="::1:80"),
+    "host that is no text": raw(address="\ud800:80"),
+    "host of dots": raw(address=".:80"),
+    "zone that is no text": raw(zone="\ud800"),
+}
+# Keys that no request can name as its endpoint.
+ODD_KEYS = {
+    "empty key": "",
+    "key with a line end": "i-1\nX-Odd: 1",
+    "key with a control byte": "i-\x01",
+    "key that is no text": "i-\ud800",
+    "key of 5,000 characters": "i" * 5000,
+}
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -110,7 +110,13 @@
 
 @pytest.mark.parametrize(
     ("field", "value"),
-    [("type", "odd"), ("timeout_ms", None), ("prefix", 3), ("split", [])],
+    [
+        ("type", "odd"),
+        ("timeout_ms", None),
+        ("timeout_ms", 10**400),
+        ("prefix", 3),
+        ("split", []),
+    ],
 )
 def test_error_for_a_malformed_configuration_names_the_field(field, value):
     changed = CONFIG | {"routes": [ROUTE | {field: value}]}
