Close a kept connection on which bytes come that answer no request

What was seen: a second answer that arrived on a kept connection between two requests was read as the answer to the next one, and the answer to that one by the request after it. Orders to engines, their reports, calls to the store and pulls from other gateways share kept connections.

Cause: the library parses and queues what arrives on an idle connection, and the next request takes it from the queue.

Change: the connection knows whether the answer to the last request is complete. Bytes after that close it, and the next request opens another one. The sessions of gateways to the platform, engines and each other, and those of entries to the platform, use the connector that also checks the heads of answers.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from fescuedrum import __version__, serving
+from fescuedrum.answer_connection import AnswerConnector
 from fescuedrum.decisions.duties.stopping import StopPlan
 from fescuedrum.decisions.returning.retries import ServiceRetries
 from fescuedrum.events.event import log_event
@@ -120,7 +121,7 @@
         """Serve until a stop signal, then drain and stop."""
         stop = stop_event()
         on_reload(self.callers_tls.reload, self.peers.certificates.reload)
-        async with aiohttp.ClientSession() as session:
+        async with aiohttp.ClientSession(connector=AnswerConnector()) as session:
             self.platform = PlatformClient(self.settings.platform_url, session)
             tasks = self.start_claims()
             self.configuration_follower = ConfigurationFollower(
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from fescuedrum import __version__, serving
+from fescuedrum.answer_connection import AnswerConnector
 from fescuedrum.conf.routing import RoutingDocument, RoutingTable
 from fescuedrum.decisions.admitting.memory import MemoryBound
 from fescuedrum.decisions.duties.stopping import StopPlan
@@ -158,7 +159,7 @@
     async def run(self, stop):
         """Serve until the event stop is set; then drain and close everything."""
         on_reload(self.reload)
-        connector = aiohttp.TCPConnector(limit=0, socket_factory=open_socket)
+        connector = AnswerConnector(limit=0, socket_factory=open_socket)
         async with (
             aiohttp.ClientSession(connector=connector) as self.store_session,
             open_endpoint_session() as self.session,
--- a/packages/fescuedrum/src/fescuedrum/answer_connection.py
+++ b/packages/fescuedrum/src/fescuedrum/answer_connection.py
@@ -23,8 +23,20 @@
         self.heads = HeadReader()
         super().set_response_params(**params)
 
+    @property
+    def awaits_nothing(self):
+        """Return whether the answer to the last request is complete."""
+        return self.heads.is_done and (self._payload is None or self._payload.is_eof())
+
     def data_received(self, data):
-        """Check the head of an answer before any of it is parsed."""
+        """Check the head of an answer before any of it is parsed.
+
+        What arrives after a whole answer belongs to no request. On a kept connection it
+        would be read as the answer to the next one.
+        """
+        if data and self.awaits_nothing:
+            self.transport.close()
+            return
         if data and not self.heads.is_done:
             try:
                 data = self.heads.feed(data)
