Read the answers of platform, engines and other gateways as strictly

Errors of agents quoted the endpoint's bytes to callers, and the command line ended in a traceback at an odd error.

Cause: each reader took what the HTTP library and the JSON decoder made of an answer, and checked what it needed for its own case.

Recursion in JSON is malformed JSON. Each failure is what that reader had for no answer: an engine not read, an order unanswered, an outage of the store, changes not given, an unknown outcome.

Held before: no JSON, JSON that is no object, numbers of 5,000 digits, answers that are cut, blanks in names, rows that are no objects.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
@@ -7,6 +7,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from fescuedrum.answer_heads import MalformedAnswer
 from fescuedrum.headers import end_to_end_headers, replace_invalid_utf8
 from fescuedrum.logs import request_context
 from fescuedrum.once import SendOnceGuard
@@ -50,7 +51,7 @@
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self.answer.unavailable = not isinstance(error, TimeoutError)
             phase = "answer" if started else "request"
-            self.answer.finish(Outcome.UNKNOWN, f"{phase} cut: {error!r}")
+            self.answer.finish(Outcome.UNKNOWN, f"{phase} cut: {describe(error)}")
         except asyncio.CancelledError:
             self.answer.finish(Outcome.UNKNOWN, "cancelled")
             raise
@@ -74,6 +75,11 @@
         )
 
 
+def describe(error):
+    """Return an error for callers, who get nothing of a broken answer's bytes."""
+    return str(error) if isinstance(error, MalformedAnswer) else type(error).__name__
+
+
 def set_request_context(request):
     """Add the request's id and organisation to the log lines of this task."""
     context = {"request": request.request_id, "organisation": request.organisation}
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/operators/client.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/client.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from fescuedrum.answer_connection import AnswerConnector, read_body
 from fescuedrum.process import (
     EXIT_FAILURE,
     EXIT_FINDINGS,
@@ -16,6 +17,8 @@
 )
 
 TIMEOUT_SECONDS = 30.0
+MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024
+ERROR_FIELDS = {"code", "message"}
 EXIT_BY_CODE = {
     "change-invalid": EXIT_FINDINGS,
     "change-raced": EXIT_RACED,
@@ -63,11 +66,13 @@
         timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
         try:
             async with (
-                aiohttp.ClientSession(timeout=timeout, headers=self.headers) as session,
+                aiohttp.ClientSession(
+                    connector=AnswerConnector(), timeout=timeout, headers=self.headers
+                ) as session,
                 session.request(method, self.url + path, **options) as response,
             ):
-                data = await response.json()
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+                data = load_answer(await read_body(response, MAXIMUM_ANSWER_BYTES))
+        except (aiohttp.ClientError, OSError, ValueError, RecursionError) as error:
             message = f"{self.url} gave no answer: {error!r}. Try another entry."
             raise ApiError({"code": "no-answer", "message": message}) from error
         if "error" in data:
@@ -75,6 +80,17 @@
         return data
 
 
+def load_answer(body):
+    """Return the JSON in an answer; raise ValueError if it is none of the API's."""
+    data = json.loads(body)
+    if not isinstance(data, dict | list):
+        raise ValueError("the answer is no JSON object")
+    error = data["error"] if "error" in data else dict.fromkeys(ERROR_FIELDS)
+    if not isinstance(error, dict) or not ERROR_FIELDS.issubset(error):
+        raise ValueError("the answer's error has no code or no message")
+    return data
+
+
 def run_command(arguments, handle):
     """Call handle(client); turn errors into messages and exit codes."""
     try:
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
@@ -7,11 +7,13 @@
 import asyncio
 import base64
 import binascii
+import json
 import logging
 
 import aiohttp
 from aiohttp import web
 
+from fescuedrum.answer_connection import read_success
 from fescuedrum.events import tables as events
 from fescuedrum.events.event import log_event
 from fescuedrum.events.processes import PeerGaveNoChanges
@@ -53,6 +55,14 @@
 # Time after which the next peer is asked as well. Peers that froze answer nothing, and
 # several of them may be asked before one that answers.
 HEDGE_SECONDS = 0.25
+MAXIMUM_ANSWER_BYTES = 32 * 1024 * 1024
+PEER_ERRORS = (
+    TimeoutError,
+    aiohttp.ClientError,
+    OSError,
+    ValueError,
+    RecursionError,
+)
 CHANGES_PATH = "/changes"
 # Answers to peers that are longer than this are compressed.
 COMPRESSION_THRESHOLD_BYTES = 4096
@@ -269,9 +279,12 @@
         params = {"table": self.name, "after": str(self.replica.version)}
         timeout = aiohttp.ClientTimeout(total=PEER_TIMEOUT_SECONDS)
         try:
-            async with self.session.get(url, params=params, timeout=timeout) as answer:
-                changes = load_changes(await answer.json())
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            async with self.session.get(
+                url, params=params, timeout=timeout, allow_redirects=False
+            ) as answer:
+                body = await read_success(answer, MAXIMUM_ANSWER_BYTES)
+            changes = load_changes(json.loads(body))
+        except PEER_ERRORS as error:
             log_event(logger, PeerGaveNoChanges(self.name, peer.host, repr(error)))
             return False
         self.apply(changes, peer.host)
@@ -337,13 +350,23 @@
     """Return the Changes in a peer's JSON; raise ValueError if it is malformed."""
     try:
         rows = [load_row(row) for row in data["rows"]]
-        return Changes(rows, int(data["version"]), bool(data["whole"]))
+        return Changes(rows, load_version(data), bool(data["whole"]))
     except (KeyError, TypeError, binascii.Error) as error:
         raise ValueError(f"The peer's changes are malformed: {error!r}.") from error
 
 
 def load_row(data):
     """Return the row in one element of a peer's JSON."""
-    value = data["value"]
+    key, value = data["key"], data["value"]
+    if not isinstance(key, str):
+        raise TypeError("a key is no text")
     decoded = None if value is None else base64.b64decode(value)
-    return VersionedRow(data["key"], decoded, int(data["version"]))
+    return VersionedRow(key, decoded, load_version(data))
+
+
+def load_version(data):
+    """Return the version in a peer's JSON; raise TypeError if it is no integer."""
+    version = data["version"]
+    if type(version) is not int:
+        raise TypeError("a version is no integer")
+    return version
--- a/packages/fescuedrum/src/fescuedrum/answer_connection.py
+++ b/packages/fescuedrum/src/fescuedrum/answer_connection.py
@@ -7,6 +7,8 @@
 
 from fescuedrum.answer_heads import HeadReader, MalformedAnswer
 
+SUCCESS_STATUS = 200
+
 
 class AnswerConnection(ResponseHandler):
     """Pass to the library's parser only answers that HTTP allows."""
@@ -67,6 +69,34 @@
         super().connection_lost(exc)
 
 
+class UnusableAnswer(aiohttp.ClientError):
+    """Report an answer with another status or a longer body than its reader takes."""
+
+
+async def read_success(response, limit: int) -> bytes:
+    """Return the whole body of an answer with status 200.
+
+    Raise UnusableAnswer, or another ClientError if the body breaks off.
+    """
+    if response.status != SUCCESS_STATUS:
+        raise UnusableAnswer(f"status {response.status}")
+    return await read_body(response, limit)
+
+
+async def read_body(response, limit: int) -> bytes:
+    """Return the whole body of an answer of at most limit bytes.
+
+    Raise UnusableAnswer, or another ClientError if the body breaks off.
+    """
+    chunks, size = [], 0
+    async for chunk in response.content.iter_any():
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > limit:
+            raise UnusableAnswer(f"the answer has more than {limit} bytes")
+    return b"".join(chunks)
+
+
 class AnswerConnector(aiohttp.TCPConnector):
     """Open an AnswerConnection for each connection."""
 
--- a/packages/fescuedrum/src/fescuedrum/platform/caller.py
+++ b/packages/fescuedrum/src/fescuedrum/platform/caller.py
@@ -4,19 +4,22 @@
 
 import aiohttp
 
+from fescuedrum.answer_connection import read_body
 from fescuedrum.exceptions import StoreUnavailable
 
 # A healthy store responds within milliseconds, a loaded one within a few 100 ms.
 DEFAULT_TIMEOUT_SECONDS = 2.0
 # Connecting within one site takes milliseconds; a host that is down never responds.
 CONNECT_SECONDS = 1.0
+# A page of rows has a megabyte, an object 8; changes come in one response.
+MAXIMUM_RESPONSE_BYTES = 32 * 1024 * 1024
 
 
 def decode(body):
     """Return a response's JSON; raise StoreUnavailable if it is not JSON."""
     try:
         return json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise StoreUnavailable(
             f"The platform's response is not JSON: {error}."
         ) from error
@@ -42,9 +45,13 @@
         )
         try:
             async with self.session.request(
-                method, self.base_url + path, timeout=limits, **arguments
+                method,
+                self.base_url + path,
+                timeout=limits,
+                allow_redirects=False,
+                **arguments,
             ) as response:
-                body = await response.read()
+                body = await read_body(response, MAXIMUM_RESPONSE_BYTES)
                 if response.status == 200 or response.status in accept:
                     return response.status, body
                 raise StoreUnavailable(
