Use no counts and no map of a rank that do not fit its service

What was seen: a rank that reported no counts, or a map of other layers or experts than its service has, ended the task that leads the group, again at each restart: ValueError of an empty list, IndexError in the map. Maps were not adapted and a held pass was not settled meanwhile.

Cause: the lengths of what ranks report were taken from the profile of the service without a look at the report.

Change: counts of another length are as good as not read, and a map is used only if it has the service's layers, and experts that it has.

Measured: 5 of 7 cases failed on, all pass, with the other tests of the keeper.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/demand.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/demand.py
@@ -97,7 +97,13 @@
                 for rank in sample.ranks_to_read(group.ranks, self.counts_per_rank)
             )
         )
-        usable = [each for each in answers if each and each.epoch == group.epoch]
+        usable = [
+            each
+            for each in answers
+            if each
+            and each.epoch == group.epoch
+            and len(each.counts) == self.counts_per_rank
+        ]
         if len(usable) < len(answers):
             log_event(logger, CountsNotRead(group.name, len(answers), len(usable)))
             sample.demand.reset_counts()
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/groups.py
@@ -149,12 +149,21 @@
         )
         if any(each is None or each.version != report.map_version for each in maps):
             return None
+        if not all(is_part_of_map(each.held, profile) for each in maps):
+            return None
         return [
             [set(maps[rank].held[layer]) for rank in ranks]
             for layer in range(profile.layers)
         ]
 
 
+def is_part_of_map(held, profile):
+    """Return whether a rank's experts are some of those of a profile, by layer."""
+    return len(held) == profile.layers and all(
+        expert < profile.experts for layer in held for expert in layer
+    )
+
+
 def members_by_group(addresses, reports):
     """Return the addresses of ranks by the (group, epoch) that they report."""
     members = {}
--- a/packages/fescuedrum/src/fescuedrum/groups/orders.py
+++ b/packages/fescuedrum/src/fescuedrum/groups/orders.py
@@ -60,11 +60,11 @@
         return {rank: report for rank, report in by_rank if report is not None}
 
     async def read_map(self, version: int) -> ExpertMap | None:
-        """Return the map in force, or None if a rank uses another version."""
+        """Return the map in force, or None if a rank uses another version or size."""
         parts = await asyncio.gather(
             *(self.engines.read_map(self.addresses[rank]) for rank in self.ranks)
         )
         read = [part.held for part in parts if part and part.version == version]
-        if len(read) < len(parts):
+        if len(read) < len(parts) or len({len(held) for held in read}) > 1:
             return None
         return [list(layer) for layer in zip(*read, strict=True)]
--- a/tests/unit/test_group_keeper.py
+++ b/tests/unit/test_group_keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
 from support.clock import run_paused
 from support.keepers import (
     EXPERTS,
@@ -272,3 +273,30 @@
 
     group = run_paused(run())
     assert {rank.map_version for rank in group.ranks} == {0}
+
+
+@pytest.mark.parametrize("size", [0, 1, EXPERTS * LAYERS - 1])
+def test_counts_of_another_length_are_not_used(size):
+    """Guard against a task that ends at the counts of faulty ranks."""
+
+    async def story(keeper, group):
+        for passes in range(1, 11):
+            group.counts = [[passes * 1000] * size for _ in range(RANKS)]
+            await check_for(keeper, 0.5)
+        assert keeper.finder.groups
+
+    play(story, ranks=())
+
+
+@pytest.mark.parametrize("held", [[], [[0]], [[0], [EXPERTS]], [[0]] * (LAYERS + 1)])
+def test_a_map_that_does_not_fit_the_service_is_not_used(held):
+    """Guard against a task that ends at the map of one faulty rank."""
+
+    async def story(keeper, group):
+        for rank in group.ranks:
+            rank.map_version = 5
+        group.ranks[2].held = held
+        await check_for(keeper, 1.0)
+        assert not keeper.finder.groups
+
+    play(story)
