Learn only IP addresses of gateways from rows and beacons

What was seen: a row of the gateways' table, or a beacon, with a text that is no address (a NUL in it, no text) ended the datagram socket of each gateway that read it ('Fatal write error on datagram transport'): it heard no other gateway any more, and no others heard it. Other texts counted as gateways that share bounds. A deleted row ended the task that reads the table ('task failed').

Cause: whatever a row or a beacon named was an address to send to.

Change: an address learned from others must be an IP address, as a gateway's own must be; anything else is logged ('gateway address not understood') and left out. Seeds come from the settings and are not affected.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -379,7 +379,7 @@
             try:
                 await self.store.put_row(table, settings.name, settings.host.encode())
                 for row in (await self.store.read_table(table)).rows:
-                    self.peers.add_host(row.value.decode(errors="replace"))
+                    self.peers.learn_host((row.value or b"").decode(errors="replace"))
                 return
             except StoreUnavailable as error:
                 log_event(logger, AddressNotWritten(error.detail))
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import ipaddress
 import logging
 from collections.abc import Callable
 
@@ -16,6 +17,7 @@
 from fescuedrum.events.processes import (
     DatagramNotUnderstood,
     DatagramRefused,
+    GatewayAddressNotUnderstood,
     GatewayHeard,
 )
 from fescuedrum.exceptions import ProtocolError
@@ -37,6 +39,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Characters of an address in a line of the log.
+LONGEST_ADDRESS = 80
+
 # Names of the two tables that gateways copy, as used between gateways.
 OPERATORS = "operators"
 ENDPOINTS = "endpoints"
@@ -167,6 +172,20 @@
             self.is_one_mesh = meshes.is_fresh(len(self.hosts))
             self.send_beacon(self.hosts[host], wants_answer=True)
 
+    def learn_host(self, host: str) -> None:
+        """Add an address that a row or another gateway names, if it is an IP address.
+
+        Sending to a text that is no address could end the datagram socket.
+        """
+        if host in self.hosts:
+            return
+        try:
+            ipaddress.ip_address(host)
+        except ValueError:
+            log_event(logger, GatewayAddressNotUnderstood(host[:LONGEST_ADDRESS]))
+            return
+        self.add_host(host)
+
     def is_heard(self, peer: PeerGateway, seconds: float) -> bool:
         """Return whether a gateway was heard in so many seconds, or a few beacons."""
         return self.build_heard_check(seconds)(peer)
@@ -387,8 +406,10 @@
         if host == self.settings.host:
             return
         for other in beacon.known_hosts or ():
-            self.add_host(other)
-        self.add_host(host)
+            self.learn_host(other)
+        self.learn_host(host)
+        if host not in self.hosts:
+            return
         self.apply_beacon(self.hosts[host], beacon)
         if beacon.wants_answer:
             self.send_beacon(self.hosts[host], wants_answer=False)
--- a/packages/fescuedrum/src/fescuedrum/events/processes.py
+++ b/packages/fescuedrum/src/fescuedrum/events/processes.py
@@ -199,6 +199,16 @@
     findings: Annotated[list, "all errors found"]
 
 
+@event
+class GatewayAddressNotUnderstood(Event):
+    """Logged when a row or a beacon names something that is no IP address."""
+
+    message = "gateway address not understood"
+    level = logging.WARNING
+
+    host: Annotated[str, "its first characters"]
+
+
 @event
 class AddressNotWritten(Event):
     """Logged when the process can't write its own address to the store.
