Move what reads HTTP answers to a package of its own

Cause: heads and connections are one subject, to which bodies come next. Change: fescuedrum.answers holds both; nothing else changes. Measured: the tests of broken answers and of their readers pass.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/operators/client.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/client.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from fescuedrum.answer_connection import AnswerConnector, read_body
+from fescuedrum.answers.connection import AnswerConnector, read_body
 from fescuedrum.process import (
     EXIT_FAILURE,
     EXIT_FINDINGS,
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/entry.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from fescuedrum import __version__, serving
-from fescuedrum.answer_connection import AnswerConnector
+from fescuedrum.answers.connection import AnswerConnector
 from fescuedrum.decisions.duties.stopping import StopPlan
 from fescuedrum.decisions.returning.retries import ServiceRetries
 from fescuedrum.events.event import log_event
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
@@ -13,7 +13,7 @@
 import aiohttp
 from aiohttp import web
 
-from fescuedrum.answer_connection import read_success
+from fescuedrum.answers.connection import read_success
 from fescuedrum.events import tables as events
 from fescuedrum.events.event import log_event
 from fescuedrum.events.processes import PeerGaveNoChanges
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from fescuedrum import __version__, serving
-from fescuedrum.answer_connection import AnswerConnector
+from fescuedrum.answers.connection import AnswerConnector
 from fescuedrum.conf.routing import RoutingDocument, RoutingTable
 from fescuedrum.decisions.admitting.memory import MemoryBound
 from fescuedrum.decisions.duties.stopping import StopPlan
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
@@ -1,6 +1,6 @@
 """Declare the gateway's metrics and count the outcomes of its requests."""
 
-from fescuedrum.answer_heads import HeadRule
+from fescuedrum.answers.heads import HeadRule
 from fescuedrum.metrics import LOOP_DELAY_BUCKETS, SERVICE, Label, MetricCatalogue
 from fescuedrum_gateway.connection.endpoints import CONTRADICTION
 from fescuedrum_gateway.process.group_metrics import GroupMetrics
--- a/packages/fescuedrum/src/fescuedrum/answer_connection.py
+++ b/packages/fescuedrum/src/fescuedrum/answers/connection.py
@@ -5,7 +5,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-from fescuedrum.answer_heads import HeadReader, MalformedAnswer
+from fescuedrum.answers.heads import HeadReader, MalformedAnswer
 
 SUCCESS_STATUS = 200
 
--- a/packages/fescuedrum/src/fescuedrum/once.py
+++ b/packages/fescuedrum/src/fescuedrum/once.py
@@ -2,7 +2,7 @@
 
 import aiohttp
 
-from fescuedrum.answer_connection import AnswerConnector
+from fescuedrum.answers.connection import AnswerConnector
 
 
 class ResendRefused(aiohttp.ClientError):
--- a/packages/fescuedrum/src/fescuedrum/platform/caller.py
+++ b/packages/fescuedrum/src/fescuedrum/platform/caller.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from fescuedrum.answer_connection import read_body
+from fescuedrum.answers.connection import read_body
 from fescuedrum.exceptions import StoreUnavailable
 
 # A healthy store responds within milliseconds, a loaded one within a few 100 ms.
--- a/tests/integration/test_answer_readers.py
+++ b/tests/integration/test_answer_readers.py
@@ -13,7 +13,7 @@
 from support.odd_rows import HUGE, nested
 from support.raw_answers import EarlyAnswer, EndlessAnswer, head
 
-from fescuedrum.answer_connection import AnswerConnector
+from fescuedrum.answers.connection import AnswerConnector
 from fescuedrum.exceptions import StoreUnavailable
 from fescuedrum.groups.engines import DisarmMap, OrderResult
 from fescuedrum.once import open_session
