Find the end of each body, and check how its chunks are framed

What callers saw, found by mutating answers: of a body in chunks, one whose size was wrong by a byte passed as 'doe' and a line end, or as 'done' and a line end, as bytes of the body that frame it; a single line feed behind a chunk passed. And a whole answer with other bytes behind it in the same segment was lost: 502 to a request that had run.

Cause: where an answer ends was the library's reading of it. For answers it takes a line feed for the end of a chunk, and an error in what follows a message drops the message as well.

Bytes behind the answer are left out, and the connection serves no other request.

Why it works: both ends of a body are found by one strict reading, before the lenient one.

--- a/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
+++ b/packages/fescuedrum-agent/src/fescuedrum_agent/request/execution.py
@@ -7,7 +7,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from fescuedrum.answers.heads import MalformedAnswer
+from fescuedrum.answers.exceptions import MalformedAnswer
 from fescuedrum.headers import end_to_end_headers, replace_invalid_utf8
 from fescuedrum.logs import request_context
 from fescuedrum.once import SendOnceGuard
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
@@ -7,7 +7,7 @@
 from aiohttp import hdrs
 from yarl import URL
 
-from fescuedrum.answers.heads import MalformedAnswer
+from fescuedrum.answers.exceptions import MalformedAnswer
 from fescuedrum.once import SendOnceGuard, open_session
 from fescuedrum_gateway.request.call import Answered, Lost, NotRun
 
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
@@ -1,6 +1,6 @@
 """Declare the gateway's metrics and count the outcomes of its requests."""
 
-from fescuedrum.answers.heads import HeadRule
+from fescuedrum.answers.exceptions import AnswerRule
 from fescuedrum.metrics import LOOP_DELAY_BUCKETS, SERVICE, Label, MetricCatalogue
 from fescuedrum_gateway.connection.endpoints import CONTRADICTION
 from fescuedrum_gateway.process.group_metrics import GroupMetrics
@@ -11,7 +11,8 @@
 NO_SERVICE = "none"
 RESULT = Label("result", "5: answered, failed, cut, refused, left")
 ATTEMPT = Label("result", "3: opened, not-run, lost")
-RULE = Label("rule", f"{len(HeadRule) + 1}: {', '.join(HeadRule)}, {CONTRADICTION}")
+RULES = (*AnswerRule, CONTRADICTION)
+RULE = Label("rule", f"{len(RULES)}: {', '.join(RULES)}")
 CODE = Label("code", "the error codes of the callers' interface")
 HELD = Label("kind", "3: bodies, answers, unread")
 CHANGE = Label("result", "4: switched, abandoned, epoch-ended, unsettled")
--- a/packages/fescuedrum/src/fescuedrum/answers/heads.py
+++ b/packages/fescuedrum/src/fescuedrum/answers/heads.py
@@ -5,10 +5,10 @@
 what its sender meant, so nothing of a malformed answer may be used.
 """
 
-import enum
 import re
 
-import aiohttp
+from fescuedrum.answers.exceptions import AnswerRule, MalformedAnswer
+from fescuedrum.answers.framing import Framing, read_framing
 
 # Of all heads of one answer, those of interim answers included.
 MAXIMUM_HEAD_BYTES = 64 * 1024
@@ -16,8 +16,6 @@
 HIGHEST_STATUS = 599
 SWITCHING_PROTOCOLS = 101
 FINAL_STATUSES = range(200, HIGHEST_STATUS + 1)
-CHUNKED = b"chunked"
-VERSION_WITHOUT_CODINGS = b"1.0"
 
 TEXT = rb"[\t\x20-\x7e\x80-\xff]"
 TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]"
@@ -27,9 +25,6 @@
 FIELD_LINE = TOKEN + rb"++:" + TEXT + rb"*+" + LINE_END
 HEAD = re.compile(STATUS_LINE + rb"(?:" + FIELD_LINE + rb")*+" + LINE_END)
 HEAD_END = re.compile(rb"\n\r?\n")
-FRAMING_FIELD = re.compile(
-    rb"\n(transfer-encoding|content-length):([^\r\n]*)", re.IGNORECASE
-)
 WHOLE_STATUS_LINE = re.compile(STATUS_LINE)
 WHOLE_FIELD_LINE = re.compile(FIELD_LINE)
 BEGINNING_OF_STATUS_LINE = re.compile(TEXT + rb"*+\r?")
@@ -37,59 +32,36 @@
 PROTOCOL = b"HTTP/1."
 
 
-class HeadRule(enum.StrEnum):
-    """List the rules that the head of an answer may break."""
-
-    STATUS_LINE = "status-line"
-    STATUS = "status"
-    # The protocol may change only if the request asked for it.
-    UPGRADE = "upgrade"
-    FIELD = "field"
-    # How the end of the body is found.
-    FRAMING = "framing"
-    SIZE = "size"
-
-
-class MalformedAnswer(aiohttp.ClientError):
-    """Report an answer that HTTP does not allow; the message quotes nothing of it."""
-
-    def __init__(self, rule: HeadRule, detail: str) -> None:
-        super().__init__(f"malformed answer: {detail}")
-        self.rule = rule
-
-
 class HeadReader:
     """Hold the bytes of an answer back until its head is complete and was checked."""
 
-    __slots__ = ("buffer", "checked_bytes", "is_done", "line_begin", "line_number")
+    __slots__ = ("buffer", "checked_bytes", "framing", "line_begin", "line_number")
 
     def __init__(self) -> None:
         # What has arrived of the present head.
         self.buffer = bytearray()
         # Of the interim answers before it.
         self.checked_bytes = 0
-        # Whether the head of the final answer was checked: the rest is its body.
-        self.is_done = False
+        # How the body is framed; None until the head of the final answer was checked.
+        self.framing: Framing | None = None
         # Where the first incomplete line of the buffer begins, and its number.
         self.line_begin = 0
         self.line_number = 1
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes; return those that may be parsed, which may be none.
+        """Add bytes; return the complete heads among those held back.
 
-        Raise MalformedAnswer, at the latest when a malformed line is complete.
+        Raise MalformedAnswer, at the latest when a malformed line is complete. Once
+        framing is known, the buffer holds what follows the head.
         """
         self.buffer += data
-        allowed = bytearray()
-        while not self.is_done and (head := self.take_head()):
-            allowed += head
+        heads = b""
+        while self.framing is None and (head := self.take_head()):
+            heads += head
             self.checked_bytes += len(head)
-        if self.is_done:
-            allowed += self.buffer
-            self.buffer.clear()
-        else:
+        if self.framing is None:
             self.check_incomplete()
-        return bytes(allowed)
+        return heads
 
     def take_head(self) -> bytes:
         """Remove and return a complete head that was checked; empty for none."""
@@ -98,7 +70,9 @@
             return b""
         head = bytes(self.buffer[: found.end()])
         self.check_size(len(head))
-        self.is_done = check_head(head) in FINAL_STATUSES
+        status, framing = check_head(head)
+        if status in FINAL_STATUSES:
+            self.framing = framing
         del self.buffer[: found.end()]
         self.line_begin, self.line_number = 0, 1
         return head
@@ -116,32 +90,32 @@
         """Raise MalformedAnswer if a head of this size is too long."""
         if self.checked_bytes + size > MAXIMUM_HEAD_BYTES:
             raise MalformedAnswer(
-                HeadRule.SIZE, f"the head has more than {MAXIMUM_HEAD_BYTES} bytes"
+                AnswerRule.SIZE, f"the head has more than {MAXIMUM_HEAD_BYTES} bytes"
             )
 
 
-def check_head(head: bytes) -> int:
-    """Return the status in a complete head; raise MalformedAnswer."""
+def check_head(head: bytes) -> tuple[int, Framing]:
+    """Return the status in a complete head, and how the body is framed.
+
+    Raise MalformedAnswer.
+    """
     found = HEAD.fullmatch(head)
     if found is None:
         for number, line in enumerate(head.splitlines(keepends=True)[:-1], 1):
             check_line(line, number)
-        raise MalformedAnswer(HeadRule.STATUS_LINE, "line 1 is no status line")
+        raise MalformedAnswer(AnswerRule.STATUS_LINE, "line 1 is no status line")
     status = int(found[2])
     check_status(status)
-    fields = FRAMING_FIELD.findall(head)
-    if fields:
-        check_framing(fields, version=found[1])
-    return status
+    return status, read_framing(head, status, version=found[1])
 
 
 def check_line(line: bytes, number: int) -> None:
     """Raise MalformedAnswer if a complete line of a head is malformed."""
     if number == 1:
         if not WHOLE_STATUS_LINE.fullmatch(line):
-            raise MalformedAnswer(HeadRule.STATUS_LINE, "line 1 is no status line")
+            raise MalformedAnswer(AnswerRule.STATUS_LINE, "line 1 is no status line")
     elif not WHOLE_FIELD_LINE.fullmatch(line):
-        raise MalformedAnswer(HeadRule.FIELD, f"line {number} is no field")
+        raise MalformedAnswer(AnswerRule.FIELD, f"line {number} is no field")
 
 
 def check_beginning(line: bytes, number: int) -> None:
@@ -149,41 +123,19 @@
     if number == 1:
         is_protocol = line.startswith(PROTOCOL) or PROTOCOL.startswith(line)
         if not is_protocol or not BEGINNING_OF_STATUS_LINE.fullmatch(line):
-            raise MalformedAnswer(HeadRule.STATUS_LINE, "line 1 is no status line")
+            raise MalformedAnswer(AnswerRule.STATUS_LINE, "line 1 is no status line")
     elif line and not BEGINNING_OF_FIELD_LINE.fullmatch(line):
-        raise MalformedAnswer(HeadRule.FIELD, f"line {number} is no field")
+        raise MalformedAnswer(AnswerRule.FIELD, f"line {number} is no field")
 
 
 def check_status(status: int) -> None:
     """Raise MalformedAnswer for a status that no answer may have (RFC 9110, 15)."""
     if not LOWEST_STATUS <= status <= HIGHEST_STATUS:
         raise MalformedAnswer(
-            HeadRule.STATUS,
+            AnswerRule.STATUS,
             f"status {status:03} is not within {LOWEST_STATUS} to {HIGHEST_STATUS}",
         )
     if status == SWITCHING_PROTOCOLS:
         raise MalformedAnswer(
-            HeadRule.UPGRADE, f"status {status} to a request without an upgrade"
-        )
-
-
-def check_framing(fields: list[tuple[bytes, bytes]], version: bytes) -> None:
-    """Raise MalformedAnswer if the end of the body is not defined (RFC 9112, 6.3).
-
-    fields are the names and values of Transfer-Encoding and Content-Length.
-    """
-    codings = [value.strip() for name, value in fields if name[:1] in b"Tt"]
-    lengths = [value.strip() for name, value in fields if name[:1] in b"Cc"]
-    if codings and version == VERSION_WITHOUT_CODINGS:
-        raise MalformedAnswer(HeadRule.FRAMING, "HTTP/1.0 has no transfer codings")
-    if codings and [each.lower() for each in codings] != [CHUNKED]:
-        raise MalformedAnswer(
-            HeadRule.FRAMING, "the transfer coding is not chunked alone"
-        )
-    if len(codings) + len(lengths) > 1:
-        raise MalformedAnswer(
-            HeadRule.FRAMING,
-            f"{len(codings) + len(lengths)} fields say where the body ends",
+            AnswerRule.UPGRADE, f"status {status} to a request without an upgrade"
         )
-    if lengths and not lengths[0].isdigit():
-        raise MalformedAnswer(HeadRule.FRAMING, "the length of the body is no number")
--- a/tests/integration/test_broken_answers.py
+++ b/tests/integration/test_broken_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import random
 import types
 from dataclasses import replace
 
@@ -71,6 +72,27 @@
     "negative length": head(framing=b"Content-Length: -1") + b"done",
 }
 
+CODED = head(framing=b"Transfer-Encoding: chunked")
+INVALID_CHUNKS = {
+    "size too small": CODED + b"3\r\ndone\r\n0\r\n\r\n",
+    "size too large": CODED + b"5\r\ndone\r\n0\r\n\r\n",
+    "line end in a chunk": CODED + b"5\r\ndone\r\n\n0\r\n\r\n",
+    "line feed alone": CODED + b"4\r\ndone\n0\r\n\r\n",
+    "no size": CODED + b"\r\ndone\r\n0\r\n\r\n",
+    "negative size": CODED + b"-4\r\ndone\r\n0\r\n\r\n",
+    "huge size": CODED + b"f" * 20 + b"\r\ndone\r\n0\r\n\r\n",
+    "no last chunk": CODED + b"4\r\ndone\r\n",
+    "no end": CODED + b"4\r\ndone\r\n0\r\n",
+    "malformed trailer": CODED + b"4\r\ndone\r\n0\r\nX Odd: 1\r\n\r\n",
+}
+EXTRA = {
+    "garbage": head() + b"donegarbage",
+    "line end": head() + b"done\r\n",
+    "another answer": (head() + b"done") * 2,
+    "another head": head() + b"done" + head(b"HTTP/1.1 500 No"),
+    "garbage after chunks": CODED + CHUNKS + b"garbage",
+}
+
 
 def parametrize(answers):
     """Return a decorator that runs a test with each of the answers, by name."""
@@ -133,6 +155,24 @@
     await expect_no_answer(kind, raw)
 
 
+@pytest.mark.parametrize("kind", KINDS)
+@parametrize(INVALID_CHUNKS)
+async def test_an_answer_in_malformed_chunks_is_not_forwarded(raw, kind):
+    """Guard against a body with bytes that frame it, or without some of its own."""
+    await expect_no_answer(kind, raw)
+
+
+@parametrize(EXTRA)
+async def test_an_answer_with_bytes_behind_it_is_forwarded_without_them(raw):
+    """Guard against a whole answer that is lost, and bytes that answer nothing."""
+    endpoint = StandInEndpoint("e-1", raw_answers.sending(raw))
+    document = document_of(RequestKind.NON_IDEMPOTENT)
+    async with site(endpoint, document=document) as (running, session):
+        for _ in range(3):
+            status, _, body = await call(running, session)
+            assert (status, body) == (200, b"done")
+
+
 @pytest.mark.parametrize("kind", KINDS)
 @pytest.mark.parametrize("body", [LONG_BODY, b"{}"])
 async def test_an_answer_that_is_reset_during_the_upload_is_not_forwarded(kind, body):
@@ -389,9 +429,60 @@
     assert history.failures == 1
 
 
+MUTATED = (
+    head(OK, b"X-Odd: 1") + b"done",
+    head(framing=b"Transfer-Encoding: chunked") + b"2\r\ndo\r\n2;a\r\nne\r\n0\r\n\r\n",
+    head(framing=b"") + b"done",
+)
+CHANGES = b"\0\x01\r\n \t:;,0159AZaz\x7f\x80\xff"
+
+
+def mutate(raw, source):
+    """Return the bytes with some of them set, removed, inserted or cut off."""
+    changed = bytearray(raw)
+    for _ in range(source.randint(1, 3)):
+        index = source.randrange(len(changed))
+        match source.choice(("set", "remove", "insert", "cut")):
+            case "set":
+                changed[index] = source.choice(CHANGES)
+            case "remove":
+                del changed[index]
+            case "insert":
+                changed.insert(index, source.choice(CHANGES))
+            case "cut" if source.random() < 0.1:
+                del changed[max(index, 1) :]
+    return bytes(changed)
+
+
+@pytest.mark.parametrize("seed", range(6))
+async def test_mutated_answers_give_no_status_and_no_bytes_that_were_not_sent(
+    seed, caplog
+):
+    """Guard against broken answers that no list of cases has."""
+    caplog.set_level(logging.ERROR)
+    source = random.Random(seed)
+    endpoint = StandInEndpoint("e-1", engines.never_answer)
+    document = document_of(RequestKind.NON_IDEMPOTENT)
+    async with site(endpoint, document=document) as (running, session):
+        for _ in range(60):
+            raw = mutate(source.choice(MUTATED), source)
+            endpoint.answer = raw_answers.sending(raw)
+            running.gateway.directory.histories.clear()
+            status, headers, body = await call(running, session)
+            if "Signed" in headers:
+                assert raw.startswith(b"HTTP/1.")
+                assert status == int(raw[9:12])
+                assert body.replace(b"done", b"") in raw
+            else:
+                assert status == 502 or status == int(raw[9:12]) >= 300
+    assert caplog.records == []
+
+
 async def test_nothing_that_an_endpoint_sends_is_an_unhandled_exception(caplog):
     """Guard against a closed connection and a traceback in place of an answer."""
     caplog.set_level(logging.ERROR)
-    for raw in (INVALID_STATUSES | INVALID_LINES | INVALID_FRAMING).values():
+    for raw in (
+        INVALID_STATUSES | INVALID_LINES | INVALID_FRAMING | INVALID_CHUNKS | EXTRA
+    ).values():
         await answers_of(RequestKind.NON_IDEMPOTENT, raw + b"done")
     assert caplog.records == []
