Take malformed rows and lists of the platform for an outage in entries and agents

What was seen: an odd row under the configuration's head, an audit record, a claim or the age of claims, a lease that is no object, or a list of instances that is none raised TypeError, KeyError or UnwrapError in entries and agents, where only StoreUnavailable is caught: the task that follows the configuration or holds the lease ended, and with it the process. A document nested 100,000 levels deep raised RecursionError.

Cause: what the platform's table holds was taken for what the system had written.

Change: rows are checked where they are decoded, and a malformed one is an outage of the store, as for answers that are no JSON: what is in force stays, the line of the log names the row, and the next read tries again.

--- a/packages/fescuedrum-entry/src/fescuedrum_entry/operators/changes.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/operators/changes.py
@@ -200,7 +200,7 @@
             raise BadRequest(f"The body is over {MAXIMUM_DOCUMENT_BYTES} bytes.")
     try:
         data = json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise BadRequest(f"The body is not JSON: {error}.") from error
     if not isinstance(data, dict):
         raise BadRequest("The body is not a JSON object.")
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/ages.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/ages.py
@@ -74,6 +74,8 @@
         """Read the current bucket and the last bucket whose claims were deleted."""
         row = await self.table.get(AGE_KEY)
         value = row.value or {"bucket": 0, "swept": -1}
+        if not all(type(value.get(each)) is int for each in ("bucket", "swept")):
+            raise StoreUnavailable(f"The row {AGE_KEY} has no bucket, or no last one.")
         if value["bucket"] != self.bucket:
             self.bucket_seen_at = self.loop.time()
         self.bucket = value["bucket"]
--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/claims.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/claims.py
@@ -57,8 +57,12 @@
     async def read(self, key):
         """Return (claim or None, row version); raise StoreUnavailable."""
         row = await self.table.get(key)
-        claim = record.parse(row.value) if row.value is not None else None
-        return claim, row.version
+        if row.value is None:
+            return None, row.version
+        try:
+            return record.parse(row.value), row.version
+        except (KeyError, TypeError, ValueError) as error:
+            raise StoreUnavailable(f"The row {key} is malformed: {error!r}.") from error
 
     async def write(self, key, claim, expected_version):
         """Write a claim; return whether it was applied, or raise StoreUnavailable."""
--- a/packages/fescuedrum/src/fescuedrum/conf/document/encoding.py
+++ b/packages/fescuedrum/src/fescuedrum/conf/document/encoding.py
@@ -35,7 +35,7 @@
     """
     try:
         data = json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         finding = checks.error(
             "document.E001", "$", f"Not JSON: {error}.", "Correct the JSON."
         )
--- a/packages/fescuedrum/src/fescuedrum/platform/client.py
+++ b/packages/fescuedrum/src/fescuedrum/platform/client.py
@@ -57,13 +57,14 @@
 
     async def get(self, key):
         """Return the row of the table with a key."""
-        row = await self.call_json("GET", "/table/row", params={"key": key})
-        return Row(**row)
+        return load_row(await self.call_json("GET", "/table/row", params={"key": key}))
 
     async def scan(self, prefix):
         """Return the rows of the table whose keys begin with a prefix."""
         rows = await self.call_json("GET", "/table/scan", params={"prefix": prefix})
-        return [Row(**row) for row in rows]
+        if not isinstance(rows, list):
+            raise StoreUnavailable("The platform's rows are no list.")
+        return [load_row(row) for row in rows]
 
     async def transact(self, writes):
         """Apply all writes or none; return False if an expected version differs."""
@@ -87,7 +88,10 @@
         _, listing = await self.call("GET", "/instances")
         # The list is read often and changes seldom; decoding 1,500 lines is slow.
         if listing != self.listing:
-            self.instances = load_instances(decode(listing))
+            lines = decode(listing)
+            if not isinstance(lines, list):
+                raise StoreUnavailable("The platform's instances are no list.")
+            self.instances = load_instances(lines)
             self.listing = listing
         return self.instances
 
@@ -116,6 +120,17 @@
         await self.call("PUT", f"/tables/{table}/{key}", data=value)
 
 
+def load_row(data):
+    """Return the row of the table in a response's JSON; raise StoreUnavailable."""
+    try:
+        row = Row(**data)
+    except TypeError as error:
+        raise StoreUnavailable(f"The platform's row is malformed: {error}.") from error
+    if not isinstance(row.value, dict | None) or type(row.version) is not int:
+        raise StoreUnavailable(f"The platform's row {row.key!r} is malformed.")
+    return row
+
+
 def load_changes(data, *, whole):
     """Return the changes in a response's JSON; raise StoreUnavailable if malformed."""
     try:
--- a/packages/fescuedrum/src/fescuedrum/versions/records.py
+++ b/packages/fescuedrum/src/fescuedrum/versions/records.py
@@ -6,6 +6,7 @@
 
 from fescuedrum.conf import schema
 from fescuedrum.conf.schema import setting
+from fescuedrum.exceptions import StoreUnavailable
 
 HEAD_KEY = "configuration/head"
 VERSION_DIGITS = 10
@@ -65,12 +66,27 @@
 
 
 def load_head(row):
-    """Return the head that a row holds; version 0 if the row is missing."""
-    return schema.load(Head, row.value or {}).unwrap()
+    """Return the head that a row holds; version 0 if the row is missing.
+
+    Raise StoreUnavailable if it is malformed.
+    """
+    return load_row(Head, row.key, row.value or {})
 
 
 def load_record(row):
-    """Return the audit record that a row holds; None if the row is missing."""
+    """Return the audit record that a row holds; None if the row is missing.
+
+    Raise StoreUnavailable if it is malformed.
+    """
     if row.value is None:
         return None
-    return schema.load(AuditRecord, row.value).unwrap()
+    return load_row(AuditRecord, row.key, row.value)
+
+
+def load_row(cls, key, value):
+    """Return what a row holds; raise StoreUnavailable if it is malformed."""
+    loaded = schema.load(cls, value)
+    if loaded.is_err():
+        finding = loaded.err_value[0]
+        raise StoreUnavailable(f"The row {key} is malformed: {finding}.")
+    return loaded.ok_value
--- a/tests/unit/test_platform_client.py
+++ b/tests/unit/test_platform_client.py
@@ -4,8 +4,11 @@
 
 import pytest
 
+from fescuedrum.conf import document as documents
 from fescuedrum.exceptions import StoreUnavailable
 from fescuedrum.platform.client import PlatformClient, load_instances
+from fescuedrum.platform.interfaces import Row
+from fescuedrum.versions.records import HEAD_KEY, load_head
 
 LINE = {"name": "a", "role": "agent", "zone": "z", "host": "127.0.0.1", "port": 1}
 
@@ -43,3 +46,45 @@
     first = await client.list_instances()
     assert await client.list_instances() is first
     assert await client.list_instances() == []
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        [],
+        7,
+        {"key": "k", "value": {}},
+        {"key": "k", "value": [], "version": 1},
+        {"key": "k", "value": {}, "version": "1"},
+        {"key": "k", "value": {}, "version": 1, "more": 1},
+    ],
+)
+async def test_a_malformed_row_raises_store_unavailable(row):
+    """Guard against a task that ends at one odd row."""
+    client = ScriptedClient(json.dumps(row).encode(), json.dumps([row]).encode())
+    with pytest.raises(StoreUnavailable):
+        await client.get("k")
+    with pytest.raises(StoreUnavailable):
+        await client.scan("k")
+
+
+@pytest.mark.parametrize("body", [b"7", b"{}", b"[" * 100_000])
+async def test_a_malformed_list_raises_store_unavailable(body):
+    """Guard against a task that ends at an odd list."""
+    client = ScriptedClient(body, body)
+    with pytest.raises(StoreUnavailable):
+        await client.list_instances()
+    with pytest.raises(StoreUnavailable):
+        await client.scan("k")
+
+
+@pytest.mark.parametrize("value", [{"version": "1"}, {"version": 1, "hash": 7}])
+def test_a_malformed_head_raises_store_unavailable(value):
+    """Guard against an entry that ends at an odd head row."""
+    with pytest.raises(StoreUnavailable, match="head"):
+        load_head(Row(HEAD_KEY, value, 1))
+
+
+def test_a_deeply_nested_document_is_refused():
+    """Guard against an entry that ends at a document nested without bound."""
+    assert documents.decode(b"[" * 100_000).is_err()
