--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
@@ -8,6 +8,7 @@
 from yarl import URL
 
 from fescuedrum.answers.exceptions import MalformedAnswer
+from fescuedrum.answers.framing import STATUSES_WITHOUT_BODY
 from fescuedrum.once import SendOnceGuard, open_session
 from fescuedrum_gateway.request.call import Answered, Lost, NotRun
 
@@ -25,8 +26,6 @@
 KEEPALIVE_PROBES = 2
 # Headers that the library would add to those of the caller.
 LIBRARY_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
-# Statuses whose answers never have a body (RFC 9110, section 6.4.1).
-STATUSES_WITHOUT_BODY = (204, 304)
 # Rule that an answer breaks whose headers contradict each other.
 CONTRADICTION = "contradiction"
 # Parts in which a body is read, as a stream holds one part besides its buffers.
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peer_gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peer_gateway.py
@@ -7,6 +7,19 @@
 from fescuedrum.decisions.placing.groups import GroupSlice
 from fescuedrum.decisions.placing.placement import Load
 from fescuedrum.decisions.placing.ratelimits import RateReport
+from fescuedrum.wire.gen.gateways.ttypes import Beacon
+from fescuedrum_gateway.process.beacons.demand import (
+    decode_demand,
+    decode_organisations,
+)
+from fescuedrum_gateway.process.beacons.groups import decode_members, decode_states
+from fescuedrum_gateway.process.beacons.limits import decode_limits
+from fescuedrum_gateway.process.beacons.loads import decode_loads
+from fescuedrum_gateway.process.beacons.quarantine import (
+    decode_ended,
+    decode_sound,
+    decode_suspects,
+)
 
 
 @dataclass(slots=True)
@@ -40,3 +53,21 @@
     ended: list[EndpointEnd] = field(default_factory=list)
     suspects: list[SuspectReport] = field(default_factory=list)
     sound_parts: list[tuple[str, float]] = field(default_factory=list)
+
+    def update(self, beacon: Beacon, now: float) -> None:
+        """Replace what the last beacon said, except for zone and versions."""
+        self.last_heard_at = now
+        self.incarnation = beacon.incarnation
+        self.sequence = beacon.sequence or 0
+        self.leaving = bool(beacon.leaving)
+        self.store_answers = bool(beacon.store_answers)
+        self.link_megabits = beacon.link_megabits or 0.0
+        self.loads = decode_loads(beacon.loads or ())
+        self.rate_reports = decode_limits(beacon.limits or (), now)
+        self.group_members = decode_members(beacon.group_members or ())
+        self.group_states = decode_states(beacon.group_states or (), now)
+        self.demand = decode_demand(beacon.demand or ())
+        self.organisations = decode_organisations(beacon.organisations or ())
+        self.ended = decode_ended(beacon.ended or (), now)
+        self.suspects = decode_suspects(beacon.suspects or (), now)
+        self.sound_parts = decode_sound(beacon.sound_parts or (), now)
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/peers.py
@@ -23,18 +23,6 @@
 from fescuedrum.exceptions import ProtocolError
 from fescuedrum.wire.datagrams import decode, encode
 from fescuedrum.wire.gen.gateways.ttypes import Beacon
-from fescuedrum_gateway.process.beacons.demand import (
-    decode_demand,
-    decode_organisations,
-)
-from fescuedrum_gateway.process.beacons.groups import decode_members, decode_states
-from fescuedrum_gateway.process.beacons.limits import decode_limits
-from fescuedrum_gateway.process.beacons.loads import decode_loads
-from fescuedrum_gateway.process.beacons.quarantine import (
-    decode_ended,
-    decode_sound,
-    decode_suspects,
-)
 from fescuedrum_gateway.process.peer_gateway import PeerGateway
 
 logger = logging.getLogger(__name__)
@@ -425,22 +413,7 @@
             log_event(logger, GatewayHeard(beacon.instance, peer.host))
         self.newcomers += not (is_heard and same_incarnation)
         self.update_zone(peer, beacon.zone or "")
-        peer.last_heard_at = self.loop.time()
-        peer.incarnation = beacon.incarnation
-        peer.sequence = beacon.sequence or 0
-        peer.leaving = bool(beacon.leaving)
-        peer.store_answers = bool(beacon.store_answers)
-        peer.link_megabits = beacon.link_megabits or 0.0
-        peer.loads = decode_loads(beacon.loads or ())
-        peer.rate_reports = decode_limits(beacon.limits or (), self.loop.time())
-        peer.group_members = decode_members(beacon.group_members or ())
-        peer.group_states = decode_states(beacon.group_states or (), self.loop.time())
-        peer.demand = decode_demand(beacon.demand or ())
-        peer.organisations = decode_organisations(beacon.organisations or ())
-        now = self.loop.time()
-        peer.ended = decode_ended(beacon.ended or (), now)
-        peer.suspects = decode_suspects(beacon.suspects or (), now)
-        peer.sound_parts = decode_sound(beacon.sound_parts or (), now)
+        peer.update(beacon, self.loop.time())
         self.update_versions(peer, beacon)
         self.on_beacon(peer)
 
