Count answers whose bodies break a rule, also in streams

Cause: only answers whose heads break a rule were counted; a chunk of another size than it says ended as 'answer broke off' or 'stream broken' without a count. Change: a lost answer has the rule that its body broke, and a stream that breaks off for such an error counts it.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
@@ -84,7 +84,8 @@
                     return Lost("no memory for the answer")
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self.held.drop_answer(size)
-            return Lost("answer broke off", error=error)
+            rule = error.rule if isinstance(error, MalformedAnswer) else ""
+            return Lost("answer broke off", error=error, broken_rule=rule)
         finally:
             self.response.close()
         if not chunks and self.head.succeeded and self.ends_with_connection:
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/attempts.py
@@ -326,8 +326,7 @@
                 self.wait.record_taken()
                 history.failed(self.loop.time())
                 self.gateway.metrics.count_attempt("lost")
-                if opened.broken_rule:
-                    self.gateway.metrics.count_malformed(opened.broken_rule)
+                self.count_malformed(opened.broken_rule)
                 self.log_failure(endpoint, "lost", opened.description)
             case _:
                 self.may_have_arrived = True
@@ -343,8 +342,14 @@
     def record_broken_answer(self, lost: Lost) -> None:
         """Record that an answer broke off after its head."""
         self.evidence.broke()
+        self.count_malformed(lost.broken_rule)
         self.log_failure(self.endpoint, "lost", lost.description)
 
+    def count_malformed(self, rule: str) -> None:
+        """Count an answer that breaks a rule; none if the rule is empty."""
+        if rule:
+            self.gateway.metrics.count_malformed(rule)
+
     def record_deadline_passed(self):
         """Count that the deadline passed while an endpoint had the call."""
         if self.reservation is not None:
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/request/stream.py
@@ -6,6 +6,7 @@
 import aiohttp
 from aiohttp import web
 
+from fescuedrum.answers.exceptions import MalformedAnswer
 from fescuedrum.events import requests as events
 from fescuedrum.events.event import log_event
 from fescuedrum.exceptions import AnswerOverdue
@@ -183,6 +184,8 @@
         )
         log_event(logger, broken)
         self.attempts.evidence.broke()
+        if isinstance(error, MalformedAnswer):
+            self.attempts.count_malformed(error.rule)
         return Lost(reason) if self.response is None else StreamBroken(reason)
 
     def has_caller_left(self):
--- a/tests/integration/test_broken_answers.py
+++ b/tests/integration/test_broken_answers.py
@@ -316,11 +316,7 @@
         status, headers, body = await call(running, session)
     assert status == 502
     assert b"odd" not in body + str(headers).encode()
-    (failed,) = [
-        each
-        for each in caplog.records
-        if each.getMessage() in ("sending failed", "stream broken")
-    ]
+    (failed,) = find_failures(caplog)
     assert failed.endpoint == "e-1"
     assert 0 < len(failed.reason) < 300
 
@@ -411,22 +407,38 @@
         task.cancel()
 
 
-async def test_malformed_answers_are_logged_and_counted_by_rule(caplog):
+COUNTED = {
+    "status": (
+        [INVALID_STATUSES["000"]],
+        "malformed answer: status 000 is not within 100 to 599",
+    ),
+    "field": ([INVALID_LINES["folded"]], "malformed answer: line 5 is no field"),
+    "chunk": ([CODED, b"3\r\ndone\r\n"], "broke off: MalformedAnswer("),
+}
+
+
+@pytest.mark.parametrize("kind", [RequestKind.NON_IDEMPOTENT, RequestKind.STREAM])
+@pytest.mark.parametrize("rule", COUNTED)
+async def test_malformed_answers_are_logged_and_counted_by_rule(rule, kind, caplog):
     """Guard against an engine in trouble that no log or metric names."""
     caplog.set_level(logging.INFO)
-    endpoint = StandInEndpoint("e-1", raw_answers.sending(INVALID_STATUSES["000"]))
-    document = document_of(RequestKind.NON_IDEMPOTENT)
-    async with site(endpoint, document=document) as (running, session):
+    parts, reason = COUNTED[rule]
+    endpoint = StandInEndpoint("e-1", raw_answers.sending(*parts))
+    async with site(endpoint, document=document_of(kind)) as (running, session):
         await call(running, session)
         text, _ = running.gateway.metrics.catalogue.expose()
         history = running.gateway.directory.histories["e-1"]
-    assert b'malformed_answers_total{rule="status"} 1.0' in text
-    (failed,) = [
-        each for each in caplog.records if each.getMessage() == "sending failed"
-    ]
+    assert f'malformed_answers_total{{rule="{rule}"}} 1.0'.encode() in text
+    (failed,) = find_failures(caplog)
     assert failed.endpoint == "e-1"
-    assert failed.reason == "malformed answer: status 000 is not within 100 to 599"
-    assert history.failures == 1
+    assert reason in failed.reason
+    assert history.failures == (rule != "chunk")
+
+
+def find_failures(caplog):
+    """Return the log records of answers that were lost."""
+    messages = ("sending failed", "stream broken")
+    return [each for each in caplog.records if each.getMessage() in messages]
 
 
 MUTATED = (
--- a/tests/support/raw_answers.py
+++ b/tests/support/raw_answers.py
@@ -18,12 +18,14 @@
     return status_line + b"\r\n" + before + b"\r\n".join(lines) + b"\r\n\r\n"
 
 
-def sending(raw: bytes):
-    """Return an answer function that sends bytes and closes the connection."""
+def sending(*parts: bytes):
+    """Return an answer function that sends parts and closes the connection."""
 
     async def answer(seen):
-        seen.writer.write(raw)
-        await seen.writer.drain()
+        for number, part in enumerate(parts):
+            await asyncio.sleep(0.05 if number else 0.0)
+            seen.writer.write(part)
+            await seen.writer.drain()
 
     return answer
 
