Use no endpoint whose address is not an IPv4 address of one host

What callers saw: while a row of another writer stood in the list of endpoints with an address such as 999.1.2.3:80, also after a restart of all gateways, 2 of 24 requests that run at most once got 502 in each of six starts, though nothing was sent; repeatable requests and streams lost an attempt each time they were tried there.

Cause: each text of letters, digits and dots counted as a host name, and an IPv6 address in brackets as a host as well, so that what looked like an IPv4 address and was none named an endpoint. The platform has IPv4 addresses and no name lookups. A name would be looked up for each request, by a resolver that may not answer.

Change: a row's address is an IPv4 address and a port; addresses that no single host has (0.0.0.0, multicast, reserved) are none. The test starts real gateways with such a row for a plain service and a group of ranks, kills and starts them again while it stands, and asks that each request is answered, that none is sent to the row, and that each start names it once in its log.

The three other rows (a number too large or of another type in slots or the time left) were left out before and keep their test.

--- /dev/null
+++ b/tests/integration/test_odd_rows_at_restart.py
@@ -0,0 +1,55 @@
+"""Check that an odd row of the list of endpoints harms no restart of all processes."""
+
+import pytest
+from soak import wire
+from soak.callers import Ending
+from soak.site import SERVICES
+from support import odd_rows
+from support.restarted_site import (
+    GATEWAYS,
+    logged,
+    restart_all,
+    running_site,
+    send_each_kind,
+)
+
+# Address, field and its JSON text: an address that is none, and a number that is too
+# large or of another type.
+ROWS = {
+    "address": ("999.1.2.3:80", "seq", "4"),
+    "name": ("host.invalid:80", "seq", "4"),
+    "address and huge seq": ("10.0.0.256:8080", "seq", odd_rows.HUGE),
+    "address and slots as text": ("10.1:8080", "slots", '"6"'),
+    "no address and huge slots": ("no address", "slots", odd_rows.HUGE),
+    "no port and time as text": ("10.0.0.9", "cold_left_ms", '"0"'),
+}
+STARTS = 2
+
+
+def odd_name(service):
+    """Return the name under which the odd row of a service stands."""
+    return f"odd-{service}"
+
+
+@pytest.mark.parametrize(("address", "field", "text"), ROWS.values(), ids=list(ROWS))
+async def test_an_odd_row_harms_no_restart_of_all_processes(
+    address, field, text, tmp_path
+):
+    """Guard against a restart after which one odd row stops the service."""
+
+    def put_odd_rows(store):
+        for service in SERVICES:
+            row = odd_rows.raw_with(field, text, service=service, address=address)
+            store.put(wire.ENDPOINTS, odd_name(service), row)
+
+    async with running_site(tmp_path, put_odd_rows) as site:
+        records = await send_each_kind(site, "first")
+        await restart_all(site)
+        records += await send_each_kind(site, "second")
+    odd = [odd_name(service) for service in SERVICES]
+    sent_to = {event["endpoint"] for event in logged(site, "request sent")}
+    failed = [each for each in records if each.ending is not Ending.ANSWERED]
+    exceptions = [line for each in site.gateways for line in each.logged_exceptions()]
+    assert (failed, sent_to.intersection(odd), exceptions) == ([], set(), [])
+    left_out = logged(site, "endpoint row not understood")
+    assert sorted(event["row"] for event in left_out) == sorted(odd * GATEWAYS * STARTS)
--- a/tests/support/odd_rows.py
+++ b/tests/support/odd_rows.py
@@ -20,9 +20,10 @@
     return json.dumps(SOUND | changes).encode()
 
 
-def raw_with(field: str, text: str) -> bytes:
+def raw_with(field: str, text: str, **changes) -> bytes:
     """Return the bytes of a row with the given JSON text as a field."""
-    others = json.dumps({name: SOUND[name] for name in SOUND if name != field})
+    sound = SOUND | changes
+    others = json.dumps({name: sound[name] for name in sound if name != field})
     return f'{others[:-1]}, "{field}": {text}}}'.encode()
 
 
@@ -59,6 +60,17 @@
     "host without brackets": raw(address="::1:80"),
     "host that is no text": raw(address="\ud800:80"),
     "host of dots": raw(address=".:80"),
+    "host that is a name": raw(address="localhost:80"),
+    "host with a number above 255": raw(address="127.0.0.256:80"),
+    "host of three numbers": raw(address="127.0.1:80"),
+    "host of five numbers": raw(address="127.0.0.0.1:80"),
+    "host of one number": raw(address="2130706433:80"),
+    "host with a leading zero": raw(address="127.0.0.01:80"),
+    "host in other digits": raw(address="127.0.0.١:80"),
+    "host of IPv6": raw(address="[::1]:80"),
+    "host of no machine": raw(address="0.0.0.0:80"),
+    "host of many machines": raw(address="224.0.0.1:80"),
+    "host of all machines": raw(address="255.255.255.255:80"),
     "zone that is no text": raw(zone="\ud800"),
 }
 # Keys that no request can name as its endpoint.
