--- a/tests/integration/test_odd_rows_at_restart.py
+++ b/tests/integration/test_odd_rows_at_restart.py
@@ -13,6 +13,8 @@
     send_each_kind,
 )
 
+# Nothing listens there.
+CLOSED = "127.0.0.1:9"
 # Address, field and its JSON text: an address that is none, and a number that is too
 # large or of another type.
 ROWS = {
@@ -22,6 +24,9 @@
     "address and slots as text": ("10.1:8080", "slots", '"6"'),
     "no address and huge slots": ("no address", "slots", odd_rows.HUGE),
     "no port and time as text": ("10.0.0.9", "cold_left_ms", '"0"'),
+    "huge seq": (CLOSED, "seq", odd_rows.HUGE),
+    "seq as text": (CLOSED, "seq", '"4"'),
+    "version as number": (CLOSED, "version", "1"),
 }
 STARTS = 2
 
--- a/tests/support/odd_rows.py
+++ b/tests/support/odd_rows.py
@@ -2,6 +2,8 @@
 
 import json
 
+from hypothesis import strategies as st
+
 SOUND = {
     "service": "advice",
     "address": "127.0.0.1:8080",
@@ -73,6 +75,67 @@
     "host of all machines": raw(address="255.255.255.255:80"),
     "zone that is no text": raw(zone="\ud800"),
 }
+# Fields that not all endpoints have, beside those of SOUND.
+OPTIONAL = {"born": 17, "stage": "both", "models": [{"name": "m", "version": 1}]}
+# The JSON types of fields; a whole number is also one of the type "number".
+VALUES_OF_TYPES = {
+    "null": st.none(),
+    "flag": st.booleans(),
+    "text": st.text(),
+    "whole number": st.integers(-(2**63) + 1, 2**63 - 1),
+    "number": st.floats(allow_nan=False, allow_infinity=False),
+    "list": st.lists(st.integers() | st.text(), min_size=1),
+    "object": st.dictionaries(st.text(), st.integers()),
+    "huge number": st.integers(2**63, 10**400) | st.integers(-(10**400), -(2**63)),
+    "no number": st.sampled_from([float("nan"), float("inf"), float("-inf")]),
+}
+TYPES_OF_FIELDS = {
+    "service": ("text",),
+    "address": ("text",),
+    "zone": ("text",),
+    "version": ("text",),
+    "slots": ("whole number",),
+    "state": ("text",),
+    "cold_left_ms": ("whole number", "number"),
+    "seq": ("whole number",),
+    "born": ("whole number",),
+    "stage": ("text",),
+    "models": (),
+}
+# Values of the right type that a field can't have.
+VALUES_OUT_OF_RANGE = {
+    "address": st.sampled_from(["", "10.0.0.9", "10.0.0.256:80", "10.0.0.9:0", "a:80"]),
+    "state": st.sampled_from(["", "Ready", "dreaming"]),
+    "slots": st.integers(max_value=0),
+}
+
+
+def malformed_values(field: str):
+    """Return a strategy of values that a field can't have."""
+    other_types = [
+        values
+        for name, values in VALUES_OF_TYPES.items()
+        if name not in TYPES_OF_FIELDS[field]
+    ]
+    return st.one_of(*other_types, VALUES_OUT_OF_RANGE.get(field, st.nothing()))
+
+
+@st.composite
+def rows(draw):
+    """Draw a row as (its fields, whether each of them is sound)."""
+    fields, is_sound = {}, True
+    for name, value in (SOUND | OPTIONAL).items():
+        match draw(st.sampled_from(["sound"] * 12 + ["absent", "malformed"])):
+            case "sound":
+                fields[name] = value
+            case "absent":
+                is_sound &= name in OPTIONAL
+            case "malformed":
+                fields[name] = draw(malformed_values(name))
+                is_sound = False
+    return fields, is_sound
+
+
 # Keys that no request can name as its endpoint.
 ODD_KEYS = {
     "empty key": "",
