--- a/tests/integration/test_odd_rows_at_restart.py
+++ b/tests/integration/test_odd_rows_at_restart.py
@@ -1,4 +1,6 @@
-"""Check that an odd row of the list of endpoints harms no restart of all processes."""
+"""Check that odd rows of the store harm neither real gateways nor their restart."""
+
+import asyncio
 
 import pytest
 from soak import wire
@@ -29,6 +31,8 @@
     "version as number": (CLOSED, "version", "1"),
 }
 STARTS = 2
+# A change arrives within milliseconds.
+CHANGE_SECONDS = 0.5
 
 
 def odd_name(service):
@@ -58,3 +62,22 @@
     assert (failed, sent_to.intersection(odd), exceptions) == ([], set(), [])
     left_out = logged(site, "endpoint row not understood")
     assert sorted(event["row"] for event in left_out) == sorted(odd * GATEWAYS * STARTS)
+
+
+@pytest.mark.parametrize("value", [b"{}", None], ids=["written", "deleted"])
+async def test_rows_of_another_part_change_nothing(value, tmp_path):
+    """Guard against rows of other parts of a table, which the feed returns as well."""
+    async with running_site(tmp_path, lambda store: None) as site:
+        store = site.store
+        for endpoint in site.endpoints:
+            store.put(wire.ENDPOINTS, endpoint.name, value, part="other")
+        store.put(wire.OPERATORS, wire.DOCUMENT, value, part="other")
+        for zone in site.zones:
+            store.put(wire.OPERATORS, wire.zone_out_key(zone), value, part="other")
+        await asyncio.sleep(CHANGE_SECONDS)
+        records = await send_each_kind(site, "first")
+        await restart_all(site)
+        records += await send_each_kind(site, "second")
+    assert [each for each in records if each.ending is not Ending.ANSWERED] == []
+    for message in ("endpoint row not understood", "endpoint unlisted", "zone out"):
+        assert logged(site, message) == []
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -50,10 +50,10 @@
     async def stop(self):
         await self.runner.cleanup()
 
-    def put(self, table, key, value):
+    def put(self, table, key, value, part=""):
         """Write a row, or delete it if value is None; the change applies at once."""
         self.version += 1
-        self.rows.setdefault(table, {})[key] = (value, self.version)
+        self.rows.setdefault(table, {})[part, key] = (value, self.version)
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -78,14 +78,18 @@
         return web.json_response(body | {"now_ms": 0})
 
     async def get_rows(self, request):
-        """Return the rows of a table from a key on."""
+        """Return the rows of one part of a table from a key on."""
         if refusal := await self.apply_mode():
             return refusal
-        table = request.query["table"]
+        table, wanted = request.query["table"], request.query["part"]
         rows = [
-            wire.encode_row(table, key, value, version)
-            for key, (value, version) in sorted(self.rows.get(table, {}).items())
-            if value is not None and key >= request.query.get("from", "")
+            wire.encode_row(table, key, value, version, part)
+            for (part, key), (value, version) in sorted(
+                self.rows.get(table, {}).items()
+            )
+            if part == wanted
+            and value is not None
+            and key >= request.query.get("from", "")
         ]
         return self.answer(rows[:PAGE_ROWS])
 
@@ -105,15 +109,15 @@
         return self.answer(self.changes(table, after))
 
     def changes(self, table, after):
-        """Return the encoded changes of a table after a version, in their order."""
+        """Return the encoded changes of all parts of a table, in their order."""
         changed = [
-            (version, key, value)
-            for key, (value, version) in self.rows.get(table, {}).items()
+            (version, part, key, value)
+            for (part, key), (value, version) in self.rows.get(table, {}).items()
             if version > after
         ]
         return [
-            wire.encode_row(table, key, value, version)
-            for version, key, value in sorted(changed, key=lambda each: each[0])
+            wire.encode_row(table, key, value, version, part)
+            for version, part, key, value in sorted(changed, key=lambda each: each[0])
         ]
 
     async def write_rows(self, request):
@@ -121,7 +125,8 @@
         if self.mode is StoreMode.BUSY:
             return web.Response(status=503)
         for row in (await request.json())["puts"]:
-            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+            value = base64.b64decode(row["value"])
+            self.put(row["table"], row["key"], value, row["part"])
         if refusal := await self.apply_mode():
             return refusal
         return self.answer([])
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -21,9 +21,9 @@
 DOCUMENT = "config"
 
 
-def encode_row(table, key, value, version):
+def encode_row(table, key, value, version, part=""):
     """Return a row in the store's JSON form; a value of None means a deletion."""
-    row = {"table": table, "part": "", "key": key, "schema_version": version}
+    row = {"table": table, "part": part, "key": key, "schema_version": version}
     if value is None:
         return row | {"deleted": True}
     return row | {"value": base64.b64encode(value).decode()}
