Count a request as not run if no connection was opened for it

What callers saw: a request that may run once got 502, "may have run", though nothing was sent: an endpoint was listed whose host the client library takes for no address. Repeatable requests and streams spent an attempt on it, and with one attempt they got 502 as well. It also counted as a request that broke off at an endpoint.

Cause: only errors of connecting (ClientConnectorError) and the limit on its time counted as not run. The library refuses an address with another error, before it looks for a connection.

Change: each error of the library counts as not run unless the connection was open, which the library reports before it sends a byte. Errors after that are lost answers as before.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/connection/endpoints.py
@@ -10,7 +10,7 @@
 from fescuedrum.answers.exceptions import MalformedAnswer
 from fescuedrum.answers.framing import STATUSES_WITHOUT_BODY
 from fescuedrum.once import SendOnceGuard, open_session
-from fescuedrum_gateway.request.call import Answered, Lost, NotRun
+from fescuedrum_gateway.request.call import Answered, Lost, NotRun, describe_failure
 
 # A connection opens within one round trip of a few milliseconds. A lost packet would
 # only be sent again after a second; trying another endpoint is faster.
@@ -171,22 +171,29 @@
                 timeout=aiohttp.ClientTimeout(total=None),
                 trace_request_ctx=limit,
             )
-    except aiohttp.ClientConnectorError as error:
-        # No connection was opened, so nothing of the request was sent.
-        is_closed = isinstance(error.os_error, ConnectionRefusedError)
-        return NotRun(f"no connection: {error!r}", is_closed=is_closed)
     except MalformedAnswer as error:
         return Lost(str(error), broken_rule=error.rule)
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
-        if limit.timeout.expired() and not limit.is_connected:
-            return NotRun(f"no connection in {CONNECT_TIMEOUT_SECONDS} s")
-        return Lost("no answer", error=error)
+        if limit.is_connected:
+            return Lost("no answer", error=error)
+        # Without a connection nothing of the request was sent.
+        return build_not_connected(limit, error)
     finally:
         limit.end()
     head = adapter.read_answer(response.status, response.headers)
     return await classify_answer(head, response, call)
 
 
+def build_not_connected(limit, error):
+    """Return NotRun for a request that ended before its connection was open."""
+    if limit.timeout.expired():
+        return NotRun(f"no connection in {CONNECT_TIMEOUT_SECONDS} s")
+    is_closed = isinstance(error, aiohttp.ClientConnectorError) and isinstance(
+        error.os_error, ConnectionRefusedError
+    )
+    return NotRun(describe_failure("no connection", error), is_closed=is_closed)
+
+
 async def classify_answer(head, response, call):
     """Return OpenedAnswer for an endpoint's answer to this call, NotRun or Lost."""
     if head.fault:
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -1,6 +1,7 @@
 """Check what callers and endpoints receive from a gateway over real connections."""
 
 import asyncio
+import logging
 import socket
 import time
 from dataclasses import replace
@@ -96,6 +97,23 @@
     assert seconds < 2 * CONNECT_TIMEOUT_SECONDS
 
 
+@pytest.mark.parametrize("host", ["999.1.2.3", "host.invalid", ""])
+@pytest.mark.parametrize("kind", [RequestKind.NON_IDEMPOTENT, RequestKind.IDEMPOTENT])
+async def test_a_request_to_what_is_no_address_was_not_run(host, kind, caplog):
+    """Guard against "may have run" for a request of which nothing was sent."""
+    caplog.set_level(logging.INFO)
+    other = StandInEndpoint("e-2", engines.whole())
+    document = document_of(kind, maximum_attempts=1)
+    async with site(other, document=document) as (running, session):
+        odd = build_endpoint("e-1", host=host)
+        running.gateway.directory.presences.listed(odd)
+        running.gateway.directory.histories["e-2"].own.requests = 3
+        status, _, body = await call(running, session)
+    assert (status, body) == (200, b"done")
+    (failed,) = (each for each in caplog.records if each.message == "sending failed")
+    assert (failed.endpoint, failed.result) == ("e-1", "not run")
+
+
 async def test_requests_that_are_not_allowed_reach_no_endpoint():
     endpoint = StandInEndpoint("e-1", engines.whole())
     async with site(endpoint) as (running, session):
