--- a/packages/fescuedrum/src/fescuedrum/events/tables.py
+++ b/packages/fescuedrum/src/fescuedrum/events/tables.py
@@ -236,6 +236,21 @@
     known: Annotated[int, "version that is known"]
 
 
+@event
+class RowNotRead(Event):
+    """Logged when the key or the version of a row can't be read.
+
+    The row is left out; the other rows are used.
+    """
+
+    message = "row not read"
+    level = logging.WARNING
+
+    table: Annotated[str, "name of the table in the platform's store"]
+    key: Annotated[str, "beginning of what stands in place of the row's key"]
+    error: Error
+
+
 @event
 class RowsTaken(Event):
     """Logged when new rows are applied to the local copy of a table."""
--- a/tests/integration/test_odd_rows_at_restart.py
+++ b/tests/integration/test_odd_rows_at_restart.py
@@ -30,6 +30,16 @@
     "seq as text": (CLOSED, "seq", '"4"'),
     "version as number": (CLOSED, "version", "1"),
 }
+# Fields of the row as the store returns it.
+UNREADABLE = {
+    "value that is no text": {"value": 7},
+    "value that is no base64": {"value": "a"},
+    "no value": {},
+    "key that is no text": {"key": 7, "value": ""},
+    "key that is no Unicode": {"key": "\ud800", "value": ""},
+    "version as text": {"schema_version": "1", "value": ""},
+    "huge version": {"schema_version": 10**400, "value": ""},
+}
 STARTS = 2
 # A change arrives within milliseconds.
 CHANGE_SECONDS = 0.5
@@ -64,6 +74,25 @@
     assert sorted(event["row"] for event in left_out) == sorted(odd * GATEWAYS * STARTS)
 
 
+@pytest.mark.parametrize("fields", UNREADABLE.values(), ids=list(UNREADABLE))
+async def test_an_unreadable_row_harms_no_restart_of_all_processes(fields, tmp_path):
+    """Guard against a table of which nothing is read because of one row."""
+
+    def put_unreadable_row(store):
+        store.put(wire.ENDPOINTS, "odd", fields)
+
+    async with running_site(tmp_path, put_unreadable_row) as site:
+        records = await send_each_kind(site, "first")
+        site.store.put(wire.ENDPOINTS, "later", fields)
+        await restart_all(site)
+        records += await send_each_kind(site, "second")
+        site.store.put(wire.ENDPOINTS, "last", fields)
+        await asyncio.sleep(CHANGE_SECONDS)
+        records += await send_each_kind(site, "third")
+    assert [each for each in records if each.ending is not Ending.ANSWERED] == []
+    assert logged(site, "store lost") == []
+
+
 @pytest.mark.parametrize("value", [b"{}", None], ids=["written", "deleted"])
 async def test_rows_of_another_part_change_nothing(value, tmp_path):
     """Guard against rows of other parts of a table, which the feed returns as well."""
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -22,8 +22,13 @@
 
 
 def encode_row(table, key, value, version, part=""):
-    """Return a row in the store's JSON form; a value of None means a deletion."""
+    """Return a row in the store's JSON form; a value of None means a deletion.
+
+    A dictionary as the value replaces fields of the row.
+    """
     row = {"table": table, "part": part, "key": key, "schema_version": version}
+    if isinstance(value, dict):
+        return row | value
     if value is None:
         return row | {"deleted": True}
     return row | {"value": base64.b64encode(value).decode()}
