Pause after changes of which no row is taken, as after others

What would be seen: rows that another writer writes in other parts of a table cost each reader of the store a call for each change; the calls are limited and priced.

Cause: the pause that lets one call return all changes that follow each other shortly came only after rows that are taken, and rows of other parts are left out by now.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
@@ -137,7 +137,7 @@
             changes = await self.wait_for_changes()
             self.record_store_answers()
             self.apply(changes, "store")
-            if changes.rows:
+            if changes.rows or changes.left_out:
                 await asyncio.sleep(BATCH_SECONDS)
             return False
         changes = await self.store.read_table(self.replica.table)
--- a/packages/fescuedrum/src/fescuedrum/platform/interfaces.py
+++ b/packages/fescuedrum/src/fescuedrum/platform/interfaces.py
@@ -109,6 +109,8 @@
     version: int
     # Whether rows holds the whole table; rows that are absent do not exist then.
     whole: bool = False
+    # Number of changed rows that are of another part or can't be read.
+    left_out: int = 0
 
 
 class RowStore(Protocol):
--- a/tests/unit/test_followers.py
+++ b/tests/unit/test_followers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from dataclasses import replace
 
 import pytest
 from support.clock import run_paused
@@ -56,6 +57,31 @@
     )
 
 
+class StoreOfOthers(CountingStore):
+    """Return no change, as all changed rows are of other parts of the table."""
+
+    async def wait_for_changes(self, table, after, wait_seconds):
+        changes = await super().wait_for_changes(table, after, wait_seconds)
+        return replace(changes, rows=[], left_out=len(changes.rows))
+
+
+def test_changes_of_other_parts_cost_few_calls():
+    """Guard against a call to the store for each change that concerns others."""
+
+    async def run():
+        store = StoreOfOthers()
+        following = asyncio.create_task(build_follower("endpoints", store).run())
+        await asyncio.sleep(1.0)
+        store.calls = 0
+        for number in range(CHANGES):
+            store.put("endpoints", f"engine-{number}", number)
+            await asyncio.sleep(APART_SECONDS)
+        following.cancel()
+        return store.calls
+
+    assert run_paused(run()) <= MOST_CALLS
+
+
 def test_simultaneous_registrations_cost_few_calls_and_are_applied_promptly():
     """Each engine of many that start together costs every reader a call."""
 
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -408,6 +408,17 @@
     assert store.caller.params[1]["from"] == "b\0"
 
 
+async def test_changes_count_the_rows_that_are_left_out():
+    """Guard against a call to the store for each change that concerns others."""
+    body = page("a", "b", "c", version=9)
+    body["rows"][0]["part"] = "other"
+    body["rows"][1]["schema_version"] = "9"
+    store = build_store((200, json.dumps(body).encode()))
+    changes = await store.wait_for_changes("t", 5, 20.0)
+    assert [each.key for each in changes.rows] == ["c"]
+    assert changes.left_out == 2
+
+
 async def test_deleted_rows_and_lost_history_are_reported():
     gone = {"rows": [{"key": "a", "schema_version": 9, "deleted": True}]}
     body = json.dumps(gone | {"schema_version": 9}).encode()
