--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -408,6 +408,16 @@
     assert store.caller.params[1]["from"] == "b\0"
 
 
+async def test_a_table_with_the_longest_key_at_the_end_of_a_page_is_read():
+    """Guard against a bound that is longer than the store allows for a key."""
+    longest = "\u00e9" * 100
+    first = page("a", longest, version=5, more=True)
+    store = build_store(first, page(longest, "\u00ea", version=5))
+    changes = await store.read_table("t")
+    assert [each.key for each in changes.rows] == ["a", longest, "\u00ea"]
+    assert store.caller.params[1]["from"] == longest
+
+
 async def test_changes_count_the_rows_that_are_left_out():
     """Guard against a call to the store for each change that concerns others."""
     body = page("a", "b", "c", version=9)
@@ -429,7 +439,14 @@
         await store.wait_for_changes("t", 5, 20.0)
 
 
-@pytest.mark.parametrize("answer", [[], {}, {"rows": [3], "schema_version": 1}])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        [],
+        {},
+        {"rows": [3], "schema_version": 1},
+    ],
+)
 async def test_malformed_answer_raises_store_unavailable(answer):
     with pytest.raises(StoreUnavailable):
         await build_store(answer).read_table("t")
