Take an answer of the store whose version is no number of 64 bits for malformed

What would be seen: a gateway that takes such a version from the store can send no beacon any more, as a beacon holds versions of 64 bits (OverflowError with 2**63), and a version of true counted as 1.

Cause: the version of a page was only asked to be an integer, which a boolean is in Python, as is a number of any size.

--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -445,6 +445,8 @@
         [],
         {},
         {"rows": [3], "schema_version": 1},
+        {"rows": [], "schema_version": True},
+        {"rows": [], "schema_version": 2**63},
     ],
 )
 async def test_malformed_answer_raises_store_unavailable(answer):
