Report a whole number beyond floats in a document like other odd values

What would be seen: a document with a weight of 400 digits, from another writer of the platform's table, raises OverflowError where entries and agents decode it, which no caller of the decoder expects; an operator's proposal with one fails in the same way. Shown with the decoder alone.

Cause: a whole number was made a float before it was checked.

Change: a number that no float can hold is a finding of the field, like a text.

Measured: the new test failed on the commit before and passes now.

--- a/packages/fescuedrum/src/fescuedrum/conf/schema.py
+++ b/packages/fescuedrum/src/fescuedrum/conf/schema.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import sys
 import types
 import typing
 
@@ -138,7 +139,7 @@
 
 def build_scalar(kind, data, path, findings, metadata):
     """Return a string, number or boolean within its range."""
-    if kind is float and type(data) is int:
+    if kind is float and type(data) is int and abs(data) <= sys.float_info.max:
         data = float(data)
     if type(data) is not kind:
         findings.append(wrong_type(path, SCALARS[kind]))
--- a/tests/unit/test_schema.py
+++ b/tests/unit/test_schema.py
@@ -16,6 +16,14 @@
     assert all(finding.hint for finding in findings)
 
 
+def test_a_whole_number_beyond_floats_is_reported():
+    """Guard against a process that ends at one number of a document."""
+    data = json.loads(documents.encode_canonical(build_document()))
+    data["organisations"][0]["weight"] = 10**400
+    (finding,) = documents.decode(json.dumps(data)).unwrap_err()
+    assert finding.path == "$.organisations[0].weight"
+
+
 def test_a_document_is_unchanged_by_its_canonical_encoding():
     body = documents.encode_canonical(build_document())
     assert documents.encode_canonical(documents.parse(body).unwrap()) == body
