--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/gateway.py
@@ -275,6 +275,11 @@
         left = [budget.left(now, gateways) for budget in self.retries.values()]
         return min(left, default=-1.0)
 
+    def count_rows_left_out(self):
+        """Return how many rows of the list of endpoints name no endpoint."""
+        known = self.directory.presences.by_name
+        return sum(key not in known for key in self.followers[1].replica.rows)
+
     # Changes from the platform and from peers
 
     def apply_operators_rows(self, rows):
--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/metrics.py
@@ -155,6 +155,12 @@
                 "Endpoints known.",
                 lambda: len(gateway.directory.presences.by_name),
             ),
+            (
+                "endpoint_rows_left_out",
+                "Rows of the list of endpoints that name no endpoint, as they can't be "
+                "decoded.",
+                lambda: gateway.count_rows_left_out(),
+            ),
             (
                 "limited_endpoints",
                 "Endpoints that limit the requests a second that they accept.",
--- a/tests/integration/test_odd_rows.py
+++ b/tests/integration/test_odd_rows.py
@@ -62,10 +62,12 @@
         directory.histories["later"].own.requests = 2
         statuses = [(await call(running, session))[0] for _ in range(4)]
         await asyncio.sleep(0)
+        metrics, _ = running.gateway.metrics.catalogue.expose()
     sound.server.close()
     assert set(directory.presences.by_name) == {"sound", "later"}
     assert statuses == [200] * 4
     assert caplog.records == []
+    assert b"fescuedrum_gateway_endpoint_rows_left_out 1.0" in metrics
 
 
 ODD_HOSTS = {
