Take a page of which no row can be read for a malformed answer again

Cause: the change that leaves out single rows also left out the last one.

Change: a page with rows, none of which can be read, is malformed, as it was before that change. The follower then reads the whole table, whose other rows hold, so that an odd change by itself is no outage of the store either.

--- a/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
+++ b/packages/fescuedrum-gateway/src/fescuedrum_gateway/process/followers.py
@@ -17,7 +17,7 @@
 from fescuedrum.events import tables as events
 from fescuedrum.events.event import log_event
 from fescuedrum.events.processes import PeerGaveNoChanges
-from fescuedrum.exceptions import HistoryLost, StoreUnavailable
+from fescuedrum.exceptions import HistoryLost, RowsUnreadable, StoreUnavailable
 from fescuedrum.platform.interfaces import Changes, VersionedRow
 
 logger = logging.getLogger(__name__)
@@ -134,7 +134,13 @@
         """Make one call to the store; return whether the next must read all rows."""
         self.call_sent_at = self.loop.time()
         if not read_whole:
-            changes = await self.wait_for_changes()
+            try:
+                changes = await self.wait_for_changes()
+            except RowsUnreadable:
+                # The store answers, and other rows of the table may be readable.
+                self.record_store_answers()
+                await asyncio.sleep(BATCH_SECONDS)
+                return True
             self.record_store_answers()
             self.apply(changes, "store")
             if changes.rows or changes.left_out:
--- a/packages/fescuedrum/src/fescuedrum/exceptions.py
+++ b/packages/fescuedrum/src/fescuedrum/exceptions.py
@@ -265,6 +265,12 @@
     remedy = "Read the whole table and follow the changes from there."
 
 
+class RowsUnreadable(StoreUnavailable):
+    """Report an answer of the store of which no row can be read."""
+
+    remedy = "Read the whole table, whose other rows may be readable."
+
+
 class RowNotUnderstood(FescuedrumError):  # noqa: N818 - a state, not a fault
     """Report a row of the platform with a missing or malformed field."""
 
