--- a/packages/fescuedrum-entry/src/fescuedrum_entry/process/ages.py
+++ b/packages/fescuedrum-entry/src/fescuedrum_entry/process/ages.py
@@ -30,6 +30,19 @@
     return f"claim-age/{bucket:012d}/"
 
 
+def read_keys(index):
+    """Return the keys that an index row lists; None if it is malformed."""
+    keys = (index.value or {}).get("keys")
+    is_list = isinstance(keys, list) and all(isinstance(each, str) for each in keys)
+    return keys if is_list else None
+
+
+def is_in_bucket(value, bucket):
+    """Return whether a claim was last written in a bucket, or in an earlier one."""
+    written_in = value.get("bucket", 0)
+    return type(written_in) is int and written_in <= bucket
+
+
 class ClaimAges:
     """Track the current bucket; increment it and delete old claims under a lease."""
 
@@ -101,7 +114,10 @@
     async def sweep(self, bucket):
         """Delete the claims last written in a bucket, then the bucket's index rows."""
         for index in await self.table.scan(index_prefix(bucket)):
-            keys = index.value["keys"]
+            keys = read_keys(index)
+            if keys is None:
+                log_event(logger, AgesNotRead(f"The row {index.key} lists no keys."))
+                continue
             for begin in range(0, len(keys), DELETES_PER_WRITE):
                 await self.delete(keys[begin : begin + DELETES_PER_WRITE], bucket)
             await self.table.transact([Write(index.key, None, None)])
@@ -112,7 +128,7 @@
         old = [
             Write(row.key, None, row.version)
             for row in rows
-            if row.value is not None and row.value.get("bucket", 0) <= bucket
+            if row.value is not None and is_in_bucket(row.value, bucket)
         ]
         # A concurrent write of one row fails the transaction; the next step retries.
         if old and not await self.table.transact(old):
--- a/tests/unit/test_claim_writer.py
+++ b/tests/unit/test_claim_writer.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 
+import pytest
 from support.clock import run_paused
 
 from fescuedrum.claims.record import Claim
@@ -139,3 +140,29 @@
     assert "claim/old" not in late
     assert not any(key.startswith("claim-age/000000000000/") for key in late)
     assert ages.bucket >= 4
+
+
+ODD_INDEXES = [{}, {"keys": 7}, {"keys": [7]}, {"keys": ["claim/odd"]}]
+
+
+@pytest.mark.parametrize("value", ODD_INDEXES)
+def test_an_odd_index_row_keeps_no_old_claim_from_being_deleted(value):
+    """Guard against an entry that ends at one row of another writer."""
+
+    async def sweep():
+        table = CountingTable()
+        table.rows["claim/odd"] = ({"bucket": "0"}, 1)
+        table.rows["claim-age/000000000000/a"] = (value, 1)
+        ages = ClaimAges(table, HeldLease(), seconds=10.0)
+        writer = ClaimWriter(table, 0.005, ages, "entry-1")
+        sweeping = asyncio.create_task(ages.run(kept=3))
+        assert await writer.write("claim/old", build_claim(), 0)
+        await asyncio.sleep(62.0)
+        sweeping.cancel()
+        await asyncio.gather(sweeping, return_exceptions=True)
+        return sweeping.cancelled(), set(table.rows)
+
+    is_running, keys = run_paused(sweep())
+    assert is_running
+    assert "claim/odd" in keys
+    assert "claim/old" not in keys
