--- a/packages/fescuedrum/src/fescuedrum/platform/client.py
+++ b/packages/fescuedrum/src/fescuedrum/platform/client.py
@@ -42,8 +42,8 @@
 def find_odd_texts(instance):
     """Return a fault for each text of an instance that is not printable.
 
-    A text that is no Unicode can't be hashed, which ended the processes that choose
-    their connections by a hash of the name.
+    Entries choose their connections by a hash of these texts, and one that is no
+    Unicode has none.
     """
     values = schema.dump(instance)
     return [
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -418,6 +418,15 @@
     assert store.caller.params[1]["from"] == longest
 
 
+async def test_a_page_of_one_unreadable_row_harms_no_other_page():
+    """Guard against a table of which nothing is read because of its last page."""
+    last = page("c", version=5)
+    last["rows"][0]["value"] = 7
+    store = build_store(page("a", "b", version=5, more=True), last)
+    changes = await store.read_table("t")
+    assert [each.key for each in changes.rows] == ["a", "b", "c"]
+
+
 async def test_changes_count_the_rows_that_are_left_out():
     """Guard against a call to the store for each change that concerns others."""
     body = page("a", "b", "c", version=9)
