Test odd rows that are read before the sound ones, and the reported one

What callers saw: none of their requests was served after a restart, while a row of another writer stood in the list whose address is none and one of whose numbers is far above 64 bits.

The rows of the restart test stood behind the sound ones, where the fault did not show.

Change: the odd rows of the test have names that are read first; the reported row is one of its cases. Unreadable rows are written before, between and behind the others.

--- a/tests/integration/test_odd_rows_at_restart.py
+++ b/tests/integration/test_odd_rows_at_restart.py
@@ -23,6 +23,7 @@
     "address": ("999.1.2.3:80", "seq", "4"),
     "name": ("host.invalid:80", "seq", "4"),
     "address and huge seq": ("10.0.0.256:8080", "seq", odd_rows.HUGE),
+    "address and huge time": ("999.1.2.3:80", "cold_left_ms", odd_rows.HUGE),
     "address and slots as text": ("10.1:8080", "slots", '"6"'),
     "no address and huge slots": ("no address", "slots", odd_rows.HUGE),
     "no port and time as text": ("10.0.0.9", "cold_left_ms", '"0"'),
@@ -46,8 +47,8 @@
 
 
 def odd_name(service):
-    """Return the name under which the odd row of a service stands."""
-    return f"odd-{service}"
+    """Return the name of the odd row of a service, which is read before the others."""
+    return f"a-odd-{service}"
 
 
 @pytest.mark.parametrize(("address", "field", "text"), ROWS.values(), ids=list(ROWS))
@@ -79,14 +80,14 @@
     """Guard against a table of which nothing is read because of one row."""
 
     def put_unreadable_row(store):
-        store.put(wire.ENDPOINTS, "odd", fields)
+        store.put(wire.ENDPOINTS, "a-odd", fields)
 
     async with running_site(tmp_path, put_unreadable_row) as site:
         records = await send_each_kind(site, "first")
-        site.store.put(wire.ENDPOINTS, "later", fields)
+        site.store.put(wire.ENDPOINTS, "z-odd", fields)
         await restart_all(site)
         records += await send_each_kind(site, "second")
-        site.store.put(wire.ENDPOINTS, "last", fields)
+        site.store.put(wire.ENDPOINTS, "b-odd", fields)
         await asyncio.sleep(CHANGE_SECONDS)
         records += await send_each_kind(site, "third")
     assert [each for each in records if each.ending is not Ending.ANSWERED] == []
