--- a/tests/support/odd_rows.py
+++ b/tests/support/odd_rows.py
@@ -77,7 +77,7 @@
 }
 # Fields that not all endpoints have, beside those of SOUND.
 OPTIONAL = {"born": 17, "stage": "both", "models": [{"name": "m", "version": 1}]}
-# The JSON types of fields; a whole number is also one of the type "number".
+# Values by their type in JSON; a field for numbers takes whole ones as well.
 VALUES_OF_TYPES = {
     "null": st.none(),
     "flag": st.booleans(),
@@ -89,6 +89,7 @@
     "huge number": st.integers(2**63, 10**400) | st.integers(-(10**400), -(2**63)),
     "no number": st.sampled_from([float("nan"), float("inf"), float("-inf")]),
 }
+# Types of which a field may be; their values are not drawn as malformed ones.
 TYPES_OF_FIELDS = {
     "service": ("text",),
     "address": ("text",),
